--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,71 @@
+// Package daemon is the command line of quetzald, apart from its main function,
+// so that scripted scenarios can run it.
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"quetzalknot"
+	"quetzalknot/platform"
+	"quetzalknot/platform/httpclient"
+	"quetzalknot/platform/memory"
+	"quetzalknot/process/eventlog"
+	"quetzalknot/process/settings"
+)
+
+// Exit codes.
+const (
+	exitOK       = 0
+	exitFailure  = 1
+	exitSettings = 2
+)
+
+type cli struct {
+	Settings string           `arg:"" type:"path" help:"TOML settings file."`
+	Check    bool             `help:"Check the settings and exit."`
+	Version  kong.VersionFlag `help:"Print the version and exit."`
+}
+
+// Main runs the daemon and returns its exit code.
+func Main() int {
+	var c cli
+	kong.Parse(&c, kong.Name("quetzald"), kong.Vars{"version": quetzalknot.Version},
+		kong.Description("Runs one entry host: answers look-ups and forwards requests to targets.\n\nExit codes: 0 stopped as asked, 1 failed, 2 bad settings or usage."))
+	s, err := settings.Load(c.Settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "quetzald:", err)
+		return exitSettings
+	}
+	if c.Check {
+		return exitOK
+	}
+	if err := run(s); err != nil {
+		fmt.Fprintln(os.Stderr, "quetzald:", err)
+		return exitFailure
+	}
+	return exitOK
+}
+
+func run(s *settings.Settings) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	node := quetzalknot.New(s, connect(s), eventlog.New(os.Stderr, s.Host.Name))
+	if err := node.Start(ctx); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return node.Stop(context.Background())
+}
+
+func connect(s *settings.Settings) platform.Platform {
+	if s.Platform.URL == "" {
+		return memory.New()
+	}
+	return httpclient.New(s.Platform.URL)
+}
--- /dev/null
+++ b/request/request.go
@@ -0,0 +1,154 @@
+// Package request describes one caller's request while it lives in this host.
+package request
+
+import (
+	"math"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/oklog/ulid/v2"
+
+	"quetzalknot/version/config"
+)
+
+// Headers of callers' requests and of their answers.
+const (
+	HeaderService   = "Quetzal-Service"
+	HeaderRequestID = "Quetzal-Request-Id"
+	HeaderTimeout   = "Quetzal-Timeout-Ms"
+	HeaderKey       = "Idempotency-Key"
+)
+
+// maxHeaderValue is the longest accepted request id or key, in bytes.
+const maxHeaderValue = 200
+
+// Info is what routing needs to know about a request.
+type Info struct {
+	// ID is echoed to the caller and written to each log line.
+	ID       string
+	Service  *config.Service
+	Class    config.Class
+	Method   string
+	Path     string
+	Client   netip.Addr
+	Key      string
+	Deadline time.Time
+	// Idempotent is true when running the request twice is as good as once.
+	Idempotent bool
+}
+
+// FieldError reports a bad header of a request.
+type FieldError struct {
+	Field   string
+	Value   string
+	Allowed string
+}
+
+// Error implements the error interface.
+func (e *FieldError) Error() string {
+	return e.Field + " = " + strconv.Quote(e.Value) + ": " + e.Allowed
+}
+
+// ServiceName returns the service that a request names.
+func ServiceName(r *http.Request) string {
+	if name := r.Header.Get(HeaderService); name != "" {
+		return name
+	}
+	host, _, found := strings.Cut(r.Host, ":")
+	if found {
+		return host
+	}
+	return r.Host
+}
+
+// Parse reads the headers of a request for a service.
+func Parse(r *http.Request, svc *config.Service, now time.Time) (*Info, error) {
+	id, err := boundedHeader(r, HeaderRequestID)
+	if err != nil {
+		return nil, err
+	}
+	if id == "" {
+		id = ulid.Make().String()
+	}
+	key, err := boundedHeader(r, HeaderKey)
+	if err != nil {
+		return nil, err
+	}
+	class := ClassOf(svc, r.Method, r.URL.Path)
+	timeout, err := timeoutOf(r, svc, class)
+	if err != nil {
+		return nil, err
+	}
+	return &Info{
+		ID: id, Service: svc, Class: class, Method: r.Method, Path: r.URL.Path,
+		Client: clientAddr(r), Key: key, Deadline: now.Add(timeout),
+		Idempotent: idempotentMethod(r.Method),
+	}, nil
+}
+
+func boundedHeader(r *http.Request, name string) (string, error) {
+	value := r.Header.Get(name)
+	if len(value) > maxHeaderValue {
+		return "", &FieldError{Field: name, Value: value[:maxHeaderValue], Allowed: "at most 200 bytes"}
+	}
+	return value, nil
+}
+
+func timeoutOf(r *http.Request, svc *config.Service, class config.Class) (time.Duration, error) {
+	if text := r.Header.Get(HeaderTimeout); text != "" {
+		ms, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || ms <= 0 || ms > math.MaxInt32 {
+			return 0, errors.WithStack(&FieldError{Field: HeaderTimeout, Value: text, Allowed: "whole milliseconds, 1 or more"})
+		}
+		return time.Duration(ms) * time.Millisecond, nil
+	}
+	for _, ms := range []int{class.TimeoutMS, svc.TimeoutMS, config.DefaultTimeoutMS} {
+		if ms > 0 {
+			return time.Duration(ms) * time.Millisecond, nil
+		}
+	}
+	return 0, nil
+}
+
+// ClassOf returns the first class that matches, or the class "short".
+func ClassOf(svc *config.Service, method, path string) config.Class {
+	for _, c := range svc.Classes {
+		if strings.HasPrefix(path, c.PathPrefix) && methodMatches(c.Methods, method) {
+			return c
+		}
+	}
+	return config.Class{Name: "short"}
+}
+
+func methodMatches(methods []string, method string) bool {
+	if len(methods) == 0 {
+		return true
+	}
+	for _, m := range methods {
+		if m == method {
+			return true
+		}
+	}
+	return false
+}
+
+func idempotentMethod(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodPut, http.MethodDelete:
+		return true
+	default:
+		return false
+	}
+}
+
+func clientAddr(r *http.Request) netip.Addr {
+	ap, err := netip.ParseAddrPort(r.RemoteAddr)
+	if err != nil {
+		return netip.Addr{}
+	}
+	return ap.Addr().Unmap()
+}
--- /dev/null
+++ b/tools/cli/standin.go
@@ -0,0 +1,53 @@
+package cli
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"quetzalknot/tools/standin/platformd"
+	"quetzalknot/tools/standin/targetd"
+)
+
+type labCommands struct {
+	Platform labPlatform `cmd:"" help:"Run a stand-in for the platform."`
+	Target   labTarget   `cmd:"" help:"Run a stand-in for a target."`
+}
+
+type labPlatform struct {
+	Addr string `required:"" help:"IP address and port to listen on."`
+}
+
+// Run implements the command.
+func (c *labPlatform) Run() error { return serveUntilSignal(c.Addr, platformd.New().Handler()) }
+
+type labTarget struct {
+	Addr    string        `required:"" help:"IP address and port to listen on."`
+	Name    string        `required:"" help:"Name of the target."`
+	Slots   int           `default:"6" help:"Requests that run at once."`
+	RunTime time.Duration `name:"run" default:"5ms" help:"Run time of a request that names none."`
+}
+
+// Run implements the command.
+func (c *labTarget) Run() error {
+	return serveUntilSignal(c.Addr, targetd.New(targetd.Options{Name: c.Name, Slots: c.Slots, RunTime: c.RunTime}))
+}
+
+func serveUntilSignal(addr string, handler http.Handler) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	server := &http.Server{Addr: addr, Handler: handler}
+	go func() {
+		<-ctx.Done()
+		_ = server.Close()
+	}()
+	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/tools/scenario/scenario_test.go
@@ -0,0 +1,40 @@
+// Package scenario runs the scripted scenarios in testdata.
+package scenario
+
+import (
+	"fmt"
+	"os"
+	"sync/atomic"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"quetzalknot/daemon"
+	"quetzalknot/tools/cli"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"quetzald":   func() { os.Exit(daemon.Main()) },
+		"quetzalctl": func() { os.Exit(cli.Main()) },
+	})
+}
+
+var scripts atomic.Uint32
+
+// TestScenarios runs each script with loopback addresses of its own, so that
+// fixed ports never meet those of another script or run.
+func TestScenarios(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Setup: func(env *testscript.Env) error {
+			pid := os.Getpid()
+			env.Setenv("NET", fmt.Sprintf("127.%d.%d", 1+scripts.Add(1), 1+pid%250))
+			return nil
+		},
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
+			"subst": cmdSubst,
+			"fetch": cmdFetch,
+		},
+	})
+}
--- /dev/null
+++ b/tools/standin/platformd/faults.go
@@ -0,0 +1,64 @@
+package platformd
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"time"
+)
+
+// FaultState says how the stand-in misbehaves. The zero value behaves well.
+type FaultState struct {
+	// Down makes every call fail before it takes effect.
+	Down bool `json:"down"`
+	// DelayMS delays every call by this many milliseconds.
+	DelayMS int `json:"delay_ms"`
+	// LoseAnswers makes every write take effect and then drops its answer.
+	LoseAnswers bool `json:"lose_answers"`
+}
+
+// Faults holds the faults in force. It is safe for concurrent use.
+type Faults struct {
+	mu    sync.Mutex
+	state FaultState
+}
+
+// Set replaces the faults in force.
+func (f *Faults) Set(s FaultState) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.state = s
+}
+
+func (f *Faults) get() FaultState {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state
+}
+
+func (f *Faults) middleware(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		state := f.get()
+		time.Sleep(time.Duration(state.DelayMS) * time.Millisecond)
+		if state.Down {
+			http.Error(w, "platform is down", http.StatusServiceUnavailable)
+			return
+		}
+		if state.LoseAnswers && r.Method != http.MethodGet {
+			next.ServeHTTP(httptest.NewRecorder(), r)
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
+	var state FaultState
+	if err := json.NewDecoder(r.Body).Decode(&state); err != nil {
+		reply(w, nil, err)
+		return
+	}
+	s.Faults.Set(state)
+	reply(w, state, nil)
+}
--- /dev/null
+++ b/version/config/config.go
@@ -0,0 +1,145 @@
+// Package config declares the objects whose state change tickets give: services,
+// placements, traffic shifts, leaving targets and hosts, and client blocks.
+package config
+
+import "time"
+
+// Defaults of a service and its classes.
+const (
+	DefaultTimeoutMS   = 10_000
+	DefaultQueueLimit  = 256
+	DefaultHealthPath  = "/health"
+	DefaultLoadPath    = "/load"
+	DefaultPolicy      = "two-choices"
+	DefaultRetryShare  = 0.1
+	DefaultHedgeShare  = 0.02
+	DefaultLongSlots   = 0.5
+	DefaultLongTargets = 0.5
+)
+
+// Service is the whole state of one service.
+type Service struct {
+	// Name is the host name under which callers reach the service.
+	Name string `toml:"name" json:"name"`
+	// Policy names the routing policy. Default two-choices.
+	Policy string `toml:"policy" json:"policy,omitempty"`
+	// TimeoutMS is the deadline in milliseconds of a request that names none. Default 10000.
+	TimeoutMS int `toml:"timeout_ms" json:"timeout_ms,omitempty"`
+	// HealthPath is the path of the targets' health endpoint. Default /health.
+	HealthPath string `toml:"health_path" json:"health_path,omitempty"`
+	// LoadPath is the path of the targets' load endpoint. Default /load.
+	LoadPath string `toml:"load_path" json:"load_path,omitempty"`
+	// Shed is the exact answer by which a target says that it did not run a request.
+	Shed ShedForm `toml:"shed" json:"shed,omitzero"`
+	// RetryShare bounds retries as a share of first attempts. Default 0.1.
+	RetryShare float64 `toml:"retry_share" json:"retry_share,omitempty"`
+	// HedgeShare bounds hedged attempts as a share of first attempts. Default 0.02.
+	HedgeShare float64 `toml:"hedge_share" json:"hedge_share,omitempty"`
+	// Classes are matched in order; a request that matches none is short.
+	Classes []Class `toml:"class" json:"classes,omitempty"`
+	// Targets are the service's back ends.
+	Targets []Target `toml:"target" json:"targets"`
+}
+
+// ShedForm is the declared form of an answer that proves that a request was not run.
+type ShedForm struct {
+	// Status is the HTTP status. 0 means that no answer proves it.
+	Status int `toml:"status" json:"status,omitempty"`
+	// Header is the name of a header that must be present.
+	Header string `toml:"header" json:"header,omitempty"`
+}
+
+// Target is one back end of a service.
+type Target struct {
+	Name string `toml:"name" json:"name"`
+	// Addr is the IP address and port.
+	Addr          string `toml:"addr" json:"addr"`
+	Region        string `toml:"region" json:"region"`
+	FailureDomain string `toml:"failure_domain" json:"failure_domain"`
+	// Slots is how many requests the target runs at once.
+	Slots int `toml:"slots" json:"slots"`
+	// Connections is how many connections the target takes. Default 400.
+	Connections int `toml:"connections" json:"connections,omitempty"`
+}
+
+// Class groups requests of one service that have similar run times.
+type Class struct {
+	Name string `toml:"name" json:"name"`
+	// PathPrefix matches the beginning of the request path.
+	PathPrefix string `toml:"path_prefix" json:"path_prefix"`
+	// Methods limits the class to these methods. Empty means all.
+	Methods []string `toml:"methods" json:"methods,omitempty"`
+	// Long marks work that runs many times longer than the rest.
+	Long bool `toml:"long" json:"long,omitempty"`
+	// SlotShare is the share of a target's slots that the class may hold. Default 1, or 0.5 if long.
+	SlotShare float64 `toml:"slot_share" json:"slot_share,omitempty"`
+	// TargetShare is the share of the targets that the class may use. Default 1, or 0.5 if long.
+	TargetShare float64 `toml:"target_share" json:"target_share,omitempty"`
+	// QueueLimit is how many requests may wait on one host. Default 256.
+	QueueLimit int `toml:"queue_limit" json:"queue_limit,omitempty"`
+	// TimeoutMS is the deadline in milliseconds of a request that names none. Default: the service's.
+	TimeoutMS int `toml:"timeout_ms" json:"timeout_ms,omitempty"`
+	// ExpectedMS is the declared usual run time in milliseconds. 0 means unknown.
+	ExpectedMS int `toml:"expected_ms" json:"expected_ms,omitempty"`
+}
+
+// Placement states in which regions a service may run.
+type Placement struct {
+	Service string   `toml:"service" json:"service"`
+	Regions []string `toml:"regions" json:"regions"`
+	// SpillShare is the share of each region's slots that it lends to callers of other regions.
+	SpillShare float64 `toml:"spill_share" json:"spill_share,omitempty"`
+}
+
+// Shift moves a share of a service's traffic from one region to another.
+type Shift struct {
+	Name    string `toml:"name" json:"name"`
+	Service string `toml:"service" json:"service"`
+	From    string `toml:"from" json:"from"`
+	To      string `toml:"to" json:"to"`
+	// Share is the wanted share of the traffic, 0 to 1.
+	Share float64 `toml:"share" json:"share"`
+	// Cap is the share that must never be exceeded, 0 to 1.
+	Cap float64 `toml:"cap" json:"cap"`
+	// RatePerSecond is by how much the share may grow each second. 0 means at once.
+	RatePerSecond float64 `toml:"rate_per_second" json:"rate_per_second,omitempty"`
+	// Start is when the share begins to grow.
+	Start time.Time `toml:"start" json:"start,omitzero"`
+	// End is when the shift ends. Zero means that only a ticket ends it.
+	End time.Time `toml:"end" json:"end,omitzero"`
+}
+
+// LeavingKind says what leaves.
+type LeavingKind string
+
+// The kinds of things that leave.
+const (
+	LeavingTarget LeavingKind = "target"
+	LeavingHost   LeavingKind = "host"
+)
+
+// Leaving marks a target or an entry host that takes no new work.
+type Leaving struct {
+	Kind LeavingKind `toml:"kind" json:"kind"`
+	// Service is the target's service; empty for a host.
+	Service string `toml:"service" json:"service,omitempty"`
+	Name    string `toml:"name" json:"name"`
+}
+
+// Block assigns a block of client addresses to a region, and optionally to entry hosts.
+type Block struct {
+	// Prefix is an IPv4 or IPv6 prefix, such as 192.0.2.0/24.
+	Prefix string `toml:"prefix" json:"prefix"`
+	Region string `toml:"region" json:"region"`
+	// Entries overrides the entry hosts, best first.
+	Entries []string `toml:"entries" json:"entries,omitempty"`
+}
+
+// BlockTable names an object that holds a large table of client blocks.
+type BlockTable struct {
+	Name string `toml:"name" json:"name"`
+	// Object is the key in the object store.
+	Object string `toml:"object" json:"object"`
+	// SHA256 is the hexadecimal checksum of the object.
+	SHA256 string `toml:"sha256" json:"sha256"`
+}
