Seams between choosing, admitting, retrying and exchanging a request

Cause: one forwarding file mixed four concerns that grow apart. Change: request/route chooses, request/admit waits, request/retry decides, and request/forward exchanges; a figures set and the recent log lines belong to a node, so several nodes fit in one process; settings are checked by section; a test compares docs/EVENTS.md with the events in the code, both ways.

--- a/api.go
+++ b/api.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"expvar"
 	"io"
 	"net/http"
 	"net/netip"
@@ -30,7 +29,8 @@
 	r.HandleFunc("/v1/status", n.handleStatus).Methods(http.MethodGet)
 	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
 	r.HandleFunc("/readyz", n.handleReady)
-	r.Handle("/debug/vars", expvar.Handler())
+	r.HandleFunc("/v1/explain/{request}", n.handleExplain).Methods(http.MethodGet)
+	r.Handle("/debug/vars", n.metrics)
 	return r
 }
 
@@ -175,6 +175,20 @@
 	writeJSON(w, http.StatusOK, status)
 }
 
+func (n *Node) handleExplain(w http.ResponseWriter, r *http.Request) {
+	id := mux.Vars(r)["request"]
+	lines := n.recent.Lines(id)
+	if len(lines) == 0 {
+		writeError(w, http.StatusNotFound, errors.Newf("request %q is not known on this host", id))
+		return
+	}
+	story := make([]json.RawMessage, len(lines))
+	for i, line := range lines {
+		story[i] = line
+	}
+	writeJSON(w, http.StatusOK, story)
+}
+
 func (n *Node) handleReady(w http.ResponseWriter, _ *http.Request) {
 	if !n.ready.Load() {
 		writeError(w, http.StatusServiceUnavailable, errors.New("no configuration is loaded yet"))
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -15,7 +15,6 @@
 	"quetzalknot/platform"
 	"quetzalknot/platform/httpclient"
 	"quetzalknot/platform/memory"
-	"quetzalknot/process/eventlog"
 	"quetzalknot/process/settings"
 )
 
@@ -55,7 +54,7 @@
 func run(s *settings.Settings) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	node := quetzalknot.New(s, connect(s), eventlog.New(os.Stderr, s.Host.Name))
+	node := quetzalknot.New(s, connect(s), os.Stderr)
 	if err := node.Start(ctx); err != nil {
 		return err
 	}
--- a/node.go
+++ b/node.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -18,10 +19,13 @@
 	"quetzalknot/platform"
 	"quetzalknot/process/eventlog"
 	"quetzalknot/process/membership"
+	"quetzalknot/process/metrics"
 	"quetzalknot/process/peer"
 	"quetzalknot/process/settings"
 	"quetzalknot/process/slots"
+	"quetzalknot/request/admit"
 	"quetzalknot/request/forward"
+	"quetzalknot/request/route"
 	"quetzalknot/version/lookup"
 	"quetzalknot/version/state"
 	"quetzalknot/version/store"
@@ -34,7 +38,7 @@
 	evAccepted = eventlog.Define(2001, zerolog.InfoLevel, "ticket accepted")
 	evInForce  = eventlog.Define(2002, zerolog.InfoLevel, "configuration version in force")
 	evBadState = eventlog.Define(2003, zerolog.ErrorLevel, "configuration version refused")
-	evLookup   = eventlog.Define(2004, zerolog.InfoLevel, "look-up answered")
+	evLookup   = eventlog.Define(2201, zerolog.InfoLevel, "look-up answered")
 )
 
 const (
@@ -44,6 +48,8 @@
 	leaseTerm = 30 * time.Second
 	// readHeaderTimeout bounds how long a caller may take to send a header.
 	readHeaderTimeout = 10 * time.Second
+	// explainedRequests is how many requests a host can explain.
+	explainedRequests = 10_000
 )
 
 // Node is one process of the system.
@@ -51,6 +57,8 @@
 	settings *settings.Settings
 	platform platform.Platform
 	log      zerolog.Logger
+	recent   *eventlog.Recent
+	metrics  *metrics.Set
 
 	config      state.Holder
 	lookupTable atomic.Pointer[lookup.Table]
@@ -75,15 +83,18 @@
 	Peer    string
 }
 
-// New returns a node that has not started.
-func New(s *settings.Settings, p platform.Platform, log zerolog.Logger) *Node {
+// New returns a node that has not started. It writes its log lines to logs.
+func New(s *settings.Settings, p platform.Platform, logs io.Writer) *Node {
+	recent := eventlog.NewRecent(logs, explainedRequests)
+	log := eventlog.New(recent, s.Host.Name)
 	n := &Node{
-		settings: s, platform: p, log: log,
+		settings: s, platform: p, log: log, recent: recent, metrics: metrics.NewSet(),
 		merged: state.New(), store: store.New(p.Table), members: membership.New(p.Table),
 		peers: peer.NewServer(), pool: target.NewPool(),
 	}
 	n.lookupTable.Store(&lookup.Table{})
-	n.forward = forward.New(&n.config, slots.NewLocal(), n.pool, log)
+	router := route.NewRouter(slots.NewLocal(), n.metrics, log)
+	n.forward = forward.New(&n.config, admit.New(router, n.metrics, log), n.pool, n.metrics, log)
 	return n
 }
 
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -3,8 +3,6 @@
 
 import (
 	"bytes"
-	"fmt"
-	"net/netip"
 	"os"
 
 	"github.com/cockroachdb/errors"
@@ -64,6 +62,19 @@
 	FailureDomains []string `toml:"failure_domains"`
 }
 
+// section is one table of the settings file.
+type section interface {
+	// applyDefaults fills in what the file leaves out.
+	applyDefaults()
+	// check adds a problem for each bad value.
+	check(p *problems)
+}
+
+// sections lists the tables in the order in which they are checked.
+func (s *Settings) sections() []section {
+	return []section{&s.Host, &s.Listen, &s.Roles, &s.Platform, &s.Topology}
+}
+
 // Load reads and checks a settings file.
 func Load(path string) (*Settings, error) {
 	data, err := os.ReadFile(path)
@@ -74,31 +85,19 @@
 	return s, errors.Wrap(err, path)
 }
 
-// Parse reads and checks settings.
+// Parse reads and checks settings. The error lists every problem found.
 func Parse(data []byte) (*Settings, error) {
 	var s Settings
 	dec := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields()
 	if err := dec.Decode(&s); err != nil {
 		return nil, err
 	}
-	s.applyDefaults()
-	return &s, s.check()
-}
-
-func (s *Settings) applyDefaults() {
-	if s.Roles == (Roles{}) {
-		s.Roles = Roles{Lookup: true, Forward: true, Watch: true}
-	}
-}
-
-func (s *Settings) check() error {
-	if s.Host.Name == "" {
-		return errors.New("host.name is empty: give the host's name")
+	p := &problems{}
+	for _, sec := range s.sections() {
+		sec.applyDefaults()
 	}
-	for key, addr := range map[string]string{"listen.api": s.Listen.API, "listen.forward": s.Listen.Forward, "listen.peer": s.Listen.Peer} {
-		if _, err := netip.ParseAddrPort(addr); err != nil {
-			return fmt.Errorf("%s = %q: give an IP address and port", key, addr)
-		}
+	for _, sec := range s.sections() {
+		sec.check(p)
 	}
-	return nil
+	return &s, p.err()
 }
--- /dev/null
+++ b/request/forward/attempts.go
@@ -0,0 +1,36 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+
+	"quetzalknot/request"
+	"quetzalknot/request/retry"
+	"quetzalknot/verdict"
+	"quetzalknot/version/state"
+)
+
+// forward runs attempts until one is answered or no further one is allowed, and
+// writes the answer. It returns the verdict that the caller was told.
+func (h *Handler) forward(ctx context.Context, w http.ResponseWriter, r *http.Request, info *request.Info, snap *state.Snapshot) verdict.Verdict {
+	var tried []string
+	for {
+		choice, err := h.admit.Acquire(ctx, info, snap, tried)
+		if err != nil {
+			w.Header().Set("Retry-After", retryAfterSeconds)
+			refuse(w, http.StatusServiceUnavailable, err)
+			return verdict.NotRun
+		}
+		tried = append(tried, choice.Target.Name)
+		answer, err := h.exchange(ctx, r, info, choice)
+		if err == nil {
+			return answer.copyTo(w)
+		}
+		v := verdict.Of(err)
+		if r.Body != nil && r.Body != http.NoBody || !retry.Allowed(info, len(tried), v) {
+			w.Header().Set(verdict.Header, v.String())
+			http.Error(w, err.Error(), http.StatusBadGateway)
+			return v
+		}
+	}
+}
--- /dev/null
+++ b/request/route/router.go
@@ -0,0 +1,118 @@
+package route
+
+import (
+	"math/rand/v2"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"quetzalknot/process/eventlog"
+	"quetzalknot/process/metrics"
+	"quetzalknot/process/slots"
+	"quetzalknot/request"
+	"quetzalknot/verdict"
+	"quetzalknot/version/config"
+	"quetzalknot/version/state"
+)
+
+var evRouted = eventlog.Define(4101, zerolog.InfoLevel, "target chosen")
+
+// ErrNoRoom reports that no target has room for the request now.
+var ErrNoRoom = errors.New("no target has room")
+
+// Choice is a target with a slot held for one attempt.
+type Choice struct {
+	Target *config.Target
+	// Release gives the slot back. The holder calls it once, when the target is
+	// known to have ended the request.
+	Release func()
+}
+
+// Router chooses targets by the policy that a service's ticket names.
+type Router struct {
+	room slots.Room
+	log  zerolog.Logger
+
+	mu       sync.Mutex
+	policies map[string]namedPolicy
+}
+
+type namedPolicy struct {
+	name   string
+	policy Policy
+}
+
+// NewRouter returns a router that takes slots from room.
+func NewRouter(room slots.Room, _ *metrics.Set, log zerolog.Logger) *Router {
+	return &Router{room: room, log: log, policies: make(map[string]namedPolicy)}
+}
+
+// Choose takes a slot at a target for one attempt. It never blocks. Targets in
+// tried had an earlier attempt and come last. It returns ErrNoRoom, with the
+// verdict not-run, when none has room.
+func (r *Router) Choose(info *request.Info, snap *state.Snapshot, tried []string) (Choice, error) {
+	candidates := r.candidates(info, snap, tried)
+	at := r.policy(info.Service).Pick(candidates, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	if at == None {
+		return Choice{}, verdict.Wrap(verdict.NotRun, "route", ErrNoRoom)
+	}
+	chosen := candidates[at].Target
+	release, ok := r.room.Acquire(slots.Target{Service: info.Service.Name, Name: chosen.Name}, chosen.Slots)
+	if !ok {
+		return Choice{}, verdict.Wrap(verdict.NotRun, "route", ErrNoRoom)
+	}
+	evRouted.Log(r.log).Str("request", info.ID).Str("service", info.Service.Name).
+		Str("class", info.Class.Name).Str("target", chosen.Name).
+		Int("candidates", len(candidates)).Uint64("version", snap.Version).Send()
+	return Choice{Target: chosen, Release: release}, nil
+}
+
+func (r *Router) candidates(info *request.Info, snap *state.Snapshot, tried []string) []Candidate {
+	svc := info.Service
+	fresh := make([]Candidate, 0, len(svc.Targets))
+	var again []Candidate
+	for i := range svc.Targets {
+		t := &svc.Targets[i]
+		if snap.LeavingTargets[state.TargetKey{Service: svc.Name, Target: t.Name}] {
+			continue
+		}
+		key := slots.Target{Service: svc.Name, Name: t.Name}
+		c := Candidate{
+			Target: t, Free: r.room.Free(key, t.Slots), InFlight: r.room.InFlight(key),
+			ReportedLoad: -1, Weight: 1,
+		}
+		if contains(tried, t.Name) {
+			again = append(again, c)
+			continue
+		}
+		fresh = append(fresh, c)
+	}
+	if len(fresh) == 0 {
+		return again
+	}
+	return fresh
+}
+
+func contains(names []string, name string) bool {
+	for _, n := range names {
+		if n == name {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *Router) policy(svc *config.Service) Policy {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if known, ok := r.policies[svc.Name]; ok && known.name == svc.Policy {
+		return known.policy
+	}
+	policy, ok := New(svc.Policy)
+	if !ok {
+		policy = TwoChoices{}
+	}
+	r.policies[svc.Name] = namedPolicy{name: svc.Policy, policy: policy}
+	return policy
+}
