Slots have a lane for long work and tell waiters of new room

Cause: queues need to know when room may have appeared, and long work must not hold all slots of a target. Change: slots.Room takes an Ask with a lane and offers Changed. Conclusion: path.txtar passes; no queue uses Changed yet.

--- a/process/slots/slots.go
+++ b/process/slots/slots.go
@@ -10,54 +10,132 @@
 	Name    string
 }
 
+// Lane separates long work from the rest, so that long work cannot hold all slots.
+type Lane uint8
+
+// The lanes.
+const (
+	Short Lane = iota
+	Long
+)
+
+// Ask describes one slot that a request wants.
+type Ask struct {
+	Target Target
+	Lane   Lane
+	// Slots is how many requests the target runs at once.
+	Slots int
+	// LongSlots is how many of them long work may hold.
+	LongSlots int
+}
+
 // Room decides whether this host may send one more request to a target.
 // Implementations are safe for concurrent use and never block.
 type Room interface {
-	// Free returns how many more requests this host may send to the target now.
-	Free(t Target, slots int) int
+	// Free returns how many more requests of the lane this host may send now.
+	Free(a Ask) int
 	// InFlight returns how many requests this host has in flight at the target.
 	InFlight(t Target) int
 	// Acquire takes one slot. It returns false when none is free. The caller calls
 	// release once, when the target is known to have ended the request.
-	Acquire(t Target, slots int) (release func(), ok bool)
+	Acquire(a Ask) (release func(), ok bool)
+	// Changed returns a channel that is closed when room at a target of the service
+	// may have appeared since the call.
+	Changed(service string) <-chan struct{}
 }
 
 // Local is a Room that counts only this host's own requests.
 type Local struct {
 	mu     sync.Mutex
-	counts map[Target]int
+	counts map[Target]*usage
+	wakers map[string]chan struct{}
+}
+
+// usage is what this host has in flight at one target.
+type usage struct {
+	total int
+	long  int
 }
 
 // NewLocal returns a Local without requests.
-func NewLocal() *Local { return &Local{counts: make(map[Target]int)} }
+func NewLocal() *Local {
+	return &Local{counts: make(map[Target]*usage), wakers: make(map[string]chan struct{})}
+}
 
 // Free implements Room.
-func (l *Local) Free(t Target, slots int) int { return slots - l.InFlight(t) }
+func (l *Local) Free(a Ask) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.free(a)
+}
+
+func (l *Local) free(a Ask) int {
+	u := l.counts[a.Target]
+	if u == nil {
+		u = &usage{}
+	}
+	if a.Lane == Long {
+		return min(a.Slots-u.total, a.LongSlots-u.long)
+	}
+	return a.Slots - u.total
+}
 
 // InFlight implements Room.
 func (l *Local) InFlight(t Target) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.counts[t]
+	if u := l.counts[t]; u != nil {
+		return u.total
+	}
+	return 0
 }
 
 // Acquire implements Room.
-func (l *Local) Acquire(t Target, slots int) (func(), bool) {
+func (l *Local) Acquire(a Ask) (func(), bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.counts[t] >= slots {
+	if l.free(a) <= 0 {
 		return nil, false
 	}
-	l.counts[t]++
+	u := l.counts[a.Target]
+	if u == nil {
+		u = &usage{}
+		l.counts[a.Target] = u
+	}
+	u.add(a.Lane, 1)
 	var once sync.Once
-	return func() { once.Do(func() { l.release(t) }) }, true
+	return func() { once.Do(func() { l.release(a) }) }, true
+}
+
+func (u *usage) add(lane Lane, n int) {
+	u.total += n
+	if lane == Long {
+		u.long += n
+	}
+}
+
+func (l *Local) release(a Ask) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	u := l.counts[a.Target]
+	u.add(a.Lane, -1)
+	if u.total == 0 {
+		delete(l.counts, a.Target)
+	}
+	if waker := l.wakers[a.Target.Service]; waker != nil {
+		close(waker)
+		delete(l.wakers, a.Target.Service)
+	}
 }
 
-func (l *Local) release(t Target) {
+// Changed implements Room.
+func (l *Local) Changed(service string) <-chan struct{} {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.counts[t]--
-	if l.counts[t] == 0 {
-		delete(l.counts, t)
+	waker := l.wakers[service]
+	if waker == nil {
+		waker = make(chan struct{})
+		l.wakers[service] = waker
 	}
+	return waker
 }
--- a/request/route/router.go
+++ b/request/route/router.go
@@ -58,7 +58,7 @@
 		return Choice{}, verdict.Wrap(verdict.NotRun, "route", ErrNoRoom)
 	}
 	chosen := candidates[at].Target
-	release, ok := r.room.Acquire(slots.Target{Service: info.Service.Name, Name: chosen.Name}, chosen.Slots)
+	release, ok := r.room.Acquire(askOf(info, chosen))
 	if !ok {
 		return Choice{}, verdict.Wrap(verdict.NotRun, "route", ErrNoRoom)
 	}
@@ -77,9 +77,9 @@
 		if snap.LeavingTargets[state.TargetKey{Service: svc.Name, Target: t.Name}] {
 			continue
 		}
-		key := slots.Target{Service: svc.Name, Name: t.Name}
+		ask := askOf(info, t)
 		c := Candidate{
-			Target: t, Free: r.room.Free(key, t.Slots), InFlight: r.room.InFlight(key),
+			Target: t, Free: r.room.Free(ask), InFlight: r.room.InFlight(ask.Target),
 			ReportedLoad: -1, Weight: 1,
 		}
 		if contains(tried, t.Name) {
@@ -94,6 +94,22 @@
 	return fresh
 }
 
+// askOf returns the slot that a request wants at a target.
+func askOf(info *request.Info, t *config.Target) slots.Ask {
+	ask := slots.Ask{
+		Target: slots.Target{Service: info.Service.Name, Name: t.Name},
+		Slots:  t.Slots, LongSlots: t.Slots,
+	}
+	if info.Class.Long {
+		ask.Lane = slots.Long
+		ask.LongSlots = info.Class.LongSlots(t.Slots)
+	}
+	return ask
+}
+
+// Changed returns a channel that is closed when room for the service may have appeared.
+func (r *Router) Changed(service string) <-chan struct{} { return r.room.Changed(service) }
+
 func contains(names []string, name string) bool {
 	for _, n := range names {
 		if n == name {
--- a/version/config/config.go
+++ b/version/config/config.go
@@ -143,3 +143,17 @@
 	// SHA256 is the hexadecimal checksum of the object.
 	SHA256 string `toml:"sha256" json:"sha256"`
 }
+
+// LongSlots returns how many of a target's slots a long class may hold: its
+// share, at least one, and never all of them where the target has more than one.
+func (c Class) LongSlots(slots int) int {
+	share := c.SlotShare
+	if share == 0 {
+		share = DefaultLongSlots
+	}
+	n := max(1, int(share*float64(slots)))
+	if slots > 1 {
+		n = min(n, slots-1)
+	}
+	return n
+}
