client: look-up with cache, failover and verdict-aware retry

Callers had no library: each would decide by itself when a request may be sent again. Client.Do looks up entry hosts, keeps the answer for its time to live (and longer while no API host answers), and sends again only when no target ran the request, the method is idempotent, or a key goes with it. A look-up answer now names each host's API address as well, so that a caller with old settings still finds one.

Nine outcomes in a table test plus the loss of first entry and look-ups at once pass under -race.

--- a/api.go
+++ b/api.go
@@ -84,7 +84,7 @@
 	var hosts []lookup.Host
 	for _, m := range n.members.Live() {
 		if !leaving[m.Host] {
-			hosts = append(hosts, lookup.Host{Name: m.Host, Addr: m.ForwardAddr, Region: m.Region, FailureDomain: m.FailureDomain})
+			hosts = append(hosts, lookup.Host{Name: m.Host, Addr: m.ForwardAddr, API: m.APIAddr, Region: m.Region, FailureDomain: m.FailureDomain})
 		}
 	}
 	return hosts
--- /dev/null
+++ b/client/client_test.go
@@ -0,0 +1,213 @@
+package client_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+
+	"quetzalknot/client"
+	"quetzalknot/verdict"
+	"quetzalknot/version/lookup"
+)
+
+// network answers requests in place of entry hosts, by address.
+type network struct {
+	mu    sync.Mutex
+	hosts map[string]http.HandlerFunc
+	// seen are the keys and bodies that each address got.
+	seen map[string][]string
+}
+
+type reply struct {
+	status int
+	header map[string]string
+}
+
+func (n *network) RoundTrip(r *http.Request) (*http.Response, error) {
+	if r.URL.Path == "/v1/lookup" {
+		return n.lookup(r)
+	}
+	var sent []byte
+	if r.Body != nil {
+		sent, _ = io.ReadAll(r.Body)
+		_ = r.Body.Close()
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.seen[r.URL.Host] = append(n.seen[r.URL.Host], r.Header.Get(client.HeaderKey)+"|"+string(sent))
+	h := n.hosts[r.URL.Host]
+	if h == nil {
+		return nil, &net.OpError{Op: "dial", Err: errors.New("refused")}
+	}
+	return record(h, r)
+}
+
+func (n *network) lookup(r *http.Request) (*http.Response, error) {
+	if n.hosts["api"] == nil {
+		return nil, errors.New("no API host")
+	}
+	return record(n.hosts["api"], r)
+}
+
+type recorder struct {
+	header http.Header
+	body   strings.Builder
+	status int
+	err    error
+}
+
+func (w *recorder) Header() http.Header         { return w.header }
+func (w *recorder) Write(b []byte) (int, error) { return w.body.Write(b) }
+func (w *recorder) WriteHeader(status int)      { w.status = status }
+
+func record(h http.HandlerFunc, r *http.Request) (*http.Response, error) {
+	w := &recorder{header: make(http.Header), status: http.StatusOK}
+	h(w, r)
+	if w.err != nil {
+		return nil, w.err
+	}
+	return &http.Response{StatusCode: w.status, Header: w.header, Body: io.NopCloser(strings.NewReader(w.body.String())), Request: r}, nil
+}
+
+func answers(rs ...reply) http.HandlerFunc {
+	i := 0
+	return func(w http.ResponseWriter, _ *http.Request) {
+		r := rs[min(i, len(rs)-1)]
+		i++
+		if r.status == 0 {
+			w.(*recorder).err = errors.New("connection reset")
+			return
+		}
+		for name, value := range r.header {
+			w.Header().Set(name, value)
+		}
+		w.WriteHeader(r.status)
+	}
+}
+
+var (
+	ran       = reply{200, map[string]string{verdict.Header: "ran"}}
+	shed      = reply{503, map[string]string{verdict.Header: "not-run", "Retry-After": "1"}}
+	uncertain = reply{502, map[string]string{verdict.Header: "may-have-run"}}
+	refused   = reply{400, map[string]string{verdict.Header: "not-run"}}
+	reset     = reply{}
+)
+
+func TestDo(t *testing.T) {
+	cases := []struct {
+		name          string
+		method        string
+		first, second http.HandlerFunc
+		unkeyed       bool
+		verdict       verdict.Verdict
+		calls         [2]int
+		failed        bool
+	}{
+		{"first entry dead", "POST", nil, answers(ran), true, verdict.Ran, [2]int{1, 1}, false},
+		{"shed, then room elsewhere", "POST", answers(shed), answers(ran), true, verdict.Ran, [2]int{1, 1}, false},
+		{"bad request is final", "POST", answers(refused), answers(ran), true, verdict.NotRun, [2]int{1, 0}, false},
+		{"unkeyed write may have run", "POST", answers(uncertain), answers(ran), true, verdict.MayHaveRun, [2]int{1, 0}, false},
+		{"unkeyed write reset", "POST", answers(reset), answers(ran), true, verdict.MayHaveRun, [2]int{1, 0}, true},
+		{"keyed write may have run", "POST", answers(uncertain), answers(ran), false, verdict.Ran, [2]int{1, 1}, false},
+		{"read reset", "GET", answers(reset), answers(ran), true, verdict.Ran, [2]int{1, 1}, false},
+		{"not-run after may-have-run claims nothing", "POST", answers(uncertain), answers(shed), false, verdict.MayHaveRun, [2]int{2, 1}, false},
+		{"all dead", "POST", nil, nil, false, verdict.NotRun, [2]int{2, 1}, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := newNetwork(tc.first, tc.second)
+				c := newClient(t, n, tc.unkeyed)
+				req, _ := http.NewRequest(tc.method, "/slots", strings.NewReader("skip 7"))
+				resp, v, err := c.Do(t.Context(), "bokun", req)
+				if resp != nil {
+					_ = resp.Body.Close()
+				}
+				var failure *client.Error
+				if v != tc.verdict || errors.As(err, &failure) != tc.failed {
+					t.Fatalf("got %v, %v", v, err)
+				}
+				checkCalls(t, n, tc.calls, tc.unkeyed || tc.method == "GET")
+			})
+		})
+	}
+}
+
+// checkCalls wants every attempt to carry the whole body and the same key.
+func checkCalls(t *testing.T, n *network, want [2]int, unkeyed bool) {
+	t.Helper()
+	var all []string
+	for i, addr := range []string{"127.0.0.1:1", "127.0.0.1:2"} {
+		if got := len(n.seen[addr]); got != want[i] {
+			t.Errorf("%s got %d requests, want %d", addr, got, want[i])
+		}
+		all = append(all, n.seen[addr]...)
+	}
+	for _, sent := range all {
+		key, body, _ := strings.Cut(sent, "|")
+		if sent != all[0] || body != "skip 7" || (key == "") != unkeyed || !unkeyed && !strings.HasPrefix(key, "h1.") {
+			t.Errorf("attempts sent %q", all)
+		}
+	}
+}
+
+func newNetwork(first, second http.HandlerFunc) *network {
+	n := &network{hosts: map[string]http.HandlerFunc{}, seen: map[string][]string{}}
+	for addr, h := range map[string]http.HandlerFunc{"127.0.0.1:1": first, "127.0.0.1:2": second} {
+		if h != nil {
+			n.hosts[addr] = h
+		}
+	}
+	n.hosts["api"] = func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(lookup.Answer{Service: "bokun", TTLMS: 1000, KeyPrefix: "h1.", Entries: []lookup.Host{
+			{Name: "h1", Addr: "127.0.0.1:1"}, {Name: "h2", Addr: "127.0.0.1:2"}}})
+	}
+	return n
+}
+
+func newClient(t *testing.T, n *network, unkeyed bool) *client.Client {
+	t.Helper()
+	c, err := client.New(client.Options{API: []string{"127.0.0.1:9"}, Transport: n, Unkeyed: unkeyed})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// TestCachedAnswerSurvivesLossOfFirstEntryAndOfLookups loses both after one answer.
+func TestCachedAnswerSurvivesLossOfFirstEntryAndOfLookups(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(answers(ran), answers(ran))
+		c := newClient(t, n, true)
+		get := func() error {
+			req, _ := http.NewRequest("GET", "/slots", nil)
+			resp, _, err := c.Do(context.Background(), "bokun", req)
+			if err == nil {
+				_ = resp.Body.Close()
+			}
+			return err
+		}
+		if err := get(); err != nil {
+			t.Fatal(err)
+		}
+		n.mu.Lock()
+		delete(n.hosts, "api")
+		delete(n.hosts, "127.0.0.1:1")
+		n.mu.Unlock()
+		for range 3 {
+			if err := get(); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if got := len(n.seen["127.0.0.1:1"]); got != 2 {
+			t.Errorf("the dead entry got %d requests, want 2: once alive, once dead", got)
+		}
+	})
+}
--- a/version/lookup/lookup.go
+++ b/version/lookup/lookup.go
@@ -21,8 +21,10 @@
 
 // Host is an entry host as the look-up sees it.
 type Host struct {
-	Name          string `json:"host"`
-	Addr          string `json:"addr"`
+	Name string `json:"host"`
+	Addr string `json:"addr"`
+	// API is the address of the host's look-up listener.
+	API           string `json:"api,omitempty"`
 	Region        string `json:"region"`
 	FailureDomain string `json:"failure_domain"`
 }
