Look-up table of 3.1 million blocks in paged arrays

A bart table of 3.1 million blocks alone takes more than the 128 MB that a host may spend. Blocks now stand in pages of sorted arrays with the length of the enclosing block; a change copies only the pages that it touches, so that look-ups never wait and an old table stays whole. bart keeps the few IPv6 blocks that are longer than /64.

Blocks that are not canonical, or given twice, are refused by name.

--- /dev/null
+++ b/version/lookup/builder.go
@@ -0,0 +1,59 @@
+package lookup
+
+import (
+	"net/netip"
+
+	"github.com/gaissmai/bart"
+)
+
+// Builder makes a table from blocks in order, one at a time, so that a large
+// table never exists in another form beside itself.
+type Builder struct {
+	table    Table
+	v4       *writer[uint32]
+	v6       *writer[uint64]
+	previous netip.Prefix
+}
+
+// NewBuilder returns a builder. Blocks name an assignment by its place in the list.
+func NewBuilder(list []Assignment) *Builder {
+	return &Builder{table: Table{assignments: list}, v4: newWriter[uint32](), v6: newWriter[uint64]()}
+}
+
+// Add appends one block. It must follow the last one in the order of
+// netip.Prefix.Compare; the error is a *BlockError.
+func (b *Builder) Add(p netip.Prefix, assignment uint16) error {
+	if err := checkBlock(p); err != nil {
+		return err
+	}
+	if int(assignment) >= len(b.table.assignments) {
+		return &BlockError{Block: p.String(), Reason: "its assignment is not in the table"}
+	}
+	if b.previous.IsValid() && p.Compare(b.previous) <= 0 {
+		return &BlockError{Block: p.String(), Reason: "given twice or out of order, after " + b.previous.String()}
+	}
+	b.previous = p
+	length := uint8(p.Bits())
+	switch {
+	case p.Addr().Is4():
+		b.v4.add(key4(p.Addr()), length, assignment)
+	case length <= maxWordLength:
+		b.v6.add(key6(p.Addr()), length, assignment)
+	default:
+		b.addLong(p, assignment)
+	}
+	return nil
+}
+
+func (b *Builder) addLong(p netip.Prefix, assignment uint16) {
+	if b.table.long == nil {
+		b.table.long = new(bart.Table[uint16])
+	}
+	b.table.long.Insert(p, assignment)
+}
+
+// Table returns the table. The builder must not be used afterwards.
+func (b *Builder) Table() *Table {
+	b.table.v4, b.table.v6 = *b.v4.tree(), *b.v6.tree()
+	return &b.table
+}
--- a/version/lookup/lookup.go
+++ b/version/lookup/lookup.go
@@ -6,8 +6,6 @@
 	"sort"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/cockroachdb/errors"
-	"github.com/gaissmai/bart"
 
 	"quetzalknot/version/config"
 )
@@ -40,28 +38,36 @@
 	KeyPrefix string `json:"key_prefix"`
 }
 
-// Table maps client blocks to regions. It is immutable once built.
-type Table struct {
-	blocks bart.Table[string]
+// Build returns a table of the blocks that tickets give. A malformed block, or
+// one that is given twice, is a *BlockError.
+func Build(blocks []config.Block) (*Table, error) {
+	changes, err := Changes(blocks)
+	if err != nil {
+		return nil, err
+	}
+	return new(Table).Apply(changes)
 }
 
-// Build returns a table of the blocks. A malformed prefix is an error.
-func Build(blocks []config.Block) (*Table, error) {
-	t := &Table{}
+// Changes returns the blocks that tickets give as changes of a table.
+func Changes(blocks []config.Block) ([]Change, error) {
+	changes := make([]Change, 0, len(blocks))
 	for _, b := range blocks {
-		prefix, err := netip.ParsePrefix(b.Prefix)
+		p, err := ParseBlock(b.Prefix)
 		if err != nil {
-			return nil, errors.Wrapf(err, "block %q", b.Prefix)
+			return nil, err
 		}
-		t.blocks.Insert(prefix.Masked(), b.Region)
+		changes = append(changes, Change{Prefix: p, Assignment: Assignment{Regions: []string{b.Region}, Entries: b.Entries}})
 	}
-	return t, nil
+	return changes, nil
 }
 
 // Region returns the region of the longest block that holds the client, or "".
 func (t *Table) Region(client netip.Addr) string {
-	region, _ := t.blocks.Lookup(client.Unmap())
-	return region
+	a, ok := t.Lookup(client)
+	if !ok || len(a.Regions) == 0 {
+		return ""
+	}
+	return a.Regions[0]
 }
 
 // Order returns the entries for a client: hosts of its region first, each group
