--- a/version/lookup/builder.go
+++ b/version/lookup/builder.go
@@ -1,6 +1,7 @@
 package lookup
 
 import (
+	"cmp"
 	"net/netip"
 
 	"github.com/gaissmai/bart"
@@ -20,8 +21,8 @@
 	return &Builder{table: Table{assignments: list}, v4: newWriter[uint32](), v6: newWriter[uint64]()}
 }
 
-// Add appends one block. It must follow the last one in the order of
-// netip.Prefix.Compare; the error is a *BlockError.
+// Add appends one block. It must follow the last one in the order of Table.All;
+// the error is a *BlockError.
 func (b *Builder) Add(p netip.Prefix, assignment uint16) error {
 	if err := checkBlock(p); err != nil {
 		return err
@@ -29,7 +30,7 @@
 	if int(assignment) >= len(b.table.assignments) {
 		return &BlockError{Block: p.String(), Reason: "its assignment is not in the table"}
 	}
-	if b.previous.IsValid() && p.Compare(b.previous) <= 0 {
+	if b.previous.IsValid() && compareStored(b.previous, p) >= 0 {
 		return &BlockError{Block: p.String(), Reason: "given twice or out of order, after " + b.previous.String()}
 	}
 	b.previous = p
@@ -45,6 +46,14 @@
 	return nil
 }
 
+// compareStored orders blocks by family, address and length.
+func compareStored(a, b netip.Prefix) int {
+	if by := cmp.Compare(familyOf(a), familyOf(b)); by != 0 {
+		return by
+	}
+	return a.Compare(b)
+}
+
 func (b *Builder) addLong(p netip.Prefix, assignment uint16) {
 	if b.table.long == nil {
 		b.table.long = new(bart.Table[uint16])
--- a/version/lookup/tree.go
+++ b/version/lookup/tree.go
@@ -126,13 +126,21 @@
 }
 
 // each calls f for every block in order until it returns false.
-func (t *tree[K]) each(f func(key K, length uint8, value uint16) bool) bool {
+func (t *tree[K]) each(f func(key K, length uint8, value uint16) bool) bool { return t.from(0, f) }
+
+// from is each without the first skip blocks.
+func (t *tree[K]) from(skip int, f func(key K, length uint8, value uint16) bool) bool {
 	for _, p := range t.pages {
-		for i := range p.keys {
+		if skip >= len(p.keys) {
+			skip -= len(p.keys)
+			continue
+		}
+		for i := skip; i < len(p.keys); i++ {
 			if !f(p.keys[i], p.lengths[i], p.values[i]) {
 				return false
 			}
 		}
+		skip = 0
 	}
 	return true
 }
