Stand-in target with faults, connection cost and a record of runs

Cause: scenarios and experiments need targets that crash, answer late or crossed, cut answers, drain, start cold, lie about load, and keep a record of each run. Change: targetd keeps a ledger by request id and idempotency key, takes faults for the whole target over POST /stand-in/faults and for one request by header, and survives crash and restart on one address. A node takes its dialer from outside, so that latency between regions can be added.

--- a/connection/target/pool.go
+++ b/connection/target/pool.go
@@ -21,14 +21,24 @@
 	idleLimit = 64
 )
 
+// Dial opens a connection; it has the form of net.Dialer.DialContext.
+type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // Pool keeps connections to targets, by address. It is safe for concurrent use.
 type Pool struct {
+	dial Dial
+
 	mu   sync.Mutex
 	idle map[string][]*conn
 }
 
-// NewPool returns a pool without connections.
-func NewPool() *Pool { return &Pool{idle: make(map[string][]*conn)} }
+// NewPool returns a pool without connections. A nil dial means net.Dialer.
+func NewPool(dial Dial) *Pool {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
+	return &Pool{dial: dial, idle: make(map[string][]*conn)}
+}
 
 // conn is one connection to a target; it carries one exchange at a time.
 type conn struct {
@@ -79,8 +89,7 @@
 		return c, nil
 	}
 	p.mu.Unlock()
-	dialer := net.Dialer{Timeout: dialTimeout}
-	raw, err := dialer.DialContext(ctx, "tcp", addr)
+	raw, err := p.dial(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -54,7 +54,7 @@
 func run(s *settings.Settings) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	node := quetzalknot.New(s, connect(s), os.Stderr)
+	node := quetzalknot.New(s, quetzalknot.Options{Platform: connect(s), Logs: os.Stderr})
 	if err := node.Start(ctx); err != nil {
 		return err
 	}
--- a/node.go
+++ b/node.go
@@ -83,14 +83,28 @@
 	Peer    string
 }
 
-// New returns a node that has not started. It writes its log lines to logs.
-func New(s *settings.Settings, p platform.Platform, logs io.Writer) *Node {
-	recent := eventlog.NewRecent(logs, explainedRequests)
+// Dial opens a connection to a target or another host; it has the form of
+// net.Dialer.DialContext.
+type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// Options are what a node needs besides its settings.
+type Options struct {
+	Platform platform.Platform
+	// Logs receives the JSON log lines.
+	Logs io.Writer
+	// Dial replaces net.Dialer, so that the lab can add latency. May be nil.
+	Dial Dial
+}
+
+// New returns a node that has not started.
+func New(s *settings.Settings, opts Options) *Node {
+	p := opts.Platform
+	recent := eventlog.NewRecent(opts.Logs, explainedRequests)
 	log := eventlog.New(recent, s.Host.Name)
 	n := &Node{
 		settings: s, platform: p, log: log, recent: recent, metrics: metrics.NewSet(),
 		merged: state.New(), store: store.New(p.Table), members: membership.New(p.Table),
-		peers: peer.NewServer(), pool: target.NewPool(),
+		peers: peer.NewServer(), pool: target.NewPool(target.Dial(opts.Dial)),
 	}
 	n.lookupTable.Store(&lookup.Table{})
 	router := route.NewRouter(slots.NewLocal(), n.metrics, log)
--- a/process/peer/peer.go
+++ b/process/peer/peer.go
@@ -96,15 +96,25 @@
 	Call(ctx context.Context, addr, method string, args, reply any) error
 }
 
+// Dial opens a connection; it has the form of net.Dialer.DialContext.
+type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // Clients is a Caller that keeps one connection to each address. It is safe for
 // concurrent use.
 type Clients struct {
+	dial Dial
+
 	mu    sync.Mutex
 	conns map[string]*rpc.Client
 }
 
-// NewClients returns a Caller without connections.
-func NewClients() *Clients { return &Clients{conns: make(map[string]*rpc.Client)} }
+// NewClients returns a Caller without connections. A nil dial means net.Dialer.
+func NewClients(dial Dial) *Clients {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
+	return &Clients{dial: dial, conns: make(map[string]*rpc.Client)}
+}
 
 // Call implements Caller.
 func (c *Clients) Call(ctx context.Context, addr, method string, args, reply any) error {
@@ -137,8 +147,7 @@
 	if client != nil {
 		return client, nil
 	}
-	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", addr)
+	conn, err := c.dial(ctx, "tcp", addr)
 	if err != nil {
 		return nil, errors.Wrap(err, "peer")
 	}
--- a/tools/cli/standin.go
+++ b/tools/cli/standin.go
@@ -31,11 +31,22 @@
 	Name    string        `required:"" help:"Name of the target."`
 	Slots   int           `default:"6" help:"Requests that run at once."`
 	RunTime time.Duration `name:"run" default:"5ms" help:"Run time of a request that names none."`
+	Connect time.Duration `default:"1ms" help:"Cost of a new connection."`
 }
 
 // Run implements the command.
 func (c *labTarget) Run() error {
-	return serveUntilSignal(c.Addr, targetd.New(targetd.Options{Name: c.Name, Slots: c.Slots, RunTime: c.RunTime}))
+	target, err := targetd.Start(targetd.Options{
+		Name: c.Name, Addr: c.Addr, Slots: c.Slots, RunTime: c.RunTime, ConnectDelay: c.Connect,
+	})
+	if err != nil {
+		return err
+	}
+	defer target.Close()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	<-ctx.Done()
+	return nil
 }
 
 func serveUntilSignal(addr string, handler http.Handler) error {
--- /dev/null
+++ b/tools/standin/targetd/reports.go
@@ -0,0 +1,39 @@
+package targetd
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+)
+
+// LoadReport is the body of /load.
+type LoadReport struct {
+	InFlight int `json:"in_flight"`
+	Slots    int `json:"slots"`
+}
+
+func (s *Server) handleHealth(w http.ResponseWriter, _ *http.Request) {
+	f := s.Faults()
+	if (f.Unhealthy || f.Draining) && !f.HealthLies {
+		http.Error(w, "unhealthy", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = io.WriteString(w, "ok\n")
+}
+
+func (s *Server) handleLoad(w http.ResponseWriter, _ *http.Request) {
+	f := s.Faults()
+	report := LoadReport{InFlight: s.ledger.inFlight(), Slots: s.opts.Slots}
+	if f.LoadLie != nil {
+		report.InFlight = *f.LoadLie
+	}
+	time.Sleep(time.Duration(f.LoadLagMS) * time.Millisecond)
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(report) // the reader may be gone
+}
+
+func (s *Server) handleRecord(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(s.Record()) // the reader may be gone
+}
--- a/tools/standin/targetd/targetd.go
+++ b/tools/standin/targetd/targetd.go
@@ -1,146 +1,151 @@
-// Package targetd is a stand-in for a target: a small HTTP server with slots,
-// run times, load and health reports, and a record of what it ran.
+// Package targetd is a stand-in for a target: an HTTP server with slots, run
+// times, a cost for each connection, load and health reports, and a record of
+// what it ran. Faults make it misbehave on demand.
 package targetd
 
 import (
-	"encoding/json"
-	"fmt"
-	"io"
+	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/gorilla/mux"
 )
 
-const (
-	// HeaderRun is the run time in milliseconds that a request asks for.
-	HeaderRun = "Target-Run-Ms"
-	// HeaderShed marks an answer by which the target refused a request.
-	HeaderShed = "Target-Shed"
-	// headerRequestID is the id that the system puts on every request.
-	headerRequestID = "Quetzal-Request-Id"
-)
-
 // Options are the properties of one target.
 type Options struct {
 	Name string
+	// Addr is the IP address and port; port 0 picks one.
+	Addr string
 	// Slots is how many requests run at once; one more is shed.
 	Slots int
+	// Connections is how many connections are taken at once. 0 means 400.
+	Connections int
+	// ConnectDelay is the time that a new connection costs.
+	ConnectDelay time.Duration
 	// RunTime is how long a request runs that does not say.
 	RunTime time.Duration
+	// ColdFor is how long after a start requests run slower; ColdFactor is how many times at first.
+	ColdFor    time.Duration
+	ColdFactor float64
 }
 
-// Server is one target. It is an http.Handler.
+const defaultConnections = 400
+
+// Server is one running target.
 type Server struct {
 	opts   Options
 	router *mux.Router
+	faults faultHolder
+	ledger ledger
 
-	mu       sync.Mutex
-	inFlight int
-	peak     int
-	shed     int
-	runs     map[string]int
+	mu        sync.Mutex
+	addr      string
+	http      *http.Server
+	startedAt time.Time
 }
 
-// New returns a target that has run nothing.
-func New(opts Options) *Server {
-	s := &Server{opts: opts, router: mux.NewRouter(), runs: make(map[string]int)}
-	s.router.HandleFunc("/health", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
-	s.router.HandleFunc("/load", s.load)
-	s.router.HandleFunc("/stand-in/record", s.record)
-	s.router.PathPrefix("/").HandlerFunc(s.run)
-	return s
+// Start listens and serves.
+func Start(opts Options) (*Server, error) {
+	if opts.Connections == 0 {
+		opts.Connections = defaultConnections
+	}
+	s := &Server{opts: opts, router: mux.NewRouter(), addr: opts.Addr}
+	s.ledger.runs = make(map[string]int)
+	s.ledger.keyRuns = make(map[string]int)
+	s.router.HandleFunc("/health", s.handleHealth)
+	s.router.HandleFunc("/load", s.handleLoad)
+	s.router.HandleFunc("/stand-in/record", s.handleRecord)
+	s.router.HandleFunc("/stand-in/faults", s.handleFaults).Methods(http.MethodPost)
+	s.router.PathPrefix("/").HandlerFunc(s.handleRequest)
+	return s, s.Restart()
 }
 
-// ServeHTTP implements http.Handler.
-func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.router.ServeHTTP(w, r) }
+// Name returns the target's name.
+func (s *Server) Name() string { return s.opts.Name }
 
-// Answer is the body of a request that ran.
-type Answer struct {
-	Target    string `json:"target"`
-	RequestID string `json:"request_id"`
-	Path      string `json:"path"`
-	// BodyBytes is how many bytes of request body arrived.
-	BodyBytes int64 `json:"body_bytes"`
+// Addr returns the address that the target listens on. It outlives a crash.
+func (s *Server) Addr() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.addr
 }
 
-func (s *Server) run(w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get(headerRequestID)
-	if !s.begin(id) {
-		w.Header().Set(HeaderShed, "1")
-		http.Error(w, "no free slot", http.StatusServiceUnavailable)
-		return
+// Restart begins to listen, at first or after a crash. The target is cold again.
+func (s *Server) Restart() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.http != nil {
+		return nil
 	}
-	defer s.end()
-	n, err := io.Copy(io.Discard, r.Body)
+	l, err := net.Listen("tcp", s.addr)
 	if err != nil {
-		return
+		return errors.Wrapf(err, "target %s", s.opts.Name)
 	}
-	select {
-	case <-time.After(s.runTime(r)):
-	case <-r.Context().Done():
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(Answer{Target: s.opts.Name, RequestID: id, Path: r.URL.Path, BodyBytes: n})
+	s.addr = l.Addr().String()
+	s.startedAt = time.Now()
+	s.ledger.restart()
+	s.http = &http.Server{Handler: s.router}
+	listener := &costlyListener{Listener: l, delay: s.opts.ConnectDelay, free: make(chan struct{}, s.opts.Connections)}
+	go func(server *http.Server) { _ = server.Serve(listener) }(s.http)
+	return nil
 }
 
-func (s *Server) runTime(r *http.Request) time.Duration {
-	if ms, err := strconv.Atoi(r.Header.Get(HeaderRun)); err == nil {
-		return time.Duration(ms) * time.Millisecond
-	}
-	return s.opts.RunTime
-}
-
-func (s *Server) begin(id string) bool {
+// Crash closes the listener and every connection at once.
+func (s *Server) Crash() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.inFlight >= s.opts.Slots {
-		s.shed++
-		return false
+	if s.http == nil {
+		return
 	}
-	s.inFlight++
-	s.peak = max(s.peak, s.inFlight)
-	s.runs[id]++
-	return true
+	_ = s.http.Close()
+	s.http = nil
+	s.ledger.crashed()
 }
 
-func (s *Server) end() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.inFlight--
-}
+// Close ends the target.
+func (s *Server) Close() { s.Crash() }
 
-// Record is what the target ran.
-type Record struct {
-	// Runs counts the runs by request id.
-	Runs     map[string]int `json:"runs"`
-	InFlight int            `json:"in_flight"`
-	// Peak is the largest number of requests that ran at once.
-	Peak int `json:"peak"`
-	// Shed counts refused requests.
-	Shed int `json:"shed"`
+// costlyListener delays the first read of each connection and bounds their number.
+type costlyListener struct {
+	net.Listener
+	delay time.Duration
+	free  chan struct{}
 }
 
-// Record returns a copy of what the target ran so far.
-func (s *Server) Record() Record {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	runs := make(map[string]int, len(s.runs))
-	for id, n := range s.runs {
-		runs[id] = n
+// Accept implements net.Listener.
+func (l *costlyListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		select {
+		case l.free <- struct{}{}:
+			return &costlyConn{Conn: conn, delay: l.delay, free: l.free}, nil
+		default:
+			_ = conn.Close()
+		}
 	}
-	return Record{Runs: runs, InFlight: s.inFlight, Peak: s.peak, Shed: s.shed}
 }
 
-func (s *Server) record(w http.ResponseWriter, _ *http.Request) {
-	_ = json.NewEncoder(w).Encode(s.Record())
+type costlyConn struct {
+	net.Conn
+	delay     time.Duration
+	free      chan struct{}
+	firstRead sync.Once
+	closeOnce sync.Once
 }
 
-func (s *Server) load(w http.ResponseWriter, _ *http.Request) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	_, _ = fmt.Fprintf(w, `{"in_flight":%d,"slots":%d}`+"\n", s.inFlight, s.opts.Slots)
+// Read implements net.Conn.
+func (c *costlyConn) Read(p []byte) (int, error) {
+	c.firstRead.Do(func() { time.Sleep(c.delay) })
+	return c.Conn.Read(p)
+}
+
+// Close implements net.Conn.
+func (c *costlyConn) Close() error {
+	c.closeOnce.Do(func() { <-c.free })
+	return c.Conn.Close()
 }
