Lab: whole deployments in one process, with latency between regions

Cause: policies and faults must be compared at today's sizes with one command. The node's Submit serves both the API and the lab.

--- a/api.go
+++ b/api.go
@@ -15,6 +15,7 @@
 
 	"quetzalknot/platform"
 	"quetzalknot/version/lookup"
+	"quetzalknot/version/state"
 	"quetzalknot/version/store"
 	"quetzalknot/version/ticket"
 )
@@ -101,9 +102,6 @@
 		format = ticket.FormatJSON
 	}
 	t, err := ticket.Parse(data, format)
-	if err == nil {
-		err = t.Check()
-	}
 	if err != nil {
 		writeError(w, http.StatusBadRequest, err)
 		return
@@ -112,14 +110,13 @@
 }
 
 func (n *Node) submit(ctx context.Context, w http.ResponseWriter, t *ticket.Ticket) {
-	record, err := t.Record(time.Now().UTC())
-	if err != nil {
-		writeError(w, http.StatusBadRequest, err)
-		return
-	}
-	accepted, err := n.store.Submit(ctx, record)
+	accepted, err := n.Submit(ctx, t)
 	var refused *store.RefusedError
+	var check *ticket.CheckError
 	switch {
+	case errors.As(err, &check):
+		writeError(w, http.StatusBadRequest, err)
+		return
 	case errors.As(err, &refused), errors.Is(err, platform.ErrConflict):
 		writeError(w, http.StatusConflict, err)
 		return
@@ -127,10 +124,27 @@
 		writeError(w, http.StatusServiceUnavailable, err)
 		return
 	}
-	evAccepted.Log(n.log).Uint64("ticket", accepted.Number).Str("operator", accepted.Operator).Send()
 	writeJSON(w, http.StatusOK, accepted)
 }
 
+// Submit checks a ticket and accepts it into the platform's table service. It
+// returns a ticket.CheckError or a store.RefusedError when the ticket is refused.
+func (n *Node) Submit(ctx context.Context, t *ticket.Ticket) (state.Record, error) {
+	if err := t.Check(); err != nil {
+		return state.Record{}, err
+	}
+	record, err := t.Record(time.Now().UTC())
+	if err != nil {
+		return state.Record{}, err
+	}
+	accepted, err := n.store.Submit(ctx, record)
+	if err != nil {
+		return state.Record{}, err
+	}
+	evAccepted.Log(n.log).Uint64("ticket", accepted.Number).Str("operator", accepted.Operator).Send()
+	return accepted, nil
+}
+
 func (n *Node) handleTickets(w http.ResponseWriter, r *http.Request) {
 	records, _, err := n.store.Accepted(r.Context(), 0)
 	if err != nil {
--- a/node.go
+++ b/node.go
@@ -115,6 +115,12 @@
 // Addrs returns the addresses of a started node.
 func (n *Node) Addrs() Addrs { return n.addrs }
 
+// Ready reports whether the node has a configuration and serves callers.
+func (n *Node) Ready() bool { return n.ready.Load() }
+
+// Version returns the largest ticket number in force on this node.
+func (n *Node) Version() uint64 { return n.config.Load().Version }
+
 // Start listens on all addresses and begins to serve.
 func (n *Node) Start(ctx context.Context) error {
 	ctx, n.cancel = context.WithCancel(context.WithoutCancel(ctx))
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -92,6 +92,12 @@
 	if err := dec.Decode(&s); err != nil {
 		return nil, err
 	}
+	return &s, s.Complete()
+}
+
+// Complete fills in the defaults and checks every section. The error lists every
+// problem found.
+func (s *Settings) Complete() error {
 	p := &problems{}
 	for _, sec := range s.sections() {
 		sec.applyDefaults()
@@ -99,5 +105,5 @@
 	for _, sec := range s.sections() {
 		sec.check(p)
 	}
-	return &s, p.err()
+	return p.err()
 }
--- /dev/null
+++ b/tools/lab/fleet/deployment.go
@@ -0,0 +1,123 @@
+// Package fleet runs a whole deployment in one process: stand-ins for the
+// platform and the targets, and entry hosts on loopback.
+package fleet
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"quetzalknot/version/config"
+)
+
+// Deployment describes the places, hosts and services of one user.
+type Deployment struct {
+	Name    string
+	Regions []Region
+	// StoreRegion is where the platform's store stands.
+	StoreRegion string
+	// OneWay is the latency between regions in one direction.
+	OneWay time.Duration
+	// LinkBytesPerSecond is the rate between a pair of regions in one direction.
+	LinkBytesPerSecond int
+	Hosts              int
+	Services           []Service
+}
+
+// Region is a group of failure domains.
+type Region struct {
+	Name           string
+	FailureDomains []string
+	// Block holds the addresses of the callers of the region.
+	Block string
+}
+
+// Service is one service and the number of its targets.
+type Service struct {
+	Name    string
+	Targets int
+	Slots   int
+	Classes []config.Class
+}
+
+const (
+	interRegionLatency = 35 * time.Millisecond
+	connectCost        = time.Millisecond
+	entryHosts         = 7
+	fourGbit           = 4_000_000_000 / 8
+	threeHundredMbit   = 300_000_000 / 8
+)
+
+// Skiptidagur is the deployment of the booking and records routing.
+func Skiptidagur() Deployment {
+	return Deployment{
+		Name: "skiptidagur", StoreRegion: "sudvestur", OneWay: interRegionLatency,
+		LinkBytesPerSecond: fourGbit, Hosts: entryHosts,
+		Regions: []Region{
+			{Name: "sudvestur", FailureDomains: []string{"sv-hofn", "sv-hraun"}, Block: "198.18.0.0/24"},
+			{Name: "nordur", FailureDomains: []string{"no-gler", "no-eyri"}, Block: "198.18.1.0/24"},
+			{Name: "austur", FailureDomains: []string{"au-fjord", "au-dalur"}, Block: "198.18.2.0/24"},
+		},
+		Services: []Service{
+			{Name: "bokun", Targets: 20, Slots: 6, Classes: []config.Class{
+				{Name: "photo", PathPrefix: "/photos", Long: true},
+				{Name: "slot", PathPrefix: "/"},
+			}},
+			{Name: "skjalasafn", Targets: 14, Slots: 6, Classes: []config.Class{
+				{Name: "archive", PathPrefix: "/archive", Long: true},
+				{Name: "list", PathPrefix: "/"},
+			}},
+		},
+	}
+}
+
+// Galleries is the deployment of the attendants' rota.
+func Galleries() Deployment {
+	return Deployment{
+		Name: "galleries", StoreRegion: "mtl", OneWay: interRegionLatency,
+		LinkBytesPerSecond: threeHundredMbit, Hosts: entryHosts,
+		Regions: []Region{
+			{Name: "mtl", FailureDomains: []string{"mtl-1", "mtl-2"}, Block: "198.18.0.0/24"},
+			{Name: "qc", FailureDomains: []string{"qc-1", "qc-2"}, Block: "198.18.1.0/24"},
+			{Name: "gat", FailureDomains: []string{"gat-1", "gat-2"}, Block: "198.18.2.0/24"},
+		},
+		Services: []Service{
+			{Name: "rota-desk", Targets: 20, Slots: 3, Classes: []config.Class{
+				{Name: "export", PathPrefix: "/export", Long: true},
+				{Name: "roster", PathPrefix: "/"},
+			}},
+			{Name: "paie-vault", Targets: 12, Slots: 3, Classes: []config.Class{
+				{Name: "batch", PathPrefix: "/batch", Long: true},
+				{Name: "file", PathPrefix: "/"},
+			}},
+		},
+	}
+}
+
+// Named returns the deployment of a name.
+func Named(name string) (Deployment, error) {
+	for _, d := range []Deployment{Skiptidagur(), Galleries()} {
+		if d.Name == name {
+			return d, nil
+		}
+	}
+	return Deployment{}, errors.Newf("deployment = %q: use skiptidagur or galleries", name)
+}
+
+// place is where the i-th of many hosts or targets stands.
+type place struct {
+	region string
+	domain string
+}
+
+// placeOf spreads things evenly over regions and failure domains.
+func (d *Deployment) placeOf(i int) place {
+	region := d.Regions[i%len(d.Regions)]
+	domain := region.FailureDomains[(i/len(d.Regions))%len(region.FailureDomains)]
+	return place{region: region.Name, domain: domain}
+}
+
+func targetName(service string, i int) string { return fmt.Sprintf("%s-%02d", service, i+1) }
+
+func hostName(i int) string { return fmt.Sprintf("h%d", i+1) }
