--- /dev/null
+++ b/tools/lab/load/report.go
@@ -0,0 +1,77 @@
+package load
+
+import (
+	"quetzalknot/tools/standin/targetd"
+	"quetzalknot/verdict"
+)
+
+// Report holds the results of one run and what each caller saw.
+type Report struct {
+	// Results are in order of the kinds.
+	Results  []*Result
+	outcomes []outcome
+}
+
+func (t *tally) report(kinds []Kind) *Report {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	rep := &Report{outcomes: t.outcomes}
+	for _, k := range kinds {
+		rep.Results = append(rep.Results, t.results[k.Name])
+	}
+	return rep
+}
+
+// Result returns the result of a kind, or nil.
+func (r *Report) Result(kind string) *Result {
+	for _, res := range r.Results {
+		if res.Kind == kind {
+			return res
+		}
+	}
+	return nil
+}
+
+// Reconcile compares what callers were told with what the targets ran, and
+// counts lost and doubled requests and false not-run answers.
+func (r *Report) Reconcile(targets []*targetd.Server) {
+	runs, keyRuns := totals(targets)
+	for i := range r.outcomes {
+		o := &r.outcomes[i]
+		res := r.Result(o.shot.kind.Name)
+		ran := runs[o.id]
+		if o.answered && o.verdict == verdict.Ran && ran == 0 {
+			res.Lost++
+		}
+		if o.answered && o.verdict == verdict.NotRun && ran > 0 {
+			res.FalseNotRun++
+		}
+		if (!o.shot.kind.idempotent() && ran > 1) || keyRuns[o.key] > 1 {
+			res.Doubled++
+		}
+	}
+}
+
+// totals sums the runs of all targets by request id and by key.
+func totals(targets []*targetd.Server) (runs, keyRuns map[string]int) {
+	runs, keyRuns = make(map[string]int), make(map[string]int)
+	for _, s := range targets {
+		record := s.Record()
+		for id, n := range record.Runs {
+			runs[id] += n
+		}
+		for key, n := range record.KeyRuns {
+			keyRuns[key] += n
+		}
+	}
+	return runs, keyRuns
+}
+
+// Broken counts the requests of all kinds for which a promise was broken.
+func (r *Report) Broken() int {
+	broken := 0
+	for _, res := range r.Results {
+		broken += res.Broken()
+	}
+	return broken
+}
