Lab: open-loop load, experiments that interleave policies, tables and plots

Cause: each promise about load needs a figure that one command makes again. Change: lab experiment FILE runs each policy under each variant on a fresh fleet, in turn, with Poisson arrivals that do not wait for answers; latency counts from the scheduled moment. What callers were told is compared with what the targets recorded: lost, doubled, crossed, cut, false not-run, over slots.

--- /dev/null
+++ b/tools/cli/lab.go
@@ -0,0 +1,87 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+
+	"quetzalknot/tools/lab/experiment"
+	"quetzalknot/tools/lab/report"
+)
+
+type labCommands struct {
+	Platform   labPlatform   `cmd:"" help:"Run a stand-in for the platform."`
+	Target     labTarget     `cmd:"" help:"Run a stand-in for a target."`
+	Experiment labExperiment `cmd:"" help:"Compare policies under load and faults, and write a report."`
+}
+
+type labExperiment struct {
+	File     string   `arg:"" type:"existingfile" help:"Experiment in TOML."`
+	Out      string   `type:"path" help:"Folder for the report and its plots. Without it the tables go to standard output."`
+	Logs     string   `type:"path" help:"File for the hosts' log lines."`
+	Policies []string `help:"Run only these policies."`
+	Variants []string `help:"Run only these variants."`
+}
+
+// Run implements the command.
+func (c *labExperiment) Run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	f, err := experiment.Load(c.File)
+	if err != nil {
+		return err
+	}
+	if err := f.Select(c.Policies, c.Variants); err != nil {
+		return err
+	}
+	logs, closeLogs, err := logFile(c.Logs)
+	if err != nil {
+		return err
+	}
+	defer closeLogs()
+	out, err := experiment.Run(ctx, f, os.Stderr, logs)
+	if err != nil {
+		return err
+	}
+	return c.write(out)
+}
+
+func logFile(path string) (io.Writer, func(), error) {
+	if path == "" {
+		return io.Discard, func() {}, nil
+	}
+	file, err := os.Create(path)
+	if err != nil {
+		return nil, nil, err
+	}
+	return file, func() { _ = file.Close() }, nil
+}
+
+func (c *labExperiment) write(out *experiment.Outcome) (err error) {
+	command := "quetzalctl lab experiment " + filepath.Join("experiments", filepath.Base(c.File))
+	if c.Out == "" {
+		return report.Markdown(os.Stdout, out, command)
+	}
+	if err := os.MkdirAll(c.Out, 0o755); err != nil {
+		return err
+	}
+	file, err := os.Create(filepath.Join(c.Out, out.File.Name+".md"))
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.CombineErrors(err, file.Close()) }()
+	if err := report.Markdown(file, out, command); err != nil {
+		return err
+	}
+	plots, err := report.Plots(c.Out, out)
+	for _, name := range plots {
+		fmt.Fprintf(file, "\n![%s](%s)\n", name, name)
+	}
+	return err
+}
--- a/tools/cli/standin.go
+++ b/tools/cli/standin.go
@@ -14,11 +14,6 @@
 	"quetzalknot/tools/standin/targetd"
 )
 
-type labCommands struct {
-	Platform labPlatform `cmd:"" help:"Run a stand-in for the platform."`
-	Target   labTarget   `cmd:"" help:"Run a stand-in for a target."`
-}
-
 type labPlatform struct {
 	Addr string `required:"" help:"IP address and port to listen on."`
 }
--- /dev/null
+++ b/tools/lab/experiment/run.go
@@ -0,0 +1,166 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"quetzalknot/tools/lab/fleet"
+	"quetzalknot/tools/lab/load"
+	"quetzalknot/tools/standin/targetd"
+)
+
+// Segment is the outcome of one policy under one variant, summed over the repeats.
+type Segment struct {
+	Policy  string         `json:"policy"`
+	Variant string         `json:"variant"`
+	Results []*load.Result `json:"results"`
+	// Shed counts attempts that a target refused; OverSlots those that came while
+	// every slot of the target was taken.
+	Shed      int `json:"shed"`
+	OverSlots int `json:"over_slots"`
+	// LongPeakShare is the largest share of one target's slots that long work held.
+	LongPeakShare float64  `json:"long_peak_share"`
+	Samples       []Sample `json:"samples"`
+}
+
+// Result returns the result of a kind, or nil.
+func (s *Segment) Result(kind string) *load.Result {
+	for _, r := range s.Results {
+		if r.Kind == kind {
+			return r
+		}
+	}
+	return nil
+}
+
+// Outcome is a finished experiment.
+type Outcome struct {
+	File     *File      `json:"-"`
+	Segments []*Segment `json:"segments"`
+}
+
+// Segment returns the segment of a policy and variant, or nil.
+func (o *Outcome) Segment(policy, variant string) *Segment {
+	for _, s := range o.Segments {
+		if s.Policy == policy && s.Variant == variant {
+			return s
+		}
+	}
+	return nil
+}
+
+// Run runs every segment of the experiment. Progress lines go to progress, the
+// hosts' log lines to logs.
+func Run(ctx context.Context, f *File, progress, logs io.Writer) (*Outcome, error) {
+	out := &Outcome{File: f}
+	total := f.Repeats * len(f.Variants) * len(f.Policies)
+	done := 0
+	for repeat := range f.Repeats {
+		for i := range f.Variants {
+			for _, policy := range f.Policies {
+				done++
+				fmt.Fprintf(progress, "segment %d of %d: %s, %s\n", done, total, policy, f.Variants[i].Name)
+				seg, err := runSegment(ctx, f, &f.Variants[i], policy, repeat, logs)
+				if err != nil {
+					return nil, err
+				}
+				out.add(seg)
+			}
+		}
+	}
+	return out, nil
+}
+
+func (o *Outcome) add(s *Segment) {
+	known := o.Segment(s.Policy, s.Variant)
+	if known == nil {
+		o.Segments = append(o.Segments, s)
+		return
+	}
+	for i, r := range known.Results {
+		r.Add(s.Results[i])
+	}
+	known.Shed += s.Shed
+	known.OverSlots += s.OverSlots
+	known.LongPeakShare = max(known.LongPeakShare, s.LongPeakShare)
+	known.Samples = s.Samples
+}
+
+func runSegment(ctx context.Context, f *File, v *Variant, policy string, repeat int, logs io.Writer) (*Segment, error) {
+	deployment, err := fleet.Named(f.Deployment)
+	if err != nil {
+		return nil, err
+	}
+	fl, err := fleet.Start(ctx, deployment, policy, logs)
+	if err != nil {
+		return nil, err
+	}
+	defer fl.Close()
+	var api, regions, blocks []string
+	for _, h := range fl.Hosts() {
+		api = append(api, h.Node.Addrs().API)
+	}
+	for _, r := range deployment.Regions {
+		regions, blocks = append(regions, r.Name), append(blocks, r.Block)
+	}
+	sender := load.NewClientSender(api, f.CallerAttempts)
+	defer sender.Close()
+
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	sampler := startSampler(fl)
+	faultsDone := applyFaults(ctx, fl, v.Faults)
+	report, err := load.Run(ctx, load.Options{
+		Kinds: f.kinds(v), Regions: regions, Blocks: blocks, Seed: f.Seed + uint64(repeat),
+		Warmup: seconds(f.WarmupSeconds), Duration: seconds(f.SegmentSeconds),
+		RunID: fmt.Sprintf("r%d", repeat), Sender: sender,
+	})
+	samples := sampler.stop()
+	cancel()
+	<-faultsDone
+	if err != nil {
+		return nil, err
+	}
+	seg := &Segment{Policy: policy, Variant: v.Name, Results: report.Results, Samples: samples}
+	var all []*targetd.Server
+	for _, servers := range fl.Targets {
+		all = append(all, servers...)
+	}
+	report.Reconcile(all)
+	seg.count(fl)
+	return seg, nil
+}
+
+// count adds what the targets recorded.
+func (s *Segment) count(fl *fleet.Fleet) {
+	for name, servers := range fl.Targets {
+		slots := float64(fl.Service(name).Targets[0].Slots)
+		for _, server := range servers {
+			record := server.Record()
+			s.Shed += record.Shed
+			s.OverSlots += record.OverSlots
+			s.LongPeakShare = max(s.LongPeakShare, float64(record.LongPeak)/slots)
+		}
+	}
+}
+
+// applyFaults begins and ends the faults at their times. The channel is closed
+// when the last has been handled or the context has ended.
+func applyFaults(ctx context.Context, fl *fleet.Fleet, faults []Fault) <-chan struct{} {
+	done := make(chan struct{})
+	start := time.Now()
+	go func() {
+		defer close(done)
+		for _, step := range steps(faults) {
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(time.Until(start.Add(step.at))):
+				_ = fl.Apply(ctx, step.fault, step.on)
+			}
+		}
+	}()
+	return done
+}
--- /dev/null
+++ b/tools/lab/experiment/sample.go
@@ -0,0 +1,66 @@
+package experiment
+
+import (
+	"sync"
+	"time"
+
+	"quetzalknot/tools/lab/fleet"
+)
+
+// sampleInterval is the time between two samples of a segment.
+const sampleInterval = 50 * time.Millisecond
+
+// Sample is the state of all targets at one moment.
+type Sample struct {
+	// AtSeconds counts from the segment's start.
+	AtSeconds float64 `json:"at_seconds"`
+	// InFlight is the sum over all targets; Busiest is the largest share of one
+	// target's slots in use.
+	InFlight int     `json:"in_flight"`
+	Busiest  float64 `json:"busiest"`
+}
+
+type sampler struct {
+	done    chan struct{}
+	ended   sync.WaitGroup
+	samples []Sample
+}
+
+func startSampler(fl *fleet.Fleet) *sampler {
+	s := &sampler{done: make(chan struct{})}
+	s.ended.Go(func() { s.loop(fl) })
+	return s
+}
+
+func (s *sampler) loop(fl *fleet.Fleet) {
+	ticker := time.NewTicker(sampleInterval)
+	defer ticker.Stop()
+	start := time.Now()
+	for {
+		select {
+		case <-s.done:
+			return
+		case now := <-ticker.C:
+			s.samples = append(s.samples, take(fl, now.Sub(start)))
+		}
+	}
+}
+
+func take(fl *fleet.Fleet, at time.Duration) Sample {
+	sample := Sample{AtSeconds: at.Seconds()}
+	for name, servers := range fl.Targets {
+		slots := float64(fl.Service(name).Targets[0].Slots)
+		for _, server := range servers {
+			inFlight := server.InFlight()
+			sample.InFlight += inFlight
+			sample.Busiest = max(sample.Busiest, float64(inFlight)/slots)
+		}
+	}
+	return sample
+}
+
+func (s *sampler) stop() []Sample {
+	close(s.done)
+	s.ended.Wait()
+	return s.samples
+}
--- /dev/null
+++ b/tools/lab/experiment/steps.go
@@ -0,0 +1,28 @@
+package experiment
+
+import (
+	"slices"
+	"time"
+
+	"quetzalknot/tools/lab/fleet"
+)
+
+// step begins or ends one fault.
+type step struct {
+	at    time.Duration
+	fault fleet.Fault
+	on    bool
+}
+
+// steps returns the beginnings and ends of the faults in order of time.
+func steps(faults []Fault) []step {
+	var list []step
+	for _, f := range faults {
+		list = append(list, step{at: seconds(f.AtSeconds), fault: f.Fault, on: true})
+		if f.UntilSeconds > 0 {
+			list = append(list, step{at: seconds(f.UntilSeconds), fault: f.Fault})
+		}
+	}
+	slices.SortStableFunc(list, func(a, b step) int { return int(a.at - b.at) })
+	return list
+}
--- /dev/null
+++ b/tools/lab/fleet/faults.go
@@ -0,0 +1,159 @@
+package fleet
+
+import (
+	"context"
+	"math"
+
+	"github.com/cockroachdb/errors"
+
+	"quetzalknot/tools/standin/platformd"
+	"quetzalknot/tools/standin/targetd"
+)
+
+// The kinds of faults.
+const (
+	FaultSlow        = "slow"
+	FaultCrash       = "crash"
+	FaultShed        = "shed"
+	FaultLoadLies    = "load-lies"
+	FaultStoreDown   = "store-down"
+	FaultStoreSlow   = "store-slow"
+	FaultStoreLosses = "store-loses-answers"
+	FaultHostStop    = "host-stop"
+	FaultRegionCut   = "region-cut"
+	FaultRegionDown  = "region-down"
+)
+
+// Fault is something that goes wrong in a fleet.
+type Fault struct {
+	Kind string `toml:"kind"`
+	// Service and Share choose targets: the first Share of the service's targets,
+	// rounded up. Region chooses them instead in region-down.
+	Service string  `toml:"service"`
+	Share   float64 `toml:"share"`
+	// Factor is how many times slower the targets run.
+	Factor float64 `toml:"factor"`
+	// DelayMS is the delay of the slow store in milliseconds.
+	DelayMS int `toml:"delay_ms"`
+	// Host is the index of the stopped host.
+	Host   int    `toml:"host"`
+	Region string `toml:"region"`
+}
+
+// Check returns an error for a fault that cannot be applied.
+func (ft *Fault) Check() error {
+	switch ft.Kind {
+	case FaultSlow, FaultCrash, FaultShed, FaultLoadLies:
+		if ft.Service == "" || ft.Share <= 0 || ft.Share > 1 {
+			return errors.Newf("fault %q: give service, and share above 0 and at most 1", ft.Kind)
+		}
+	case FaultStoreDown, FaultStoreSlow, FaultStoreLosses, FaultHostStop, FaultRegionCut, FaultRegionDown:
+	default:
+		return errors.Newf("fault kind = %q: unknown", ft.Kind)
+	}
+	return nil
+}
+
+// Apply begins or ends a fault.
+func (f *Fleet) Apply(ctx context.Context, ft Fault, on bool) error {
+	switch ft.Kind {
+	case FaultSlow, FaultShed, FaultLoadLies:
+		f.setTargetFaults(ft, on)
+	case FaultCrash:
+		return f.crash(f.chosen(ft), on)
+	case FaultStoreDown, FaultStoreSlow, FaultStoreLosses:
+		f.setStoreFaults(ft, on)
+	case FaultHostStop:
+		if on {
+			return f.StopHost(ctx, ft.Host)
+		}
+		return f.StartHost(ctx, ft.Host)
+	case FaultRegionCut:
+		f.cutRegion(ft.Region, on)
+	case FaultRegionDown:
+		return f.regionDown(ctx, ft.Region, on)
+	}
+	return nil
+}
+
+func (f *Fleet) chosen(ft Fault) []*targetd.Server {
+	servers := f.Targets[ft.Service]
+	n := int(math.Ceil(ft.Share * float64(len(servers))))
+	return servers[:min(n, len(servers))]
+}
+
+func (f *Fleet) setTargetFaults(ft Fault, on bool) {
+	for _, s := range f.chosen(ft) {
+		faults := s.Faults()
+		switch ft.Kind {
+		case FaultSlow:
+			faults.SlowFactor = 0
+			if on {
+				faults.SlowFactor = ft.Factor
+			}
+		case FaultShed:
+			faults.ShedAll = on
+		case FaultLoadLies:
+			faults.LoadLie = nil
+			if on {
+				faults.LoadLie = new(int)
+			}
+		}
+		s.SetFaults(faults)
+	}
+}
+
+func (f *Fleet) crash(servers []*targetd.Server, on bool) error {
+	for _, s := range servers {
+		if on {
+			s.Crash()
+			continue
+		}
+		if err := s.Restart(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) setStoreFaults(ft Fault, on bool) {
+	var state platformd.FaultState
+	if on {
+		state.Down = ft.Kind == FaultStoreDown
+		state.LoseAnswers = ft.Kind == FaultStoreLosses
+		state.DelayMS = ft.DelayMS
+	}
+	f.Platform.Faults.Set(state)
+}
+
+func (f *Fleet) cutRegion(region string, on bool) {
+	for _, r := range f.Deployment.Regions {
+		if r.Name != region {
+			f.Network.Cut(region, r.Name, on)
+			f.Network.Cut(r.Name, region, on)
+		}
+	}
+}
+
+// regionDown ends or restarts every target and host of a region.
+func (f *Fleet) regionDown(ctx context.Context, region string, on bool) error {
+	for name, svc := range f.services {
+		for i, t := range svc.Targets {
+			if t.Region != region {
+				continue
+			}
+			if err := f.crash(f.Targets[name][i:i+1], on); err != nil {
+				return err
+			}
+		}
+	}
+	for i, h := range f.hosts {
+		if h.Region != region {
+			continue
+		}
+		if err := f.Apply(ctx, Fault{Kind: FaultHostStop, Host: i}, on); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/tools/lab/load/run.go
+++ b/tools/lab/load/run.go
@@ -13,6 +13,9 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"quetzalknot/client"
 	"quetzalknot/request"
 	"quetzalknot/tools/standin/targetd"
 	"quetzalknot/verdict"
@@ -141,11 +144,13 @@
 
 func (r *runner) exchange(ctx context.Context, s *shot, req *http.Request, o *outcome) {
 	resp, v, err := r.opts.Sender.Send(ctx, s.kind.Service, clientAddr(r.blocks[s.region], s.client), req)
+	o.verdict = v
 	if err != nil {
+		var told *client.Error
+		o.answered = errors.As(err, &told)
 		return
 	}
 	defer func() { _ = resp.Body.Close() }()
-	o.verdict = v
 	o.success = resp.StatusCode < http.StatusMultipleChoices
 	head, err := io.ReadAll(io.LimitReader(resp.Body, smallAnswer))
 	if err == nil {
--- /dev/null
+++ b/tools/lab/load/sender.go
@@ -0,0 +1,64 @@
+package load
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"quetzalknot/client"
+	"quetzalknot/verdict"
+)
+
+const (
+	// idlePerEntry is how many unused connections are kept to one entry host.
+	idlePerEntry = 256
+	idleTimeout  = 30 * time.Second
+)
+
+// ClientSender sends through the client package, with one client for each caller
+// address. It is safe for concurrent use.
+type ClientSender struct {
+	api       []string
+	attempts  int
+	transport *http.Transport
+
+	mu      sync.Mutex
+	clients map[netip.Addr]*client.Client
+}
+
+// NewClientSender returns a sender that asks the API addresses for entry hosts
+// and sends each request at most attempts times.
+func NewClientSender(api []string, attempts int) *ClientSender {
+	transport := &http.Transport{MaxIdleConnsPerHost: idlePerEntry, IdleConnTimeout: idleTimeout}
+	return &ClientSender{api: api, attempts: attempts, transport: transport, clients: make(map[netip.Addr]*client.Client)}
+}
+
+// Send implements Sender.
+func (s *ClientSender) Send(ctx context.Context, service string, addr netip.Addr, r *http.Request) (*http.Response, verdict.Verdict, error) {
+	c, err := s.client(addr)
+	if err != nil {
+		return nil, verdict.NotRun, err
+	}
+	return c.Do(ctx, service, r)
+}
+
+func (s *ClientSender) client(addr netip.Addr) (*client.Client, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c := s.clients[addr]; c != nil {
+		return c, nil
+	}
+	c, err := client.New(client.Options{
+		API: s.api, Address: addr, Attempts: s.attempts, Transport: s.transport, Unkeyed: true,
+	})
+	if err != nil {
+		return nil, err
+	}
+	s.clients[addr] = c
+	return c, nil
+}
+
+// Close closes every connection.
+func (s *ClientSender) Close() { s.transport.CloseIdleConnections() }
--- a/tools/standin/targetd/ledger.go
+++ b/tools/standin/targetd/ledger.go
@@ -109,3 +109,6 @@
 	record.KeyRuns = maps.Clone(s.ledger.keyRuns)
 	return record
 }
+
+// InFlight returns how many requests run now.
+func (s *Server) InFlight() int { return s.ledger.inFlight() }
