--- a/process/settings/check.go
+++ b/process/settings/check.go
@@ -4,10 +4,14 @@
 	"fmt"
 	"net/netip"
 	"net/url"
+	"slices"
+	"strings"
 )
 
 // Problem is one bad value of a settings file.
 type Problem struct {
+	// Line is counted from 1; 0 when the file does not have the key.
+	Line int
 	// Key is the dotted path of the key, such as listen.api.
 	Key   string
 	Value string
@@ -17,19 +21,18 @@
 
 // Error lists the problems of a settings file.
 type Error struct {
+	// File is empty when the settings did not come from a file.
+	File     string
 	Problems []Problem
 }
 
-// Error implements the error interface.
+// Error implements the error interface: one line for each problem.
 func (e *Error) Error() string {
-	text := ""
+	lines := make([]string, len(e.Problems))
 	for i, p := range e.Problems {
-		if i > 0 {
-			text += "; "
-		}
-		text += fmt.Sprintf("%s = %q: %s", p.Key, p.Value, p.Allowed)
+		lines[i] = fmt.Sprintf("%s:%d: %s = %q: %s", e.File, p.Line, p.Key, p.Value, p.Allowed)
 	}
-	return text
+	return strings.Join(lines, "\n")
 }
 
 // problems collects bad values.
@@ -56,7 +59,9 @@
 func (h *Host) applyDefaults() {}
 
 func (h *Host) check(p *problems) {
-	p.require(h.Name != "", "host.name", h.Name, "the host's name")
+	p.require(h.Name != "", "host.name", h.Name, "the host's name, unique among the entry hosts")
+	p.require(h.Region != "", "host.region", h.Region, "the region that the host stands in")
+	p.require(h.FailureDomain != "", "host.failure_domain", h.FailureDomain, "the failure domain that the host stands in")
 }
 
 func (l *Listen) applyDefaults() {}
@@ -65,15 +70,23 @@
 	p.addr("listen.api", l.API)
 	p.addr("listen.forward", l.Forward)
 	p.addr("listen.peer", l.Peer)
+	p.require(distinct(l.Forward, l.API), "listen.forward", l.Forward, "an address other than listen.api")
+	p.require(distinct(l.Peer, l.API) && distinct(l.Peer, l.Forward), "listen.peer", l.Peer, "an address other than listen.api and listen.forward")
 }
 
+// distinct reports whether two addresses can be listened on at once. Port 0 lets
+// the system pick a port.
+func distinct(a, b string) bool { return a != b || strings.HasSuffix(a, ":0") }
+
 func (r *Roles) applyDefaults() {
 	if *r == (Roles{}) {
 		*r = Roles{Lookup: true, Forward: true, Watch: true}
 	}
 }
 
-func (r *Roles) check(*problems) {}
+func (r *Roles) check(p *problems) {
+	p.require(r.Watch || !r.Forward, "roles.forward", r.Forward, "false, or watch = true: a host that forwards watches its targets")
+}
 
 func (f *Platform) applyDefaults() {}
 
@@ -92,7 +105,33 @@
 func (t *Topology) applyDefaults() {}
 
 func (t *Topology) check(p *problems) {
-	for _, r := range t.Regions {
-		p.require(r.Name != "", "topology.region.name", r.Name, "a region's name")
+	regions, domains := make(map[string]bool), make(map[string]bool)
+	for i, r := range t.Regions {
+		at := fmt.Sprintf("topology.region[%d]", i)
+		p.require(r.Name != "" && !regions[r.Name], at+".name", r.Name, "a name that no other region has")
+		regions[r.Name] = true
+		p.require(len(r.FailureDomains) > 0, at+".failure_domains", r.FailureDomains, "one failure domain or more")
+		for _, d := range r.FailureDomains {
+			p.require(d != "" && !domains[d], at+".failure_domains", d, "names that no other failure domain has")
+			domains[d] = true
+		}
+	}
+}
+
+// checkPlace requires that the host stands in the topology, when one is given.
+func (s *Settings) checkPlace(p *problems) {
+	if len(s.Topology.Regions) == 0 {
+		return
+	}
+	var names []string
+	for _, r := range s.Topology.Regions {
+		if r.Name != s.Host.Region {
+			names = append(names, r.Name)
+			continue
+		}
+		known := slices.Contains(r.FailureDomains, s.Host.FailureDomain)
+		p.require(known, "host.failure_domain", s.Host.FailureDomain, "one of "+strings.Join(r.FailureDomains, ", "))
+		return
 	}
+	p.require(false, "host.region", s.Host.Region, "one of "+strings.Join(names, ", "))
 }
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -4,11 +4,15 @@
 import (
 	"bytes"
 	"os"
+	"strconv"
 
 	"github.com/cockroachdb/errors"
 	"github.com/pelletier/go-toml/v2"
 )
 
+// MaxBytes is the largest accepted settings file, in bytes.
+const MaxBytes = 1 << 20
+
 // Settings are all settings of one process.
 type Settings struct {
 	Host     Host     `toml:"host"`
@@ -75,28 +79,44 @@
 	return []section{&s.Host, &s.Listen, &s.Roles, &s.Platform, &s.Topology}
 }
 
-// Load reads and checks a settings file.
+// Load reads and checks a settings file. A bad file gives an *Error.
 func Load(path string) (*Settings, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return nil, errors.Wrap(err, "settings")
 	}
-	s, err := Parse(data)
-	return s, errors.Wrap(err, path)
+	return Parse(path, data)
 }
 
-// Parse reads and checks settings. The error lists every problem found.
-func Parse(data []byte) (*Settings, error) {
+// Parse reads and checks settings. The error is an *Error that lists every
+// problem found; file stands before each line number.
+func Parse(file string, data []byte) (*Settings, error) {
+	if len(data) > MaxBytes {
+		return nil, &Error{File: file, Problems: []Problem{{
+			Key: "size", Value: strconv.Itoa(len(data)), Allowed: "at most " + strconv.Itoa(MaxBytes) + " bytes",
+		}}}
+	}
 	var s Settings
-	dec := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields()
-	if err := dec.Decode(&s); err != nil {
+	if err := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields().Decode(&s); err != nil {
+		return nil, decodeError(file, data, err)
+	}
+	err := s.Complete()
+	var bad *Error
+	if errors.As(err, &bad) {
+		bad.File = file
+		lines := locate(data)
+		for i := range bad.Problems {
+			bad.Problems[i].Line = lines.line(bad.Problems[i].Key)
+		}
+	}
+	if err != nil {
 		return nil, err
 	}
-	return &s, s.Complete()
+	return &s, nil
 }
 
-// Complete fills in the defaults and checks every section. The error lists every
-// problem found.
+// Complete fills in the defaults and checks every section. The error is an
+// *Error that lists every problem found.
 func (s *Settings) Complete() error {
 	p := &problems{}
 	for _, sec := range s.sections() {
@@ -105,5 +125,6 @@
 	for _, sec := range s.sections() {
 		sec.check(p)
 	}
+	s.checkPlace(p)
 	return p.err()
 }
