Routing by observed health, policies by name, one release that tells the outcome

Cause: targets were chosen by own in-flight alone; a slow, failing, cold or shedding target got as much work as any other. Change: process/health judges targets by run times, failures and sheds that this host observes, relative to the other targets of the service, and bounds what is set aside in one failure domain. route.Choice gains Done(Outcome); Release stays for attempts that showed nothing. request/forward/answer.go passes the outcome (small edit outside this area), config.ShedForm.Matches compares an answer with the declared form. slots.Room gains Survey and Want, slots.Ask gains Until. Tickets are checked against the list of policies.

--- /dev/null
+++ b/process/health/health_test.go
@@ -0,0 +1,204 @@
+package health
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"quetzalknot/process/slots"
+	"quetzalknot/verdict"
+)
+
+const domains = 2
+
+// fleet is a service with targets in two failure domains under a fake clock.
+type fleet struct {
+	t       *testing.T
+	now     time.Time
+	tracker *Tracker
+	ids     []Identity
+	views   []View
+}
+
+func newFleet(t *testing.T, targets int) *fleet {
+	f := &fleet{t: t, now: time.Unix(1000, 0), tracker: NewTracker(), views: make([]View, targets)}
+	for i := range targets {
+		f.ids = append(f.ids, Identity{
+			Target:        slots.Target{Service: "bokun", Name: fmt.Sprint("t", i)},
+			FailureDomain: fmt.Sprint("d", i%domains), Slots: 6,
+		})
+	}
+	return f
+}
+
+// rounds sends one request to each target that takes work, n times.
+func (f *fleet) rounds(n int, run func(i int) Outcome) {
+	for range n {
+		f.now = f.now.Add(judgeInterval)
+		f.tracker.Survey(f.now, f.ids, f.views)
+		for i := range f.ids {
+			if f.views[i].Weight > 0 || f.views[i].Probe {
+				f.tracker.Started(f.now, &f.ids[i], slots.Short, f.views[i].Probe)
+				f.tracker.Observe(f.now, f.ids[i].Target, slots.Short, run(i))
+			}
+		}
+	}
+	f.tracker.Survey(f.now, f.ids, f.views)
+}
+
+func ran(d time.Duration) Outcome { return Outcome{Verdict: verdict.Ran, RunTime: d} }
+
+func steady(int) Outcome { return ran(10 * time.Millisecond) }
+
+func slowed(slow ...int) func(int) Outcome {
+	return func(i int) Outcome {
+		for _, s := range slow {
+			if s == i {
+				return ran(100 * time.Millisecond)
+			}
+		}
+		return steady(i)
+	}
+}
+
+func (f *fleet) aside() (n int) {
+	for _, v := range f.views {
+		if v.Weight == 0 {
+			n++
+		}
+	}
+	return n
+}
+
+func TestSlowTargetIsSetAsideAndTakenBack(t *testing.T) {
+	f := newFleet(t, 20)
+	f.rounds(10, steady)
+	f.rounds(10, slowed(3))
+	if f.views[3].Weight != 0 || f.aside() != 1 {
+		t.Fatalf("weight of the slow target = %v, %d set aside", f.views[3].Weight, f.aside())
+	}
+	f.rounds(100, slowed(3))
+	if f.views[3].Weight != 0 {
+		t.Fatal("a slow probe brought the target back")
+	}
+	f.rounds(200, steady)
+	if f.views[3].Weight != 1 {
+		t.Fatalf("weight after recovery = %v, want 1", f.views[3].Weight)
+	}
+}
+
+func TestFailingTargetIsSetAside(t *testing.T) {
+	f := newFleet(t, 20)
+	f.rounds(10, steady)
+	f.rounds(10, func(i int) Outcome {
+		if i == 5 {
+			return Outcome{Verdict: verdict.NotRun, Failed: true}
+		}
+		return steady(i)
+	})
+	if f.views[5].Weight != 0 {
+		t.Fatalf("weight = %v, want 0", f.views[5].Weight)
+	}
+}
+
+func TestSetAsideShareOfAFailureDomainIsBounded(t *testing.T) {
+	for _, targets := range []int{2, 3, 6, 12, 20} {
+		f := newFleet(t, targets)
+		f.rounds(10, steady)
+		for round := range 50 {
+			f.rounds(1, func(i int) Outcome {
+				if i%domains == 0 {
+					return Outcome{Failed: true}
+				}
+				return steady(i)
+			})
+			perDomain := (targets + 1) / domains
+			if n := f.aside(); float64(n) > maxSetAsideShare*float64(perDomain)+0.5 {
+				t.Fatalf("round %d: %d of %d targets of a failure domain are set aside", round, n, perDomain)
+			}
+		}
+	}
+}
+
+func TestSlowEverywhereIsNoOutlier(t *testing.T) {
+	f := newFleet(t, 20)
+	f.rounds(10, steady)
+	f.rounds(50, func(int) Outcome { return ran(100 * time.Millisecond) })
+	if f.aside() != 0 {
+		t.Fatalf("%d targets set aside although all are alike", f.aside())
+	}
+}
+
+func TestStalledTargetIsFoundBeforeItAnswers(t *testing.T) {
+	f := newFleet(t, 20)
+	f.rounds(10, steady)
+	f.tracker.Started(f.now, &f.ids[4], slots.Short, false)
+	f.now = f.now.Add(time.Second)
+	f.tracker.Survey(f.now, f.ids, f.views)
+	if f.views[4].Weight != 0 {
+		t.Fatalf("weight = %v, want 0", f.views[4].Weight)
+	}
+}
+
+func TestReportLowersTrustAndNeverRaisesIt(t *testing.T) {
+	f := newFleet(t, 20)
+	f.rounds(10, slowed(3))
+	f.tracker.Reported(f.now, f.ids[3].Target, true, 0)
+	f.tracker.Reported(f.now, f.ids[4].Target, false, 0.5)
+	f.rounds(5, slowed(3))
+	if f.views[3].Weight != 0 {
+		t.Fatal("a good report brought a slow target back")
+	}
+	if w := f.views[4].Weight; w != sickWeight {
+		t.Fatalf("weight of a target that reports itself sick = %v, want %v", w, sickWeight)
+	}
+	if f.views[4].Load <= 0 {
+		t.Fatal("a fresh load report is not used")
+	}
+	f.now = f.now.Add(reportLife)
+	f.tracker.Survey(f.now, f.ids, f.views)
+	if f.views[4].Load >= 0 {
+		t.Fatalf("load = %v, want unknown after %v", f.views[4].Load, reportLife)
+	}
+}
+
+func TestLimitOpensStepByStepAndShrinksWhenShed(t *testing.T) {
+	f := newFleet(t, 2)
+	f.tracker.Survey(f.now, f.ids, f.views)
+	if f.views[0].Limit != 1 {
+		t.Fatalf("limit of a cold target = %d, want 1", f.views[0].Limit)
+	}
+	for want := 2; want <= 6; want++ {
+		f.rounds(1, steady)
+		if f.views[0].Limit != want {
+			t.Fatalf("limit = %d, want %d", f.views[0].Limit, want)
+		}
+	}
+	f.rounds(1, func(int) Outcome { return Outcome{Verdict: verdict.NotRun, Shed: true} })
+	if f.views[0].Limit >= 6 {
+		t.Fatalf("limit after a shed answer = %d", f.views[0].Limit)
+	}
+	f.rounds(10, steady)
+	if f.views[0].Limit != 6 {
+		t.Fatalf("limit after recovery = %d, want 6", f.views[0].Limit)
+	}
+}
+
+func TestWronglyDeclaredClassIsFoundOnce(t *testing.T) {
+	classes := NewClasses()
+	short := Class{Service: "bokun", Name: "slots"}
+	wrong := Class{Service: "bokun", Name: "archive"}
+	findings := 0
+	for range 200 {
+		classes.Observe(short, 5*time.Millisecond)
+		if f, found := classes.Observe(wrong, time.Second); found {
+			findings++
+			if f.Fault != "short runs long" {
+				t.Fatalf("fault = %q", f.Fault)
+			}
+		}
+	}
+	if findings != 1 {
+		t.Fatalf("%d findings, want 1", findings)
+	}
+}
--- a/process/slots/slots.go
+++ b/process/slots/slots.go
@@ -2,7 +2,10 @@
 // and bounds them.
 package slots
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 // Target identifies a target.
 type Target struct {
@@ -27,6 +30,16 @@
 	Slots int
 	// LongSlots is how many of them long work may hold.
 	LongSlots int
+	// Until is when the request ends at the latest: its deadline.
+	Until time.Time
+}
+
+// Spot is what a Room knows about one target.
+type Spot struct {
+	// Free is how many more requests of the lane this host may send now.
+	Free int
+	// InFlight is how many requests this host has in flight there.
+	InFlight int
 }
 
 // Room decides whether this host may send one more request to a target.
@@ -36,6 +49,12 @@
 	Free(a Ask) int
 	// InFlight returns how many requests this host has in flight at the target.
 	InFlight(t Target) int
+	// Survey fills spots with what Free and InFlight return for each ask. All asks
+	// name targets of one service; both slices have the same length.
+	Survey(asks []Ask, spots []Spot)
+	// Want states that a request found no room at any of the targets of asks. A
+	// Room that borrows its slots then tries to borrow one.
+	Want(asks []Ask)
 	// Acquire takes one slot. It returns false when none is free. The caller calls
 	// release once, when the target is known to have ended the request.
 	Acquire(a Ask) (release func(), ok bool)
@@ -69,17 +88,32 @@
 	return l.free(a)
 }
 
-func (l *Local) free(a Ask) int {
+func (l *Local) free(a Ask) int { return l.spot(&a).Free }
+
+func (l *Local) spot(a *Ask) Spot {
 	u := l.counts[a.Target]
 	if u == nil {
 		u = &usage{}
 	}
+	free := a.Slots - u.total
 	if a.Lane == Long {
-		return min(a.Slots-u.total, a.LongSlots-u.long)
+		free = min(free, a.LongSlots-u.long)
+	}
+	return Spot{Free: free, InFlight: u.total}
+}
+
+// Survey implements Room.
+func (l *Local) Survey(asks []Ask, spots []Spot) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i := range asks {
+		spots[i] = l.spot(&asks[i])
 	}
-	return a.Slots - u.total
 }
 
+// Want implements Room. Local room appears only when a slot is given back.
+func (l *Local) Want([]Ask) {}
+
 // InFlight implements Room.
 func (l *Local) InFlight(t Target) int {
 	l.mu.Lock()
--- a/request/forward/answer.go
+++ b/request/forward/answer.go
@@ -4,7 +4,9 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 
+	"quetzalknot/process/health"
 	"quetzalknot/request"
 	"quetzalknot/request/route"
 	"quetzalknot/verdict"
@@ -13,18 +15,23 @@
 // answer is a target's answer whose body is still to be read. It holds the slot.
 type answer struct {
 	resp    *http.Response
-	release func()
+	outcome health.Outcome
+	done    func(health.Outcome)
 }
 
 // exchange sends one request to the chosen target. It gives the slot back on
 // failure; otherwise the answer holds it.
 func (h *Handler) exchange(ctx context.Context, r *http.Request, info *request.Info, choice route.Choice) (*answer, error) {
+	start := time.Now()
 	resp, err := h.pool.Exchange(ctx, choice.Target.Addr, outbound(ctx, r, info))
+	outcome := health.Outcome{Verdict: verdict.Of(err), Failed: err != nil, RunTime: time.Since(start)}
 	if err != nil {
-		choice.Release()
+		outcome.Cancelled = r.Context().Err() != nil
+		choice.Done(outcome)
 		return nil, err
 	}
-	return &answer{resp: resp, release: choice.Release}, nil
+	outcome.Shed = info.Service.Shed.Matches(resp.StatusCode, resp.Header)
+	return &answer{resp: resp, outcome: outcome, done: choice.Done}, nil
 }
 
 // outbound returns the request in the form sent to the target.
@@ -55,7 +62,7 @@
 // copyTo passes the answer to the caller and gives the slot back. A broken body
 // aborts the caller's connection.
 func (a *answer) copyTo(w http.ResponseWriter) verdict.Verdict {
-	defer a.release()
+	defer func() { a.done(a.outcome) }()
 	defer func() { _ = a.resp.Body.Close() }()
 	removeHopHeaders(a.resp.Header)
 	header := w.Header()
@@ -65,6 +72,7 @@
 	header.Set(verdict.Header, verdict.Ran.String())
 	w.WriteHeader(a.resp.StatusCode)
 	if _, err := io.Copy(w, a.resp.Body); err != nil {
+		a.outcome.Cancelled = true
 		panic(http.ErrAbortHandler)
 	}
 	return verdict.Ran
--- /dev/null
+++ b/request/route/plan.go
@@ -0,0 +1,129 @@
+package route
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"quetzalknot/process/health"
+	"quetzalknot/process/slots"
+	"quetzalknot/request"
+	"quetzalknot/version/config"
+	"quetzalknot/version/state"
+)
+
+// plan holds what stays the same between the requests of a service as long as
+// one configuration version is in force.
+type plan struct {
+	snap    *state.Snapshot
+	service *config.Service
+	policy  Policy
+	classes map[string]*classPlan
+}
+
+// classPlan lists the targets that a class may use.
+type classPlan struct {
+	targets []*config.Target
+	ids     []health.Identity
+	asks    []slots.Ask
+}
+
+func newPlan(svc *config.Service, snap *state.Snapshot) *plan {
+	policy, ok := New(svc.Policy)
+	if !ok {
+		policy = TwoChoices{}
+	}
+	return &plan{snap: snap, service: svc, policy: policy, classes: make(map[string]*classPlan)}
+}
+
+// with returns a copy that also holds the plan of a class.
+func (p *plan) with(class config.Class) *plan {
+	next := *p
+	next.classes = make(map[string]*classPlan, len(p.classes)+1)
+	for name, c := range p.classes {
+		next.classes[name] = c
+	}
+	next.classes[class.Name] = newClassPlan(p.service, p.snap, class)
+	return &next
+}
+
+func newClassPlan(svc *config.Service, snap *state.Snapshot, class config.Class) *classPlan {
+	c := &classPlan{}
+	for _, t := range subset(svc, class) {
+		if snap.LeavingTargets[state.TargetKey{Service: svc.Name, Target: t.Name}] {
+			continue
+		}
+		key := slots.Target{Service: svc.Name, Name: t.Name}
+		c.targets = append(c.targets, t)
+		c.ids = append(c.ids, health.Identity{Target: key, FailureDomain: t.FailureDomain, Slots: t.Slots})
+		c.asks = append(c.asks, askOf(key, class, t))
+	}
+	return c
+}
+
+// askOf returns the slot that a request of a class wants at a target.
+func askOf(key slots.Target, class config.Class, t *config.Target) slots.Ask {
+	ask := slots.Ask{Target: key, Slots: t.Slots, LongSlots: t.Slots}
+	if class.Long {
+		ask.Lane = slots.Long
+		ask.LongSlots = class.LongSlots(t.Slots)
+	}
+	return ask
+}
+
+// subset returns the targets that a class may use: the same ones at every host,
+// and with a changed list of targets nearly the same ones as before.
+func subset(svc *config.Service, class config.Class) []*config.Target {
+	targets := make([]*config.Target, len(svc.Targets))
+	for i := range svc.Targets {
+		targets[i] = &svc.Targets[i]
+	}
+	n := class.TargetCount(len(targets))
+	if n >= len(targets) {
+		return targets
+	}
+	rank := func(t *config.Target) uint64 {
+		return xxhash.Sum64String(svc.Name + "/" + class.Name + "/" + t.Name)
+	}
+	slices.SortFunc(targets, func(a, b *config.Target) int {
+		if rank(a) < rank(b) {
+			return -1
+		}
+		return 1
+	})
+	return targets[:n]
+}
+
+// plan returns the plan of a request's service and class.
+func (r *Router) plan(info *request.Info, snap *state.Snapshot) (*plan, *classPlan) {
+	plans := *r.plans.Load()
+	if p := plans[info.Service.Name]; p != nil && p.snap == snap && p.service == info.Service {
+		if c := p.classes[info.Class.Name]; c != nil {
+			return p, c
+		}
+	}
+	return r.makePlan(info, snap)
+}
+
+func (r *Router) makePlan(info *request.Info, snap *state.Snapshot) (*plan, *classPlan) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	plans := *r.plans.Load()
+	name := info.Service.Name
+	p := plans[name]
+	if p == nil || p.snap != snap || p.service != info.Service {
+		next := newPlan(info.Service, snap)
+		if p != nil && p.service.Policy == info.Service.Policy {
+			next.policy = p.policy
+		}
+		p = next
+	}
+	p = p.with(info.Class)
+	copied := make(map[string]*plan, len(plans)+1)
+	for key, old := range plans {
+		copied[key] = old
+	}
+	copied[name] = p
+	r.plans.Store(&copied)
+	return p, p.classes[info.Class.Name]
+}
--- a/request/route/router.go
+++ b/request/route/router.go
@@ -3,11 +3,14 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"quetzalknot/process/eventlog"
+	"quetzalknot/process/health"
 	"quetzalknot/process/metrics"
 	"quetzalknot/process/slots"
 	"quetzalknot/request"
@@ -16,119 +19,218 @@
 	"quetzalknot/version/state"
 )
 
-var evRouted = eventlog.Define(4101, zerolog.InfoLevel, "target chosen")
+var (
+	evRouted = eventlog.Define(4101, zerolog.InfoLevel, "target chosen")
+	evAside  = eventlog.Define(4102, zerolog.WarnLevel, "target set aside")
+	evBack   = eventlog.Define(4103, zerolog.InfoLevel, "target taken back")
+	evClass  = eventlog.Define(4104, zerolog.WarnLevel, "class is declared wrongly")
+)
 
 // ErrNoRoom reports that no target has room for the request now.
 var ErrNoRoom = errors.New("no target has room")
 
+// maxDraws bounds how often a choice is repeated whose slot was taken meanwhile.
+const maxDraws = 3
+
 // Choice is a target with a slot held for one attempt.
 type Choice struct {
 	Target *config.Target
-	// Release gives the slot back. The holder calls it once, when the target is
-	// known to have ended the request.
+	// Done gives the slot back and tells what the attempt showed. The holder calls
+	// it once, when the target is known to have ended the request.
+	Done func(health.Outcome)
+	// Release is Done for an attempt that showed nothing about the target.
 	Release func()
 }
 
+// Option changes a Router.
+type Option func(*Router)
+
+// WithCredits lets services with the policy credits take their slots from room.
+func WithCredits(room slots.Room) Option { return func(r *Router) { r.credits = room } }
+
+// WithHealth uses a tracker that others feed as well.
+func WithHealth(t *health.Tracker) Option { return func(r *Router) { r.health = t } }
+
+// WithRegion prefers the targets of this host's region.
+func WithRegion(region string) Option { return func(r *Router) { r.region = region } }
+
 // Router chooses targets by the policy that a service's ticket names.
 type Router struct {
-	room slots.Room
-	log  zerolog.Logger
+	room    slots.Room
+	credits slots.Room
+	health  *health.Tracker
+	runs    *health.Classes
+	region  string
+	log     zerolog.Logger
+
+	chosen *counters
+	plans  atomic.Pointer[map[string]*plan]
+	mu     sync.Mutex
+	pool   sync.Pool
+}
 
-	mu       sync.Mutex
-	policies map[string]namedPolicy
+// NewRouter returns a router that takes slots from room.
+func NewRouter(room slots.Room, set *metrics.Set, log zerolog.Logger, options ...Option) *Router {
+	r := &Router{room: room, health: health.NewTracker(), runs: health.NewClasses(), log: log, chosen: newCounters(set)}
+	r.plans.Store(&map[string]*plan{})
+	r.pool.New = func() any { return newScratch() }
+	for _, option := range options {
+		option(r)
+	}
+	return r
 }
 
-type namedPolicy struct {
-	name   string
-	policy Policy
+// scratch is the memory of one decision.
+type scratch struct {
+	rnd        *rand.Rand
+	spots      []slots.Spot
+	views      []health.View
+	candidates []Candidate
 }
 
-// NewRouter returns a router that takes slots from room.
-func NewRouter(room slots.Room, _ *metrics.Set, log zerolog.Logger) *Router {
-	return &Router{room: room, log: log, policies: make(map[string]namedPolicy)}
+func newScratch() *scratch {
+	return &scratch{rnd: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+}
+
+func (s *scratch) size(n int) {
+	if cap(s.spots) < n {
+		s.spots = make([]slots.Spot, n)
+		s.views = make([]health.View, n)
+		s.candidates = make([]Candidate, 0, n)
+	}
+	s.spots = s.spots[:n]
+	s.views = s.views[:n]
 }
 
 // Choose takes a slot at a target for one attempt. It never blocks. Targets in
 // tried had an earlier attempt and come last. It returns ErrNoRoom, with the
 // verdict not-run, when none has room.
 func (r *Router) Choose(info *request.Info, snap *state.Snapshot, tried []string) (Choice, error) {
-	candidates := r.candidates(info, snap, tried)
-	at := r.policy(info.Service).Pick(candidates, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-	if at == None {
-		return Choice{}, verdict.Wrap(verdict.NotRun, "route", ErrNoRoom)
+	p, class := r.plan(info, snap)
+	room := r.roomOf(info.Service)
+	s := r.pool.Get().(*scratch)
+	defer r.pool.Put(s)
+	for range maxDraws {
+		now := time.Now()
+		at, probe := r.decide(now, p.policy, class, room, tried, s)
+		if at == None {
+			break
+		}
+		ask := class.asks[at]
+		ask.Until = info.Deadline
+		release, ok := room.Acquire(ask)
+		if !ok {
+			continue
+		}
+		r.health.Started(now, &class.ids[at], ask.Lane, probe)
+		r.logChoice(info, snap, class.targets[at], len(class.targets), probe)
+		return r.choice(info, class.targets[at], ask, release), nil
 	}
-	chosen := candidates[at].Target
-	release, ok := r.room.Acquire(askOf(info, chosen))
-	if !ok {
-		return Choice{}, verdict.Wrap(verdict.NotRun, "route", ErrNoRoom)
+	r.chosen.noRoom.Add(1)
+	room.Want(class.asks)
+	return Choice{}, verdict.Wrap(verdict.NotRun, "route", ErrNoRoom)
+}
+
+func (r *Router) roomOf(svc *config.Service) slots.Room {
+	if r.credits != nil && svc.Policy == config.PolicyCredits {
+		return r.credits
+	}
+	return r.room
+}
+
+func (r *Router) choice(info *request.Info, t *config.Target, ask slots.Ask, release func()) Choice {
+	var once sync.Once
+	done := func(o health.Outcome) {
+		once.Do(func() {
+			now := time.Now()
+			r.health.Observe(now, ask.Target, ask.Lane, o)
+			release()
+			r.observeClass(info, o)
+		})
+	}
+	return Choice{Target: t, Done: done, Release: func() { done(health.Outcome{Cancelled: true}) }}
+}
+
+func (r *Router) logChoice(info *request.Info, snap *state.Snapshot, t *config.Target, candidates int, probe bool) {
+	r.chosen.chosen.Add(1)
+	if probe {
+		r.chosen.probes.Add(1)
 	}
 	evRouted.Log(r.log).Str("request", info.ID).Str("service", info.Service.Name).
-		Str("class", info.Class.Name).Str("target", chosen.Name).
-		Int("candidates", len(candidates)).Uint64("version", snap.Version).Send()
-	return Choice{Target: chosen, Release: release}, nil
+		Str("class", info.Class.Name).Str("target", t.Name).
+		Int("candidates", candidates).Bool("probe", probe).Uint64("version", snap.Version).Send()
 }
 
-func (r *Router) candidates(info *request.Info, snap *state.Snapshot, tried []string) []Candidate {
-	svc := info.Service
-	fresh := make([]Candidate, 0, len(svc.Targets))
-	var again []Candidate
-	for i := range svc.Targets {
-		t := &svc.Targets[i]
-		if snap.LeavingTargets[state.TargetKey{Service: svc.Name, Target: t.Name}] {
-			continue
+// decide returns the index of the chosen target in the plan, and whether the
+// request probes a target that is set aside.
+func (r *Router) decide(now time.Time, policy Policy, class *classPlan, room slots.Room, tried []string, s *scratch) (at int, probe bool) {
+	s.size(len(class.targets))
+	room.Survey(class.asks, s.spots)
+	r.health.Survey(now, class.ids, s.views)
+	if len(tried) == 0 {
+		if at := probeOf(s); at != None {
+			return at, true
 		}
-		ask := askOf(info, t)
-		c := Candidate{
-			Target: t, Free: r.room.Free(ask), InFlight: r.room.InFlight(ask.Target),
-			ReportedLoad: -1, Weight: 1,
-		}
-		if contains(tried, t.Name) {
-			again = append(again, c)
-			continue
-		}
-		fresh = append(fresh, c)
 	}
-	if len(fresh) == 0 {
-		return again
+	for level := range levels {
+		r.collect(class, tried, level, s)
+		if picked := policy.Pick(s.candidates, s.rnd); picked != None {
+			return s.candidates[picked].at, false
+		}
 	}
-	return fresh
+	return None, false
 }
 
-// askOf returns the slot that a request wants at a target.
-func askOf(info *request.Info, t *config.Target) slots.Ask {
-	ask := slots.Ask{
-		Target: slots.Target{Service: info.Service.Name, Name: t.Name},
-		Slots:  t.Slots, LongSlots: t.Slots,
-	}
-	if info.Class.Long {
-		ask.Lane = slots.Long
-		ask.LongSlots = info.Class.LongSlots(t.Slots)
+// probeOf returns a target that is set aside and may get one request, or None.
+func probeOf(s *scratch) int {
+	for i := range s.views {
+		if s.views[i].Probe && s.spots[i].Free > 0 {
+			return i
+		}
 	}
-	return ask
+	return None
 }
 
-// Changed returns a channel that is closed when room for the service may have appeared.
-func (r *Router) Changed(service string) <-chan struct{} { return r.room.Changed(service) }
+// The levels of preference, best first.
+const (
+	levelFresh = iota
+	levelOtherRegion
+	levelTried
+	levels
+)
 
-func contains(names []string, name string) bool {
-	for _, n := range names {
-		if n == name {
-			return true
+// collect fills the candidates of one level of preference.
+func (r *Router) collect(class *classPlan, tried []string, level int, s *scratch) {
+	s.candidates = s.candidates[:0]
+	for i, t := range class.targets {
+		if r.levelOf(t, tried) != level {
+			continue
 		}
+		v := &s.views[i]
+		s.candidates = append(s.candidates, Candidate{
+			Target: t, Free: min(s.spots[i].Free, v.Limit-s.spots[i].InFlight), InFlight: s.spots[i].InFlight,
+			Latency: v.Latency, ReportedLoad: v.Load, Weight: v.Weight, Probe: v.Probe, at: i,
+		})
 	}
-	return false
 }
 
-func (r *Router) policy(svc *config.Service) Policy {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if known, ok := r.policies[svc.Name]; ok && known.name == svc.Policy {
-		return known.policy
+func (r *Router) levelOf(t *config.Target, tried []string) int {
+	for _, name := range tried {
+		if name == t.Name {
+			return levelTried
+		}
 	}
-	policy, ok := New(svc.Policy)
-	if !ok {
-		policy = TwoChoices{}
+	if r.region != "" && t.Region != r.region {
+		return levelOtherRegion
+	}
+	return levelFresh
+}
+
+// Changed returns a channel that is closed when room for the service may have appeared.
+func (r *Router) Changed(service string) <-chan struct{} {
+	plans := *r.plans.Load()
+	if p := plans[service]; p != nil {
+		return r.roomOf(p.service).Changed(service)
 	}
-	r.policies[svc.Name] = namedPolicy{name: svc.Policy, policy: policy}
-	return policy
+	return r.room.Changed(service)
 }
--- a/version/config/config.go
+++ b/version/config/config.go
@@ -2,7 +2,10 @@
 // placements, traffic shifts, leaving targets and hosts, and client blocks.
 package config
 
-import "time"
+import (
+	"net/http"
+	"time"
+)
 
 // Defaults of a service and its classes.
 const (
@@ -10,13 +13,27 @@
 	DefaultQueueLimit  = 256
 	DefaultHealthPath  = "/health"
 	DefaultLoadPath    = "/load"
-	DefaultPolicy      = "two-choices"
+	DefaultPolicy      = PolicyTwoChoices
 	DefaultRetryShare  = 0.1
 	DefaultHedgeShare  = 0.02
 	DefaultLongSlots   = 0.5
 	DefaultLongTargets = 0.5
 )
 
+// The names of the routing policies.
+const (
+	PolicyRoundRobin        = "round-robin"
+	PolicyRandom            = "random"
+	PolicyTwoChoices        = "two-choices"
+	PolicyTwoChoicesLatency = "two-choices-latency"
+	PolicyCredits           = "credits"
+)
+
+// Policies returns the names that a service's policy may have.
+func Policies() []string {
+	return []string{PolicyRoundRobin, PolicyRandom, PolicyTwoChoices, PolicyTwoChoicesLatency, PolicyCredits}
+}
+
 // Service is the whole state of one service.
 type Service struct {
 	// Name is the host name under which callers reach the service.
@@ -49,6 +66,14 @@
 	Header string `toml:"header" json:"header,omitempty"`
 }
 
+// Matches reports whether an answer has the declared form.
+func (f ShedForm) Matches(status int, header http.Header) bool {
+	if f.Status == 0 || status != f.Status {
+		return false
+	}
+	return f.Header == "" || header.Get(f.Header) != ""
+}
+
 // Target is one back end of a service.
 type Target struct {
 	Name string `toml:"name" json:"name"`
@@ -157,3 +182,20 @@
 	}
 	return n
 }
+
+// TargetCount returns how many of a service's targets a class may use: its
+// share, at least one, and for a long class never all of several.
+func (c Class) TargetCount(targets int) int {
+	share := c.TargetShare
+	if share == 0 {
+		share = 1
+		if c.Long {
+			share = DefaultLongTargets
+		}
+	}
+	n := max(1, int(share*float64(targets)))
+	if c.Long && targets > 1 {
+		n = min(n, targets-1)
+	}
+	return n
+}
--- a/version/ticket/check.go
+++ b/version/ticket/check.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 
@@ -86,6 +88,8 @@
 
 func (c *checker) service(field string, s *config.Service) {
 	c.require(s.Name != "", field+".name", s.Name, "a service name")
+	known := s.Policy == "" || slices.Contains(config.Policies(), s.Policy)
+	c.require(known, field+".policy", s.Policy, "one of "+strings.Join(config.Policies(), ", "))
 	c.require(s.TimeoutMS >= 0, field+".timeout_ms", s.TimeoutMS, "milliseconds, 0 or more")
 	c.share(field+".retry_share", s.RetryShare)
 	c.share(field+".hedge_share", s.HedgeShare)
