--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -31,17 +31,27 @@
 	Version  kong.VersionFlag `help:"Print the version and exit."`
 }
 
+const description = `Runs one entry host: answers look-ups and forwards requests to targets.
+
+Log lines go to standard error as JSON; docs/EVENTS.md lists the events.
+
+Exit codes: 0 stopped as asked or settings well formed, 1 failed, 2 bad settings or usage.`
+
 // Main runs the daemon and returns its exit code.
 func Main() int {
 	var c cli
-	kong.Parse(&c, kong.Name("quetzald"), kong.Vars{"version": quetzalknot.Version},
-		kong.Description("Runs one entry host: answers look-ups and forwards requests to targets.\n\nExit codes: 0 stopped as asked, 1 failed, 2 bad settings or usage."))
+	parser := kong.Must(&c, kong.Name("quetzald"), kong.Description(description), kong.Vars{"version": quetzalknot.Version})
+	if _, err := parser.Parse(os.Args[1:]); err != nil {
+		fmt.Fprintf(os.Stderr, "quetzald: %s (see quetzald --help)\n", err)
+		return exitSettings
+	}
 	s, err := settings.Load(c.Settings)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "quetzald:", err)
+		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
 	}
 	if c.Check {
+		fmt.Printf("%s is well formed\n", c.Settings)
 		return exitOK
 	}
 	if err := run(s); err != nil {
--- a/tools/cli/lab.go
+++ b/tools/cli/lab.go
@@ -10,7 +10,9 @@
 	"syscall"
 
 	"github.com/cockroachdb/errors"
+	"github.com/mattn/go-isatty"
 
+	"quetzalknot/tools/lab/demo"
 	"quetzalknot/tools/lab/experiment"
 	"quetzalknot/tools/lab/report"
 )
@@ -18,6 +20,7 @@
 type labCommands struct {
 	Platform   labPlatform   `cmd:"" help:"Run a stand-in for the platform."`
 	Target     labTarget     `cmd:"" help:"Run a stand-in for a target."`
+	Demo       labDemo       `cmd:"" help:"Show a whole deployment at work in one process."`
 	Experiment labExperiment `cmd:"" help:"Compare policies under load and faults, and write a report."`
 }
 
@@ -85,3 +88,19 @@
 	}
 	return err
 }
+
+type labDemo struct {
+	Logs string `type:"path" help:"File for the hosts' log lines."`
+}
+
+// Run implements the command.
+func (c *labDemo) Run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	logs, closeLogs, err := logFile(c.Logs)
+	if err != nil {
+		return err
+	}
+	defer closeLogs()
+	return demo.Run(ctx, os.Stdout, isatty.IsTerminal(os.Stdout.Fd()), logs)
+}
--- a/tools/cli/ticket.go
+++ b/tools/cli/ticket.go
@@ -35,10 +35,10 @@
 func (c *ticketCheck) Run() error {
 	t, err := readTicket(c.File)
 	if err != nil {
-		return err
+		return badInput{err}
 	}
 	if err := t.Check(); err != nil {
-		return err
+		return badInput{err}
 	}
 	fmt.Printf("ticket %d is well formed\n", t.Number)
 	return nil
--- a/tools/lab/experiment/run.go
+++ b/tools/lab/experiment/run.go
@@ -8,7 +8,6 @@
 
 	"quetzalknot/tools/lab/fleet"
 	"quetzalknot/tools/lab/load"
-	"quetzalknot/tools/standin/targetd"
 )
 
 // Segment is the outcome of one policy under one variant, summed over the repeats.
@@ -98,14 +97,8 @@
 		return nil, err
 	}
 	defer fl.Close()
-	var api, regions, blocks []string
-	for _, h := range fl.Hosts() {
-		api = append(api, h.Node.Addrs().API)
-	}
-	for _, r := range deployment.Regions {
-		regions, blocks = append(regions, r.Name), append(blocks, r.Block)
-	}
-	sender := load.NewClientSender(api, f.CallerAttempts)
+	regions, blocks := deployment.Callers()
+	sender := load.NewClientSender(fl.APIAddrs(), f.CallerAttempts)
 	defer sender.Close()
 
 	ctx, cancel := context.WithCancel(ctx)
@@ -124,11 +117,7 @@
 		return nil, err
 	}
 	seg := &Segment{Policy: policy, Variant: v.Name, Results: report.Results, Samples: samples}
-	var all []*targetd.Server
-	for _, servers := range fl.Targets {
-		all = append(all, servers...)
-	}
-	report.Reconcile(all)
+	report.Reconcile(fl.AllTargets())
 	seg.count(fl)
 	return seg, nil
 }
--- a/tools/lab/fleet/deployment.go
+++ b/tools/lab/fleet/deployment.go
@@ -121,3 +121,12 @@
 func targetName(service string, i int) string { return fmt.Sprintf("%s-%02d", service, i+1) }
 
 func hostName(i int) string { return fmt.Sprintf("h%d", i+1) }
+
+// Callers returns the names of the callers' regions and their client blocks.
+func (d *Deployment) Callers() (regions, blocks []string) {
+	for _, r := range d.Regions {
+		regions = append(regions, r.Name)
+		blocks = append(blocks, r.Block)
+	}
+	return regions, blocks
+}
--- a/tools/lab/fleet/fleet.go
+++ b/tools/lab/fleet/fleet.go
@@ -253,3 +253,21 @@
 	}
 	f.Network.Close()
 }
+
+// APIAddrs returns the API addresses of the running hosts.
+func (f *Fleet) APIAddrs() []string {
+	var addrs []string
+	for _, h := range f.Hosts() {
+		addrs = append(addrs, h.Node.Addrs().API)
+	}
+	return addrs
+}
+
+// AllTargets returns the targets of all services.
+func (f *Fleet) AllTargets() []*targetd.Server {
+	var all []*targetd.Server
+	for _, spec := range f.Deployment.Services {
+		all = append(all, f.Targets[spec.Name]...)
+	}
+	return all
+}
--- a/tools/lab/load/result.go
+++ b/tools/lab/load/result.go
@@ -79,6 +79,7 @@
 	shot     *shot
 	id       string
 	key      string
+	target   string
 	answered bool
 	verdict  verdict.Verdict
 	success  bool
--- a/tools/lab/load/run.go
+++ b/tools/lab/load/run.go
@@ -47,6 +47,19 @@
 	// RunID makes request ids unique among runs against the same targets.
 	RunID  string
 	Sender Sender
+	// Observe is called after each request, from many goroutines. May be nil.
+	Observe func(Finished)
+}
+
+// Finished is one request that ended, as its caller saw it.
+type Finished struct {
+	Kind string
+	// Region is the caller's.
+	Region string
+	// Target ran the request; empty when unknown.
+	Target  string
+	Verdict verdict.Verdict
+	Success bool
 }
 
 // Run sends the load and returns a result for each kind, not yet compared with
@@ -113,6 +126,12 @@
 	o.latency = time.Since(r.start.Add(s.at))
 	o.counted = s.at >= r.opts.Warmup
 	r.tally.add(o)
+	if r.opts.Observe != nil {
+		r.opts.Observe(Finished{
+			Kind: s.kind.Name, Region: r.opts.Regions[s.region], Target: o.target,
+			Verdict: o.verdict, Success: o.success && !o.cut,
+		})
+	}
 }
 
 func (r *runner) request(ctx context.Context, s *shot, o *outcome) (*http.Request, error) {
@@ -158,22 +177,25 @@
 	}
 	o.answered = true
 	o.cut = err != nil
-	o.crossed = crossed(resp, head, s.kind, o)
+	o.checkAnswer(resp, head)
 }
 
-// crossed reports whether a target's answer belongs to another request.
-func crossed(resp *http.Response, body []byte, k *Kind, o *outcome) bool {
+// checkAnswer notes which target ran the request, and whether a target's answer
+// belongs to another request.
+func (o *outcome) checkAnswer(resp *http.Response, body []byte) {
 	if !o.success {
-		return false
-	}
-	if id := resp.Header.Get(request.HeaderRequestID); id != o.id {
-		return true
+		return
 	}
-	if k.AnswerBytes > 0 || o.cut {
-		return false
+	o.crossed = resp.Header.Get(request.HeaderRequestID) != o.id
+	if o.shot.kind.AnswerBytes > 0 || o.cut {
+		return
 	}
 	var a targetd.Answer
-	return json.Unmarshal(body, &a) != nil || a.RequestID != o.id
+	if json.Unmarshal(body, &a) != nil || a.RequestID != o.id {
+		o.crossed = true
+		return
+	}
+	o.target = a.Target
 }
 
 // clientAddr returns the n-th address of an IPv4 block.
--- a/tools/standin/targetd/ledger.go
+++ b/tools/standin/targetd/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"sync"
+	"time"
 )
 
 // Record is what a target ran.
@@ -23,6 +24,8 @@
 	Crashes int `json:"crashes"`
 	// Cancelled counts requests whose caller went away while they ran.
 	Cancelled int `json:"cancelled"`
+	// LastBegin is when the newest run began.
+	LastBegin time.Time `json:"last_begin,omitzero"`
 }
 
 // ledger counts what a target runs. It is safe for concurrent use.
@@ -45,6 +48,7 @@
 		l.record.Shed++
 		return l.life, false
 	}
+	l.record.LastBegin = time.Now()
 	l.record.InFlight++
 	l.record.Peak = max(l.record.Peak, l.record.InFlight)
 	if long {
