--- a/version/config/config.go
+++ b/version/config/config.go
@@ -167,6 +167,16 @@
 	Object string `toml:"object" json:"object"`
 	// SHA256 is the hexadecimal checksum of the object.
 	SHA256 string `toml:"sha256" json:"sha256"`
+	// Deltas are changes to the object, applied in order.
+	Deltas []BlockDelta `toml:"delta" json:"deltas,omitempty"`
+}
+
+// BlockDelta names an object that holds changes to a block table.
+type BlockDelta struct {
+	// Object is the key in the object store.
+	Object string `toml:"object" json:"object"`
+	// SHA256 is the hexadecimal checksum of the object.
+	SHA256 string `toml:"sha256" json:"sha256"`
 }
 
 // LongSlots returns how many of a target's slots a long class may hold: its
--- a/version/lookup/delta.go
+++ b/version/lookup/delta.go
@@ -17,6 +17,8 @@
 	// Sum is the delta's own sum.
 	Sum     Sum
 	Changes []Change
+	// Stored is the stored form, to be passed on.
+	Stored []byte
 }
 
 // DecodeDelta reads a stored delta. The error is a *FormatError.
@@ -42,7 +44,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Delta{Base: Sum(h.Base), Sum: sha256.Sum256(data)}
+	d := &Delta{Base: Sum(h.Base), Sum: sha256.Sum256(data), Stored: data}
 	return d, d.read(data[preludeBytes+n:], h, list)
 }
 
--- a/version/lookup/lookup.go
+++ b/version/lookup/lookup.go
@@ -3,20 +3,10 @@
 
 import (
 	"net/netip"
-	"sort"
-
-	"github.com/cespare/xxhash/v2"
 
 	"quetzalknot/version/config"
 )
 
-const (
-	// DefaultTTLMS is how long callers may cache an answer, in milliseconds.
-	DefaultTTLMS = 2000
-	// maxEntries is how many entry hosts one answer names.
-	maxEntries = 3
-)
-
 // Host is an entry host as the look-up sees it.
 type Host struct {
 	Name string `json:"host"`
@@ -25,6 +15,8 @@
 	API           string `json:"api,omitempty"`
 	Region        string `json:"region"`
 	FailureDomain string `json:"failure_domain"`
+	// Incarnation tells the host's process from earlier ones.
+	Incarnation uint64 `json:"-"`
 }
 
 // Answer is the result of one look-up, best entry first.
@@ -32,7 +24,7 @@
 	Service string `json:"service"`
 	Version uint64 `json:"version"`
 	// TTLMS is how long the answer may be cached, in milliseconds.
-	TTLMS   int    `json:"ttl_ms"`
+	TTLMS   int64  `json:"ttl_ms"`
 	Entries []Host `json:"entries"`
 	// KeyPrefix starts the idempotency keys that the first entry accepts.
 	KeyPrefix string `json:"key_prefix"`
@@ -69,32 +61,3 @@
 	}
 	return a.Regions[0]
 }
-
-// Order returns the entries for a client: hosts of its region first, each group
-// in rendezvous order of the client's address, and always a second failure
-// domain when there is one.
-func Order(hosts []Host, region string, client netip.Addr) []Host {
-	ordered := append([]Host(nil), hosts...)
-	key := client.String()
-	sort.SliceStable(ordered, func(i, j int) bool {
-		a, b := ordered[i], ordered[j]
-		if (a.Region == region) != (b.Region == region) {
-			return a.Region == region
-		}
-		return xxhash.Sum64String(key+a.Name) > xxhash.Sum64String(key+b.Name)
-	})
-	return withSecondDomain(ordered)
-}
-
-func withSecondDomain(ordered []Host) []Host {
-	if len(ordered) <= 1 {
-		return ordered
-	}
-	for i := 1; i < len(ordered); i++ {
-		if ordered[i].FailureDomain != ordered[0].FailureDomain {
-			ordered[1], ordered[i] = ordered[i], ordered[1]
-			break
-		}
-	}
-	return ordered[:min(maxEntries, len(ordered))]
-}
