Look-ups: view per version, batches, caching headers, limits per caller

The look-up read configuration, members and table one after the other, so that one answer could mix versions, and any caller could use up a host. Answers now come from one immutable view, renewed when an input changes; GET /v1/lookup carries Cache-Control and an ETag of version and inputs, POST /v1/lookups asks for up to 1000 at once, and each address has its own rate.

A bad block or block table no longer holds back the rest of a version; tickets with blocks that are not canonical are refused before they are accepted.

The swap test fails when a batch reads the view for each item.

--- a/api.go
+++ b/api.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"net/netip"
 	"strconv"
 	"strings"
 	"time"
@@ -14,7 +13,6 @@
 	"github.com/gorilla/mux"
 
 	"quetzalknot/platform"
-	"quetzalknot/version/lookup"
 	"quetzalknot/version/state"
 	"quetzalknot/version/store"
 	"quetzalknot/version/ticket"
@@ -24,6 +22,7 @@
 func (n *Node) apiRouter() http.Handler {
 	r := mux.NewRouter()
 	r.HandleFunc("/v1/lookup", n.handleLookup).Methods(http.MethodGet)
+	r.HandleFunc("/v1/lookups", n.handleLookups).Methods(http.MethodPost)
 	r.HandleFunc("/v1/tickets", n.handleSubmit).Methods(http.MethodPost)
 	r.HandleFunc("/v1/tickets", n.handleTickets).Methods(http.MethodGet)
 	r.HandleFunc("/v1/tickets/{number}", n.handleTicket).Methods(http.MethodGet)
@@ -57,40 +56,6 @@
 	writeJSON(w, status, failure)
 }
 
-func (n *Node) handleLookup(w http.ResponseWriter, r *http.Request) {
-	query := r.URL.Query()
-	snap := n.config.Load()
-	name := query.Get("service")
-	if snap.Services[name] == nil {
-		writeError(w, http.StatusNotFound, errors.Newf("service = %q: no such service", name))
-		return
-	}
-	client, err := netip.ParseAddr(query.Get("client"))
-	if err != nil {
-		writeError(w, http.StatusBadRequest, errors.Newf("client = %q: give an IP address", query.Get("client")))
-		return
-	}
-	table := n.lookupTable.Load()
-	entries := lookup.Order(n.lookupHosts(), table.Region(client), client)
-	answer := lookup.Answer{
-		Service: name, Version: snap.Version, TTLMS: lookup.DefaultTTLMS, Entries: entries,
-	}
-	evLookup.Log(n.log).Str("service", name).Stringer("client", client).
-		Uint64("version", snap.Version).Int("entries", len(entries)).Send()
-	writeJSON(w, http.StatusOK, answer)
-}
-
-func (n *Node) lookupHosts() []lookup.Host {
-	leaving := n.config.Load().LeavingHosts
-	var hosts []lookup.Host
-	for _, m := range n.members.Live() {
-		if !leaving[m.Host] {
-			hosts = append(hosts, lookup.Host{Name: m.Host, Addr: m.ForwardAddr, API: m.APIAddr, Region: m.Region, FailureDomain: m.FailureDomain})
-		}
-	}
-	return hosts
-}
-
 func (n *Node) handleSubmit(w http.ResponseWriter, r *http.Request) {
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, ticket.MaxBytes))
 	if err != nil {
--- /dev/null
+++ b/api_lookup_test.go
@@ -0,0 +1,159 @@
+package quetzalknot
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"quetzalknot/platform/memory"
+	"quetzalknot/process/settings"
+	"quetzalknot/version/config"
+	"quetzalknot/version/lookup"
+)
+
+func newLookupNode(t *testing.T, perCaller float64) *Node {
+	t.Helper()
+	s := &settings.Settings{Host: settings.Host{Name: "h1", Region: "a", FailureDomain: "a-1"}, Lookup: settings.Lookup{PerCaller: perCaller}}
+	n := New(s, Options{Platform: memory.New(), Logs: io.Discard})
+	n.lookups.view.Store(versionView(t, 1))
+	return n
+}
+
+// versionView returns a view whose hosts, table and region all bear its version.
+func versionView(t *testing.T, version uint64) *lookup.View {
+	t.Helper()
+	region := fmt.Sprintf("r%d", version)
+	table, err := lookup.Build([]config.Block{{Prefix: "10.0.0.0/8", Region: region}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	in := lookup.Inputs{Version: version, Table: table, Services: []string{"bokun"}}
+	for i := range 4 {
+		in.Hosts = append(in.Hosts, lookup.Host{Name: fmt.Sprintf("%s-h%d", region, i), Region: region, FailureDomain: fmt.Sprint(region, i/2)})
+	}
+	return lookup.NewView(in)
+}
+
+func ask(n *Node, method, url, body string, header ...string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(method, url, strings.NewReader(body))
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	w := httptest.NewRecorder()
+	n.apiRouter().ServeHTTP(w, r)
+	return w
+}
+
+func TestLookupAnswersAndRefusals(t *testing.T) {
+	n := newLookupNode(t, 1000)
+	batch := func(size int) string {
+		return `{"lookups":[` + strings.TrimSuffix(strings.Repeat(`{"service":"bokun","client":"10.0.0.1"},`, size), ",") + `]}`
+	}
+	for _, tc := range []struct {
+		method, url, body string
+		status            int
+		want              string
+	}{
+		{"GET", "/v1/lookup?service=bokun&client=10.0.0.1", "", 200, `"entries":[{"host":"r1-h`},
+		{"GET", "/v1/lookup?service=bokun", "", 200, `"version":1`},
+		{"GET", "/v1/lookup?service=bokun&client=2001:db8::1", "", 200, `"version":1`},
+		{"GET", "/v1/lookup?client=10.0.0.1", "", 400, `service = \"\"`},
+		{"GET", "/v1/lookup?service=none&client=10.0.0.1", "", 404, `no such service`},
+		{"GET", "/v1/lookup?service=bokun&client=10.0.0", "", 400, `client = \"10.0.0\"`},
+		{"GET", "/v1/lookup?service=bokun&client=", "", 400, `client = \"\"`},
+		{"GET", "/v1/lookup?service=bokun&client=fe80::1%25eth0", "", 400, `without a zone`},
+		{"GET", "/v1/lookup?service=bokun&caller=" + strings.Repeat("x", 201), "", 400, `caller = `},
+		{"DELETE", "/v1/lookup?service=bokun", "", 405, ``},
+		{"POST", "/v1/lookups", batch(1000), 200, `"answers":[{"service":"bokun"`},
+		{"POST", "/v1/lookups", `{"lookups":[{"service":"none","client":"10.0.0.1"}]}`, 200, `"error":"service = `},
+		{"POST", "/v1/lookups", batch(1001), 400, `give 1 to 1000`},
+		{"POST", "/v1/lookups", batch(0), 400, `give 1 to 1000`},
+		{"POST", "/v1/lookups", `{"lookups":`, 400, `look-ups`},
+		{"POST", "/v1/lookups", `{"other":1}`, 400, `unknown field`},
+		{"POST", "/v1/lookups", `{"lookups":["` + strings.Repeat("x", maxBatchBytes) + `"]}`, 413, `more than`},
+	} {
+		w := ask(n, tc.method, tc.url, tc.body)
+		if w.Code != tc.status || !strings.Contains(w.Body.String(), tc.want) {
+			t.Errorf("%s %.60s: got %d %.200s, want %d %s", tc.method, tc.url, w.Code, w.Body, tc.status, tc.want)
+		}
+	}
+}
+
+func TestLookupCachingHeaders(t *testing.T) {
+	n := newLookupNode(t, 1000)
+	url := "/v1/lookup?service=bokun&client=10.0.0.1"
+	w := ask(n, "GET", url, "")
+	tag := w.Header().Get("ETag")
+	if cc := w.Header().Get("Cache-Control"); cc != "private, max-age=4" && cc != "private, max-age=5" || tag == "" {
+		t.Fatalf("ETag %q, Cache-Control %q", tag, cc)
+	}
+	if w = ask(n, "GET", url, "", "If-None-Match", tag); w.Code != http.StatusNotModified || w.Body.Len() > 0 {
+		t.Errorf("the same version again: got %d with %d bytes", w.Code, w.Body.Len())
+	}
+	n.lookups.view.Store(versionView(t, 2))
+	if w = ask(n, "GET", url, "", "If-None-Match", tag); w.Code != http.StatusOK {
+		t.Errorf("after a new version: got %d", w.Code)
+	}
+}
+
+// TestOneCallerCannotStarveAnother lets one address ask without end.
+func TestOneCallerCannotStarveAnother(t *testing.T) {
+	n := newLookupNode(t, 0.001)
+	url := "/v1/lookup?service=bokun&client=10.0.0.1"
+	var last *httptest.ResponseRecorder
+	for range maxBatch + 1 {
+		last = ask(n, "GET", url, "")
+	}
+	if last.Code != http.StatusTooManyRequests || last.Header().Get("Retry-After") == "" {
+		t.Errorf("after %d look-ups: got %d", maxBatch+1, last.Code)
+	}
+	r := httptest.NewRequest("GET", url, nil)
+	r.RemoteAddr = "198.51.100.9:1000"
+	w := httptest.NewRecorder()
+	n.apiRouter().ServeHTTP(w, r)
+	if w.Code != http.StatusOK {
+		t.Errorf("another caller got %d", w.Code)
+	}
+}
+
+// TestLookupsSeeOneWholeVersion swaps versions while look-ups and batches run:
+// version, hosts and region of every answer must belong together.
+func TestLookupsSeeOneWholeVersion(t *testing.T) {
+	n := newLookupNode(t, 1e9)
+	views := make([]*lookup.View, 8)
+	for i := range views {
+		views[i] = versionView(t, uint64(i+1))
+	}
+	var stop atomic.Bool
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for i := 0; !stop.Load(); i++ {
+			n.lookups.view.Store(views[i%len(views)])
+		}
+	}()
+	body := `{"lookups":[` + strings.TrimSuffix(strings.Repeat(`{"service":"bokun","client":"10.0.0.1"},`, 20), ",") + `]}`
+	seen := make(map[uint64]bool)
+	for i := 0; i < 300 || len(seen) < 2 && i < 100_000; i++ {
+		var got BatchAnswers
+		if err := json.Unmarshal(ask(n, "POST", "/v1/lookups", body).Body.Bytes(), &got); err != nil {
+			t.Fatal(err)
+		}
+		seen[got.Version] = true
+		for _, a := range got.Answers {
+			if a.Version != got.Version || a.Entries[0].Region != fmt.Sprintf("r%d", got.Version) {
+				t.Fatalf("version %d holds an answer of version %d with region %s", got.Version, a.Version, a.Entries[0].Region)
+			}
+		}
+	}
+	stop.Store(true)
+	<-done
+	if len(seen) < 2 {
+		t.Errorf("only version %v was seen: nothing was swapped", seen)
+	}
+}
--- a/node.go
+++ b/node.go
@@ -26,9 +26,9 @@
 	"quetzalknot/request/admit"
 	"quetzalknot/request/forward"
 	"quetzalknot/request/route"
-	"quetzalknot/version/lookup"
 	"quetzalknot/version/state"
 	"quetzalknot/version/store"
+	"quetzalknot/version/tables"
 )
 
 var (
@@ -38,7 +38,6 @@
 	evAccepted = eventlog.Define(2001, zerolog.InfoLevel, "ticket accepted")
 	evInForce  = eventlog.Define(2002, zerolog.InfoLevel, "configuration version in force")
 	evBadState = eventlog.Define(2003, zerolog.ErrorLevel, "configuration version refused")
-	evLookup   = eventlog.Define(2201, zerolog.InfoLevel, "look-up answered")
 )
 
 const (
@@ -60,15 +59,15 @@
 	recent   *eventlog.Recent
 	metrics  *metrics.Set
 
-	config      state.Holder
-	lookupTable atomic.Pointer[lookup.Table]
-	ready       atomic.Bool
-	merged      *state.State
-	store       *store.Store
-	members     *membership.Members
-	peers       *peer.Server
-	pool        *target.Pool
-	forward     *forward.Handler
+	config  state.Holder
+	lookups lookups
+	ready   atomic.Bool
+	merged  *state.State
+	store   *store.Store
+	members *membership.Members
+	peers   *peer.Server
+	pool    *target.Pool
+	forward *forward.Handler
 
 	servers []*http.Server
 	addrs   Addrs
@@ -106,7 +105,7 @@
 		merged: state.New(), store: store.New(p.Table), members: membership.New(p.Table),
 		peers: peer.NewServer(), pool: target.NewPool(target.Dial(opts.Dial)),
 	}
-	n.lookupTable.Store(&lookup.Table{})
+	n.setUpLookups(peer.NewClients(peer.Dial(opts.Dial)))
 	router := route.NewRouter(slots.NewLocal(), n.metrics, log)
 	n.forward = forward.New(&n.config, admit.New(router, n.metrics, log), n.pool, n.metrics, log)
 	return n
@@ -129,11 +128,15 @@
 		return err
 	}
 	n.loops.Go(func() { n.pollLoop(ctx) })
+	n.startLookups(ctx)
 	evStarted.Log(n.log).Str("api", n.addrs.API).Str("forward", n.addrs.Forward).Str("peer", n.addrs.Peer).Send()
 	return nil
 }
 
 func (n *Node) listen() error {
+	if err := n.peers.Register(tables.ServiceName, n.lookups.tables.Service()); err != nil {
+		return err
+	}
 	if err := n.peers.Listen(n.settings.Listen.Peer); err != nil {
 		return err
 	}
@@ -211,12 +214,8 @@
 	if err != nil {
 		return err
 	}
-	table, err := lookup.Build(snap.Blocks)
-	if err != nil {
-		return err
-	}
-	n.lookupTable.Store(table)
 	n.config.Store(snap)
+	n.lookups.tables.Want(tables.Wanted{Version: snap.Version, Tables: snap.BlockTables, Blocks: snap.Blocks})
 	evInForce.Log(n.log).Uint64("version", snap.Version).Int("services", len(snap.Services)).Send()
 	return nil
 }
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -20,6 +20,7 @@
 	Roles    Roles    `toml:"roles"`
 	Platform Platform `toml:"platform"`
 	Topology Topology `toml:"topology"`
+	Lookup   Lookup   `toml:"lookup"`
 }
 
 // Host says which host this is and where it stands.
@@ -76,7 +77,7 @@
 
 // sections lists the tables in the order in which they are checked.
 func (s *Settings) sections() []section {
-	return []section{&s.Host, &s.Listen, &s.Roles, &s.Platform, &s.Topology}
+	return []section{&s.Host, &s.Listen, &s.Roles, &s.Platform, &s.Topology, &s.Lookup}
 }
 
 // Load reads and checks a settings file. A bad file gives an *Error.
--- a/version/lookup/view.go
+++ b/version/lookup/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -116,6 +117,12 @@
 // Tag tells views with different answers apart.
 func (v *View) Tag() uint64 { return v.tag }
 
+// TagText is the tag in the form of an entity tag, after the version.
+func (v *View) TagText() string { return fmt.Sprintf("%d-%016x", v.version, v.tag) }
+
+// Size returns the number of entry hosts.
+func (v *View) Size() int { return len(v.hosts) }
+
 // Has reports whether a service is known.
 func (v *View) Has(service string) bool { return v.services[service] != nil }
 
--- a/version/ticket/check.go
+++ b/version/ticket/check.go
@@ -73,9 +73,9 @@
 		c.require(l.Kind != config.LeavingTarget || l.Service != "", field+".service", l.Service, "the target's service")
 	}
 	for i, b := range t.Blocks {
-		_, err := netip.ParsePrefix(b.Prefix)
-		c.require(err == nil, fmt.Sprintf("block[%d].prefix", i), b.Prefix, "an address prefix such as 192.0.2.0/24")
+		c.block(fmt.Sprintf("block[%d]", i), b)
 	}
+	c.blockTables(t.BlockTables)
 	if len(c.problems) > 0 {
 		return errors.WithStack(&CheckError{Problems: c.problems})
 	}
