--- a/version/state/snapshot.go
+++ b/version/state/snapshot.go
@@ -33,16 +33,11 @@
 	Target  string
 }
 
-// Snapshot decodes the state in force.
+// Snapshot decodes the state in force. A ticket that cannot be decoded is left
+// out as a whole; Faults names it.
 func (s *State) Snapshot() (*Snapshot, error) {
-	snap := &Snapshot{
-		Version:        s.Newest(),
-		Services:       make(map[string]*config.Service),
-		Placements:     make(map[string]*config.Placement),
-		Shifts:         make(map[string][]*config.Shift),
-		LeavingTargets: make(map[TargetKey]bool),
-		LeavingHosts:   make(map[string]bool),
-	}
+	snap := newSnapshot()
+	snap.Version = s.Newest()
 	var firstErr error
 	s.Each(func(ticket uint64, o Object) {
 		if err := snap.add(o); err != nil && firstErr == nil {
@@ -52,6 +47,30 @@
 	return snap, firstErr
 }
 
+// faultOf returns why a ticket cannot be put into force, or nil.
+func faultOf(r Record) error {
+	snap := newSnapshot()
+	for _, o := range r.Objects {
+		if o.Removed {
+			continue
+		}
+		if err := snap.add(o); err != nil {
+			return errors.Wrapf(err, "ticket %d: object %s", r.Number, o.Key)
+		}
+	}
+	return nil
+}
+
+func newSnapshot() *Snapshot {
+	return &Snapshot{
+		Services:       make(map[string]*config.Service),
+		Placements:     make(map[string]*config.Placement),
+		Shifts:         make(map[string][]*config.Shift),
+		LeavingTargets: make(map[TargetKey]bool),
+		LeavingHosts:   make(map[string]bool),
+	}
+}
+
 func (s *Snapshot) add(o Object) error {
 	switch o.Kind {
 	case KindService:
--- a/version/store/store.go
+++ b/version/store/store.go
@@ -6,9 +6,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"strconv"
+	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
 
 	"quetzalknot/platform"
 	"quetzalknot/version/state"
@@ -19,6 +22,12 @@
 	objectPrefix = "object/"
 	// pageRows is how many rows one read asks for.
 	pageRows = 200
+	// maxAttempts bounds the transactions of one submission.
+	maxAttempts = 8
+	// readsAtOnce bounds the concurrent reads of one submission.
+	readsAtOnce = 8
+	// retryPause is the mean pause before the second attempt; it doubles each time.
+	retryPause = 20 * time.Millisecond
 )
 
 // RefusedError reports a ticket that lost against an accepted one.
@@ -46,10 +55,54 @@
 // New returns a store over the table service.
 func New(table platform.Table) *Store { return &Store{table: table} }
 
-// Submit accepts the ticket in one transaction, or returns a RefusedError.
-// Submitting an accepted ticket again succeeds and returns the accepted record.
-// After platform.ErrUnknownOutcome the caller submits the same ticket again.
+// Submit accepts the ticket in one transaction, or returns a RefusedError that
+// names the ticket and object that stand against it. A lost race is tried again,
+// and a write whose answer was lost is looked up. Submitting an accepted ticket
+// again succeeds and returns the accepted record.
+//
+// With platform.ErrUnavailable the ticket is not accepted. With
+// platform.ErrUnknownOutcome it may be; submit the same ticket again.
 func (s *Store) Submit(ctx context.Context, r state.Record) (state.Record, error) {
+	written := false
+	var last error
+	for attempt := range maxAttempts {
+		if attempt > 0 && !pause(ctx, attempt) {
+			break
+		}
+		accepted, err := s.attempt(ctx, r)
+		var refused *RefusedError
+		if err == nil || errors.As(err, &refused) {
+			return accepted, err
+		}
+		last = err
+		switch {
+		case errors.Is(err, platform.ErrConflict):
+		case errors.Is(err, platform.ErrUnknownOutcome):
+			written = true
+		case !written:
+			return state.Record{}, err
+		}
+	}
+	if written {
+		return state.Record{}, errors.Mark(errors.Wrapf(last, "ticket %d may be accepted", r.Number), platform.ErrUnknownOutcome)
+	}
+	return state.Record{}, errors.Wrapf(last, "ticket %d", r.Number)
+}
+
+// pause waits before a further attempt, with jitter, and reports whether the context still runs.
+func pause(ctx context.Context, attempt int) bool {
+	mean := retryPause << attempt
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(mean/2 + rand.N(mean)):
+		return true
+	}
+}
+
+// attempt runs one transaction. An error after which the write may have happened
+// is marked with platform.ErrUnknownOutcome.
+func (s *Store) attempt(ctx context.Context, r state.Record) (state.Record, error) {
 	known, err := s.Ticket(ctx, r.Number)
 	if err == nil {
 		return sameContent(known, r)
@@ -57,14 +110,16 @@
 	if !errors.Is(err, platform.ErrNotFound) {
 		return state.Record{}, err
 	}
+	rows, err := s.objectRows(ctx, r)
+	if err != nil {
+		return state.Record{}, err
+	}
+	r.Previous = make([]state.Previous, len(rows))
 	conditions := []platform.Condition{{Key: ticketKey(r.Number)}}
-	writes := make([]platform.Write, 0, len(r.Objects)+1)
-	for _, o := range r.Objects {
-		condition, err := s.objectCondition(ctx, r.Number, o.Key)
-		if err != nil {
-			return state.Record{}, err
-		}
-		conditions = append(conditions, condition)
+	var writes []platform.Write
+	for i, o := range r.Objects {
+		r.Previous[i] = state.Previous{Key: o.Key, Ticket: rows[i].ticket}
+		conditions = append(conditions, platform.Condition{Key: objectKey(o.Key), Revision: rows[i].revision})
 		writes = append(writes, platform.Write{Key: objectKey(o.Key), Value: strconv.AppendUint(nil, r.Number, 10)})
 	}
 	data, err := json.Marshal(r)
@@ -73,11 +128,20 @@
 	}
 	writes = append(writes, platform.Write{Key: ticketKey(r.Number), Value: data})
 	if _, err := s.table.Commit(ctx, conditions, writes); err != nil {
-		return state.Record{}, err
+		return state.Record{}, commitError(err)
 	}
 	return r, nil
 }
 
+// commitError marks every error of a commit that does not say that nothing was written.
+func commitError(err error) error {
+	refused := errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrUnavailable)
+	if refused && !errors.Is(err, platform.ErrUnknownOutcome) {
+		return err
+	}
+	return errors.Mark(err, platform.ErrUnknownOutcome)
+}
+
 func sameContent(known, r state.Record) (state.Record, error) {
 	if known.Content != r.Content {
 		return state.Record{}, &RefusedError{Number: r.Number, Winner: r.Number}
@@ -85,23 +149,47 @@
 	return known, nil
 }
 
-// objectCondition requires that the object still has the smaller ticket number it has now.
-func (s *Store) objectCondition(ctx context.Context, number uint64, k state.Key) (platform.Condition, error) {
+// objectRow is the row of one object: the ticket in force and the row's revision.
+type objectRow struct {
+	ticket   uint64
+	revision int64
+}
+
+// objectRows reads the rows of all objects of a ticket, in their order. It
+// returns a RefusedError when one has a larger ticket number.
+func (s *Store) objectRows(ctx context.Context, r state.Record) ([]objectRow, error) {
+	rows := make([]objectRow, len(r.Objects))
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(readsAtOnce)
+	for i, o := range r.Objects {
+		group.Go(func() error {
+			row, err := s.objectRow(ctx, o.Key)
+			if err != nil {
+				return err
+			}
+			if row.ticket >= r.Number {
+				return &RefusedError{Number: r.Number, Winner: row.ticket, Object: o.Key.String()}
+			}
+			rows[i] = row
+			return nil
+		})
+	}
+	return rows, group.Wait()
+}
+
+func (s *Store) objectRow(ctx context.Context, k state.Key) (objectRow, error) {
 	row, err := s.table.Get(ctx, objectKey(k))
 	if errors.Is(err, platform.ErrNotFound) {
-		return platform.Condition{Key: objectKey(k)}, nil
+		return objectRow{}, nil
 	}
 	if err != nil {
-		return platform.Condition{}, err
+		return objectRow{}, err
 	}
-	winner, err := strconv.ParseUint(string(row.Value), 10, 64)
+	ticket, err := strconv.ParseUint(string(row.Value), 10, 64)
 	if err != nil {
-		return platform.Condition{}, errors.Wrapf(err, "row %s", row.Key)
+		return objectRow{}, errors.Wrapf(err, "row %s", row.Key)
 	}
-	if winner >= number {
-		return platform.Condition{}, &RefusedError{Number: number, Winner: winner, Object: k.String()}
-	}
-	return platform.Condition{Key: row.Key, Revision: row.Revision}, nil
+	return objectRow{ticket: ticket, revision: row.Revision}, nil
 }
 
 // Ticket reads one accepted ticket, or platform.ErrNotFound.
@@ -113,28 +201,6 @@
 	return decodeRecord(row)
 }
 
-// Accepted reads the tickets accepted after a table revision, and the revision to continue from.
-func (s *Store) Accepted(ctx context.Context, after int64) ([]state.Record, int64, error) {
-	var records []state.Record
-	for {
-		page, err := s.table.Changes(ctx, ticketPrefix, after, pageRows)
-		if err != nil {
-			return nil, 0, err
-		}
-		for _, row := range page.Rows {
-			r, err := decodeRecord(row)
-			if err != nil {
-				return nil, 0, err
-			}
-			records = append(records, r)
-		}
-		after = page.Next
-		if !page.More {
-			return records, after, nil
-		}
-	}
-}
-
 func decodeRecord(row platform.Row) (state.Record, error) {
 	var r state.Record
 	if err := json.Unmarshal(row.Value, &r); err != nil {
--- a/version/ticket/ticket.go
+++ b/version/ticket/ticket.go
@@ -9,6 +9,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"io"
 	"sort"
 	"time"
 
@@ -60,6 +61,9 @@
 		if err := dec.Decode(&t); err != nil {
 			return nil, errors.Wrap(err, "ticket")
 		}
+		if _, err := dec.Token(); err != io.EOF {
+			return nil, errors.New("ticket: more follows after the JSON object")
+		}
 		return &t, nil
 	}
 	dec := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields()
@@ -69,38 +73,90 @@
 	return &t, nil
 }
 
-// Record returns the stored form of the ticket, its objects in order of key.
-func (t *Ticket) Record(acceptedAt time.Time) (state.Record, error) {
-	b := &objectBuilder{}
+// fieldKey is an object of a ticket and the field that states it.
+type fieldKey struct {
+	field string
+	key   state.Key
+}
+
+// keys returns the objects that the ticket touches, in the order of its fields.
+func (t *Ticket) keys() []fieldKey {
+	var keys []fieldKey
+	add := func(field string, i int, kind state.Kind, name string) {
+		keys = append(keys, fieldKey{field: at(field, i), key: state.Key{Kind: kind, Name: name}})
+	}
+	for i, c := range t.Services {
+		add("service", i, state.KindService, c.Name)
+	}
+	for i, c := range t.Placements {
+		add("placement", i, state.KindPlacement, c.Service)
+	}
+	for i, c := range t.Shifts {
+		add("shift", i, state.KindShift, c.Name)
+	}
+	for i, c := range t.Leaving {
+		add("leaving", i, state.KindLeaving, leavingName(c))
+	}
+	for i, c := range t.Blocks {
+		add("block", i, state.KindBlock, c.Prefix)
+	}
+	for i, c := range t.BlockTables {
+		add("block_table", i, state.KindBlockTable, c.Name)
+	}
+	for i, k := range t.Remove {
+		add("remove", i, k.Kind, k.Name)
+	}
+	return keys
+}
+
+// bodies returns the typed states in the order of keys; nil for a removed object.
+func (t *Ticket) bodies() []any {
+	var bodies []any
 	for _, c := range t.Services {
-		b.add(state.KindService, c.Name, c)
+		bodies = append(bodies, c)
 	}
 	for _, c := range t.Placements {
-		b.add(state.KindPlacement, c.Service, c)
+		bodies = append(bodies, c)
 	}
 	for _, c := range t.Shifts {
-		b.add(state.KindShift, c.Name, c)
+		bodies = append(bodies, c)
 	}
 	for _, c := range t.Leaving {
-		b.add(state.KindLeaving, leavingName(c), c)
+		bodies = append(bodies, c)
 	}
 	for _, c := range t.Blocks {
-		b.add(state.KindBlock, c.Prefix, c)
+		bodies = append(bodies, c)
 	}
 	for _, c := range t.BlockTables {
-		b.add(state.KindBlockTable, c.Name, c)
+		bodies = append(bodies, c)
 	}
-	for _, k := range t.Remove {
-		b.objects = append(b.objects, state.Object{Key: k, Removed: true})
+	return append(bodies, make([]any, len(t.Remove))...)
+}
+
+// Record returns the stored form of the ticket, its objects in order of key.
+func (t *Ticket) Record(acceptedAt time.Time) (state.Record, error) {
+	bodies := t.bodies()
+	objects := make([]state.Object, len(bodies))
+	for i, f := range t.keys() {
+		objects[i] = state.Object{Key: f.key, Removed: bodies[i] == nil}
+		if bodies[i] == nil {
+			continue
+		}
+		data, err := json.Marshal(bodies[i])
+		if err != nil {
+			return state.Record{}, errors.Wrap(err, f.field)
+		}
+		objects[i].Body = data
 	}
-	objects, err := b.sorted()
-	if err != nil {
-		return state.Record{}, err
+	sort.Slice(objects, func(i, j int) bool { return objects[i].String() < objects[j].String() })
+	for i := 1; i < len(objects); i++ {
+		if objects[i].Key == objects[i-1].Key {
+			return state.Record{}, errors.Newf("object %s is given twice", objects[i].Key)
+		}
 	}
-	return state.Record{
-		Number: t.Number, Operator: t.Operator, Note: t.Note,
-		AcceptedAt: acceptedAt, Content: contentHash(objects), Objects: objects,
-	}, nil
+	r := state.Record{Number: t.Number, Operator: t.Operator, Note: t.Note, AcceptedAt: acceptedAt, Objects: objects}
+	r.Content = contentHash(r)
+	return r, nil
 }
 
 func leavingName(c config.Leaving) string {
@@ -110,41 +166,13 @@
 	return "target/" + c.Service + "/" + c.Name
 }
 
-// objectBuilder collects encoded objects and the first error.
-type objectBuilder struct {
-	objects []state.Object
-	err     error
-}
-
-func (b *objectBuilder) add(kind state.Kind, name string, body any) {
-	data, err := json.Marshal(body)
-	if err != nil && b.err == nil {
-		b.err = err
-	}
-	key := state.Key{Kind: kind, Name: name}
-	b.objects = append(b.objects, state.Object{Key: key, Body: data})
-}
-
-func (b *objectBuilder) sorted() ([]state.Object, error) {
-	if b.err != nil {
-		return nil, b.err
-	}
-	sort.Slice(b.objects, func(i, j int) bool {
-		return b.objects[i].String() < b.objects[j].String()
-	})
-	for i := 1; i < len(b.objects); i++ {
-		if b.objects[i].Key == b.objects[i-1].Key {
-			return nil, errors.Newf("object %s is given twice", b.objects[i].Key)
-		}
-	}
-	return b.objects, nil
-}
-
-func contentHash(objects []state.Object) string {
+// contentHash covers all that the operator stated.
+func contentHash(r state.Record) string {
 	h := sha256.New()
 	enc := json.NewEncoder(h)
-	for _, o := range objects {
-		_ = enc.Encode(o) // a hash never fails to write
+	_ = enc.Encode([]string{r.Operator, r.Note}) // a hash never fails to write
+	for _, o := range r.Objects {
+		_ = enc.Encode(o)
 	}
 	return hex.EncodeToString(h.Sum(nil))
 }
