--- a/node.go
+++ b/node.go
@@ -90,7 +90,7 @@
 	n := &Node{
 		settings: s, platform: p, log: log, recent: recent, metrics: metrics.NewSet(),
 		merged: state.New(), store: store.New(p.Table), members: membership.New(p.Table),
-		peers: peer.NewServer(), pool: target.NewPool(),
+		peers: peer.NewServer(nil), pool: target.NewPool(),
 	}
 	n.lookupTable.Store(&lookup.Table{})
 	router := route.NewRouter(slots.NewLocal(), n.metrics, log)
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -16,6 +16,7 @@
 	Roles    Roles    `toml:"roles"`
 	Platform Platform `toml:"platform"`
 	Topology Topology `toml:"topology"`
+	Peer     Peer     `toml:"peer"`
 }
 
 // Host says which host this is and where it stands.
@@ -72,7 +73,7 @@
 
 // sections lists the tables in the order in which they are checked.
 func (s *Settings) sections() []section {
-	return []section{&s.Host, &s.Listen, &s.Roles, &s.Platform, &s.Topology}
+	return []section{&s.Host, &s.Listen, &s.Roles, &s.Platform, &s.Topology, &s.Peer}
 }
 
 // Load reads and checks a settings file.
