--- a/process/peer/clients.go
+++ b/process/peer/clients.go
@@ -44,10 +44,14 @@
 	Call(ctx context.Context, addr, method string, args, reply any) error
 }
 
+// Dial opens a connection; it has the form of net.Dialer.DialContext.
+type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // Clients is a Caller that keeps one connection to each address. It is safe for
 // concurrent use.
 type Clients struct {
 	identity *Identity
+	dialer   Dial
 	hello    hello
 	// Traffic counts the clients' messages and bytes.
 	Traffic Traffic
@@ -58,9 +62,12 @@
 }
 
 // NewClients returns a Caller without connections. With a nil identity its
-// connections are in the clear.
-func NewClients(identity *Identity) *Clients {
-	return &Clients{identity: identity, hello: ownHello(), links: make(map[string]*link)}
+// connections are in the clear; a nil dial means net.Dialer.
+func NewClients(identity *Identity, dial Dial) *Clients {
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	return &Clients{identity: identity, dialer: dial, hello: ownHello(), links: make(map[string]*link)}
 }
 
 // link is the connection to one address, and what is known of failed ones.
@@ -193,8 +200,9 @@
 }
 
 func (c *Clients) dial(ctx context.Context, addr string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", addr)
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := c.dialer(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
--- a/process/peer/peer_test.go
+++ b/process/peer/peer_test.go
@@ -140,13 +140,13 @@
 func TestStrangerGetsNothingIn(t *testing.T) {
 	own, foreign := newAuthority(t), newAuthority(t)
 	s, e := startServer(t, identity(t, own))
-	member := NewClients(identity(t, own))
+	member := NewClients(identity(t, own), nil)
 	defer member.Close()
 	if got, err := say(t, member, s.Addr(), "hello"); err != nil || got != "hello" {
 		t.Fatalf("a member: got %q, %v", got, err)
 	}
 	for name, id := range map[string]*Identity{"other CA": identity(t, foreign), "no TLS": nil} {
-		stranger := NewClients(id)
+		stranger := NewClients(id, nil)
 		if _, err := say(t, stranger, s.Addr(), "hello"); err == nil {
 			t.Errorf("%s: the call was answered", name)
 		}
@@ -159,7 +159,7 @@
 
 func TestClientRefusesStrangeServer(t *testing.T) {
 	s, e := startServer(t, identity(t, newAuthority(t)))
-	c := NewClients(identity(t, newAuthority(t)))
+	c := NewClients(identity(t, newAuthority(t)), nil)
 	defer c.Close()
 	if _, err := say(t, c, s.Addr(), "secret"); err == nil || e.calls.Load() != 0 {
 		t.Fatalf("err = %v, calls = %d", err, e.calls.Load())
@@ -179,14 +179,14 @@
 		id.stamps = [3]time.Time{}
 	}
 	s, _ := startServer(t, id)
-	late := NewClients(identity(t, second))
+	late := NewClients(identity(t, second), nil)
 	defer late.Close()
 	if _, err := say(t, late, s.Addr(), "early"); err == nil {
 		t.Fatal("the second CA is known before its file is there")
 	}
 	second.issue(t, dir)
 	reload()
-	fresh := NewClients(identity(t, second))
+	fresh := NewClients(identity(t, second), nil)
 	defer fresh.Close()
 	if _, err := say(t, fresh, s.Addr(), "hello"); err != nil {
 		t.Fatal(err)
@@ -195,7 +195,7 @@
 		t.Fatal(err)
 	}
 	reload()
-	again := NewClients(identity(t, second))
+	again := NewClients(identity(t, second), nil)
 	defer again.Close()
 	if _, err := say(t, again, s.Addr(), "hello"); err != nil || id.LastError() == nil {
 		t.Fatalf("with a damaged file: err = %v, last error = %v", err, id.LastError())
@@ -234,7 +234,7 @@
 
 func TestCallsInFlightAreBounded(t *testing.T) {
 	s, e := startServer(t, nil)
-	c := NewClients(nil)
+	c := NewClients(nil, nil)
 	defer c.Close()
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 	defer cancel()
@@ -262,7 +262,7 @@
 
 func TestOversizedMessageEndsTheConnection(t *testing.T) {
 	s, e := startServer(t, nil)
-	c := NewClients(nil)
+	c := NewClients(nil, nil)
 	defer c.Close()
 	if _, err := say(t, c, s.Addr(), strings.Repeat("x", MaxMessageBytes+1)); err == nil || e.calls.Load() != 0 {
 		t.Fatalf("err = %v, calls = %d", err, e.calls.Load())
@@ -279,7 +279,7 @@
 	}
 	addr := l.Addr().String()
 	_ = l.Close()
-	c := NewClients(nil)
+	c := NewClients(nil, nil)
 	defer c.Close()
 	if _, err := say(t, c, addr, "x"); err == nil || errors.Is(err, ErrBackoff) {
 		t.Fatalf("first call: %v", err)
@@ -299,7 +299,7 @@
 func TestCallEndsWithItsContext(t *testing.T) {
 	s, e := startServer(t, nil)
 	defer close(e.release)
-	c := NewClients(nil)
+	c := NewClients(nil, nil)
 	defer c.Close()
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
 	defer cancel()
