Spread and membership: partners on rings, push and digest repair, suspicion, leases

Cause: every host read the head and all member rows each 500 ms. Change: hosts exchange sums with the successors on six rings (own failure domain, own region, other domains, other regions), push changes and level what differs; two hosts of each failure domain read the head; members that do not answer are probed by others, suspected, and count as dead when they stay silent; a lease ends before that.

--- /dev/null
+++ b/version/spread/service.go
@@ -0,0 +1,64 @@
+package spread
+
+import (
+	"context"
+
+	"quetzalknot/process/membership"
+)
+
+// service holds the engine's net/rpc methods.
+type service struct{ engine *Engine }
+
+// Exchange describes the topics that differ from the caller's.
+func (s *service) Exchange(args *ExchangeArgs, reply *ExchangeReply) error {
+	e := s.engine
+	self := e.Members.Self()
+	reply.Host, reply.FailureDomain = self.Host, self.FailureDomain
+	reply.Whole = e.Whole()
+	reply.FreshMS, reply.Revision = e.fresh.message()
+	if entry, ok := e.Members.Entry(args.From); ok && entry.Member.Incarnation == args.Incarnation {
+		reply.Regard = entry.Status
+	} else if ok && entry.Member.Incarnation > args.Incarnation {
+		reply.Regard = membership.Dead
+	}
+	for _, theirs := range args.Sums {
+		t := e.topic(theirs.Topic)
+		if t == nil || t.Sum() == theirs.Sum {
+			continue
+		}
+		reply.Digests = append(reply.Digests, TopicDigest{Topic: theirs.Topic, Digest: t.Digest()})
+	}
+	return nil
+}
+
+// Sync takes in what the caller brings and returns what it lacks.
+func (s *service) Sync(args *SyncArgs, reply *SyncReply) error {
+	if _, err := s.engine.merge(args.Topic, args.Delta, ""); err != nil {
+		return err
+	}
+	t := s.engine.topic(args.Topic)
+	if t == nil {
+		return errUnknownTopic
+	}
+	reply.Delta = t.Delta(args.Digest, MaxDeltaBytes)
+	reply.Digest = t.Digest()
+	reply.Sum = t.Sum()
+	return nil
+}
+
+// Push takes in a change.
+func (s *service) Push(args *PushArgs, _ *Empty) error {
+	_, err := s.engine.merge(args.Topic, args.Delta, args.From)
+	return err
+}
+
+// Probe says whether this host can reach another one.
+func (s *service) Probe(args *ProbeArgs, reply *ProbeReply) error {
+	ctx, cancel := context.WithTimeout(s.engine.stopped, callTimeout)
+	defer cancel()
+	ask := ExchangeArgs{From: s.engine.Members.Self().Host}
+	var answer ExchangeReply
+	err := s.engine.Caller.Call(ctx, args.Addr, serviceName+".Exchange", &ask, &answer)
+	reply.Alive = err == nil && answer.Host == args.Host
+	return nil
+}
--- /dev/null
+++ b/version/store/snapshot.go
@@ -0,0 +1,133 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"quetzalknot/platform"
+	"quetzalknot/version/state"
+)
+
+const (
+	snapshotPrefix = "state/"
+	// snapshotFormat is the version of the form of snapshots.
+	snapshotFormat = 1
+	// snapshotsKept is how many snapshots stay in the object store.
+	snapshotsKept = 3
+)
+
+// ErrDamaged reports a snapshot whose content is not what was written.
+var ErrDamaged = errors.New("snapshot is damaged")
+
+// Snapshot is the tickets in force at a table revision.
+type Snapshot struct {
+	// Revision is the table revision up to which all tickets are taken in.
+	Revision int64
+	Records  []state.Record
+}
+
+// snapshotHeader is the first line of a snapshot; the records follow as JSON.
+type snapshotHeader struct {
+	Format   int    `json:"format"`
+	Revision int64  `json:"revision"`
+	SHA256   string `json:"sha256"`
+}
+
+// Snapshots keeps the merged state in the object store, so that a start reads few rows.
+type Snapshots struct {
+	objects platform.Objects
+}
+
+// NewSnapshots returns the snapshots in an object store.
+func NewSnapshots(objects platform.Objects) *Snapshots { return &Snapshots{objects: objects} }
+
+// Write stores a snapshot and deletes all but the newest ones.
+func (s *Snapshots) Write(ctx context.Context, snap Snapshot) error {
+	data, err := encodeSnapshot(snap)
+	if err != nil {
+		return err
+	}
+	if err := s.objects.Put(ctx, snapshotKey(snap.Revision), data); err != nil {
+		return errors.Wrap(err, "write state snapshot")
+	}
+	keys, err := s.objects.List(ctx, snapshotPrefix)
+	if err != nil {
+		return errors.Wrap(err, "list state snapshots")
+	}
+	for _, key := range keys[:max(0, len(keys)-snapshotsKept)] {
+		if err := s.objects.Delete(ctx, key); err != nil {
+			return errors.Wrap(err, "delete state snapshot")
+		}
+	}
+	return nil
+}
+
+// Read returns the newest snapshot that is whole, or platform.ErrNotFound when
+// there is none. refused is called with each damaged one that was passed over.
+func (s *Snapshots) Read(ctx context.Context, refused func(key string, err error)) (Snapshot, error) {
+	keys, err := s.objects.List(ctx, snapshotPrefix)
+	if err != nil {
+		return Snapshot{}, errors.Wrap(err, "list state snapshots")
+	}
+	slices.Reverse(keys)
+	for _, key := range keys {
+		data, err := s.objects.Get(ctx, key)
+		if errors.Is(err, platform.ErrNotFound) {
+			continue // pruned in between
+		}
+		if err != nil {
+			return Snapshot{}, errors.Wrapf(err, "read %s", key)
+		}
+		snap, err := decodeSnapshot(data)
+		if err == nil {
+			return snap, nil
+		}
+		refused(key, err)
+	}
+	return Snapshot{}, platform.ErrNotFound
+}
+
+func snapshotKey(revision int64) string { return fmt.Sprintf("%s%020d", snapshotPrefix, revision) }
+
+func encodeSnapshot(snap Snapshot) ([]byte, error) {
+	body, err := json.Marshal(snap.Records)
+	if err != nil {
+		return nil, err
+	}
+	header, err := json.Marshal(snapshotHeader{Format: snapshotFormat, Revision: snap.Revision, SHA256: checksum(body)})
+	if err != nil {
+		return nil, err
+	}
+	return slices.Concat(header, []byte("\n"), body), nil
+}
+
+func checksum(data []byte) string {
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:])
+}
+
+func decodeSnapshot(data []byte) (Snapshot, error) {
+	first, body, found := bytes.Cut(data, []byte("\n"))
+	var header snapshotHeader
+	if err := json.Unmarshal(first, &header); err != nil || !found {
+		return Snapshot{}, errors.Wrap(ErrDamaged, "header cannot be read")
+	}
+	if header.Format != snapshotFormat {
+		return Snapshot{}, errors.Newf("snapshot has format %d; this release reads %d", header.Format, snapshotFormat)
+	}
+	if got := checksum(body); got != header.SHA256 {
+		return Snapshot{}, errors.Wrapf(ErrDamaged, "checksum %s, want %s", got, header.SHA256)
+	}
+	snap := Snapshot{Revision: header.Revision}
+	if err := json.Unmarshal(body, &snap.Records); err != nil {
+		return Snapshot{}, errors.Wrapf(ErrDamaged, "records: %v", err)
+	}
+	return snap, nil
+}
