--- a/version/ticket/check_service.go
+++ b/version/ticket/check_service.go
@@ -33,7 +33,8 @@
 
 func (c *checker) service(field string, s *config.Service) {
 	c.name(field+".name", s.Name)
-	c.require(s.Policy == "" || namePattern.MatchString(s.Policy), field+".policy", s.Policy, "the name of a routing policy")
+	known := s.Policy == "" || slices.Contains(config.Policies(), s.Policy)
+	c.require(known, field+".policy", s.Policy, "one of "+strings.Join(config.Policies(), ", "))
 	c.milliseconds(field+".timeout_ms", s.TimeoutMS)
 	c.path(field+".health_path", s.HealthPath)
 	c.path(field+".load_path", s.LoadPath)
