--- a/tools/scenario/scenario_test.go
+++ b/tools/scenario/scenario_test.go
@@ -35,6 +35,9 @@
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
 			"subst": cmdSubst,
 			"fetch": cmdFetch,
+
+			"post":       cmdPost,
+			"eventually": cmdEventually,
 		},
 	})
 }
