--- a/api_lookup.go
+++ b/api_lookup.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/gorilla/mux"
 
 	"quetzalknot/version/lookup"
 )
@@ -22,6 +23,12 @@
 	maxNameBytes = 200
 )
 
+// lookupRoutes adds the routes of callers' look-ups.
+func (n *Node) lookupRoutes(r *mux.Router) {
+	r.HandleFunc("/v1/lookup", n.handleLookup).Methods(http.MethodGet)
+	r.HandleFunc("/v1/lookups", n.handleLookups).Methods(http.MethodPost)
+}
+
 // LookupQuery is one look-up of a batch.
 type LookupQuery struct {
 	Service string `json:"service"`
--- a/node_lookup.go
+++ b/node_lookup.go
@@ -29,9 +29,9 @@
 
 // lookups is the part of a node that answers look-ups.
 type lookups struct {
-	tables *tables.Keeper
-	view   atomic.Pointer[lookup.View]
-	limits *callerLimits
+	tables    *tables.Keeper
+	view      atomic.Pointer[lookup.View]
+	limits    *callerLimits
 	latencies map[lookup.Pair]time.Duration
 	last      viewInputs
 }
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -20,6 +20,7 @@
 	Roles    Roles    `toml:"roles"`
 	Platform Platform `toml:"platform"`
 	Topology Topology `toml:"topology"`
+	Peer     Peer     `toml:"peer"`
 	Lookup   Lookup   `toml:"lookup"`
 }
 
@@ -77,7 +78,7 @@
 
 // sections lists the tables in the order in which they are checked.
 func (s *Settings) sections() []section {
-	return []section{&s.Host, &s.Listen, &s.Roles, &s.Platform, &s.Topology, &s.Lookup}
+	return []section{&s.Host, &s.Listen, &s.Roles, &s.Platform, &s.Topology, &s.Peer, &s.Lookup}
 }
 
 // Load reads and checks a settings file. A bad file gives an *Error.
