Queues by class in front of the targets, and a limit on long work

Cause: a request without room was refused at once, and long work could hold half of all slots while short work waited. Change: package admit keeps bounded lanes by class and region with one dispatcher, checks the deadline before and in the queue, refuses overflow long work first, spreads Retry-After, and sizes long work by the waits of short work.

--- a/node.go
+++ b/node.go
@@ -23,7 +23,6 @@
 	"quetzalknot/process/peer"
 	"quetzalknot/process/settings"
 	"quetzalknot/process/slots"
-	"quetzalknot/request/admit"
 	"quetzalknot/request/forward"
 	"quetzalknot/request/route"
 	"quetzalknot/version/lookup"
@@ -94,7 +93,7 @@
 	}
 	n.lookupTable.Store(&lookup.Table{})
 	router := route.NewRouter(slots.NewLocal(), n.metrics, log)
-	n.forward = forward.New(&n.config, admit.New(router, n.metrics, log), n.pool, n.metrics, log)
+	n.forward = forward.New(&n.config, n.newAdmitter(router), n.pool, n.metrics, log)
 	return n
 }
 
--- /dev/null
+++ b/request/admit/admit_test.go
@@ -0,0 +1,303 @@
+package admit
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sort"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"quetzalknot/process/metrics"
+	"quetzalknot/process/slots"
+	"quetzalknot/request"
+	"quetzalknot/request/route"
+	"quetzalknot/verdict"
+	"quetzalknot/version/config"
+	"quetzalknot/version/state"
+)
+
+// fixture is an Admitter in front of one service.
+type fixture struct {
+	*Admitter
+	snap    *state.Snapshot
+	service *config.Service
+	chooses *countingChooser
+	notes   sync.Mutex
+	ctx     context.Context
+}
+
+// countingChooser counts the calls of Choose.
+type countingChooser struct {
+	Chooser
+	mu    sync.Mutex
+	calls int
+}
+
+func (c *countingChooser) Choose(info *request.Info, snap *state.Snapshot, tried []string) (route.Choice, error) {
+	c.mu.Lock()
+	c.calls++
+	c.mu.Unlock()
+	return c.Chooser.Choose(info, snap, tried)
+}
+
+type noTimes struct{}
+
+func (noTimes) Expected(info *request.Info) time.Duration {
+	return time.Duration(info.Class.ExpectedMS) * time.Millisecond
+}
+
+func newFixture(targets, slotsEach int) *fixture {
+	svc := &config.Service{Name: "bokun"}
+	for i := range targets {
+		svc.Targets = append(svc.Targets, config.Target{Name: fmt.Sprintf("bokun-%02d", i), Slots: slotsEach})
+	}
+	m := metrics.NewSet()
+	log := zerolog.New(io.Discard)
+	chooses := &countingChooser{Chooser: route.NewRouter(slots.NewLocal(), m, log)}
+	return &fixture{
+		Admitter: New(chooses, noTimes{}, m, log), service: svc, chooses: chooses,
+		snap: &state.Snapshot{Services: map[string]*config.Service{svc.Name: svc}},
+	}
+}
+
+var (
+	shortClass = config.Class{Name: "short"}
+	longClass  = config.Class{Name: "archive", Long: true}
+)
+
+func (f *fixture) info(id string, c config.Class, timeout time.Duration) *request.Info {
+	return &request.Info{ID: id, Service: f.service, Class: c, Deadline: time.Now().Add(timeout)}
+}
+
+func (f *fixture) acquire(t *testing.T, id string, c config.Class) route.Choice {
+	t.Helper()
+	choice, err := f.Acquire(t.Context(), f.info(id, c, time.Minute), f.snap, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return choice
+}
+
+// run starts a request that holds its slot for hold and notes its id when it got one.
+func (f *fixture) run(ctx context.Context, id string, c config.Class, hold time.Duration, note func(id string, err error)) {
+	go func() {
+		choice, err := f.Acquire(ctx, f.info(id, c, time.Minute), f.snap, nil)
+		f.notes.Lock()
+		note(id, err)
+		f.notes.Unlock()
+		if err == nil {
+			time.Sleep(hold)
+			choice.Release()
+		}
+	}()
+	synctest.Wait()
+}
+
+func reasonOf(t *testing.T, err error) Reason {
+	t.Helper()
+	var refused *RefusedError
+	if !errors.As(err, &refused) || verdict.Of(err) != verdict.NotRun {
+		t.Fatalf("error = %v, verdict %s; want a RefusedError with not-run", err, verdict.Of(err))
+	}
+	return refused.Reason
+}
+
+func TestShortOvertakesWaitingLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(1, 2)
+		first, second := f.acquire(t, "a", shortClass), f.acquire(t, "b", shortClass)
+		var order []string
+		note := func(id string, _ error) { order = append(order, id) }
+		for _, id := range []string{"long-1", "long-2"} {
+			f.run(t.Context(), id, longClass, time.Second, note)
+		}
+		f.run(t.Context(), "short-1", shortClass, time.Second, note)
+		f.run(t.Context(), "short-2", shortClass, time.Second, note)
+		first.Release()
+		second.Release()
+		synctest.Wait()
+		if f.waiting() != 2 {
+			t.Fatalf("%d requests wait after two releases", f.waiting())
+		}
+		time.Sleep(5 * time.Second)
+		synctest.Wait()
+		sort.Strings(order[:2]) // both started at the same moment
+		if fmt.Sprint(order) != "[short-1 short-2 long-1 long-2]" {
+			t.Fatalf("order = %v", order)
+		}
+	})
+}
+
+// TestLongWaiterDoesNotBlockFreeSlots keeps long work at its share of the slots
+// with more of it waiting, and expects short work to start at once.
+func TestLongWaiterDoesNotBlockFreeSlots(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(1, 6)
+		for i := range 5 {
+			f.run(t.Context(), fmt.Sprint("long-", i), longClass, time.Second, func(string, error) {})
+		}
+		start := time.Now()
+		for i := range 3 {
+			f.acquire(t, fmt.Sprint("short-", i), shortClass)
+		}
+		if waited := time.Since(start); waited != 0 {
+			t.Fatalf("short work waited %s", waited)
+		}
+		time.Sleep(10 * time.Second)
+	})
+}
+
+// TestLongWorkProgresses keeps short work waiting without end; long work still
+// gets a slot after a bounded number of short requests, and not before: rechecks
+// and releases fall on the same moment here, so that room appears between the
+// offers to the two kinds of work.
+func TestLongWorkProgresses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(1, 1)
+		ctx, cancel := context.WithCancel(t.Context())
+		before, started := 0, false
+		f.run(ctx, "first", shortClass, time.Second, func(string, error) {})
+		f.run(ctx, "long", longClass, time.Second, func(_ string, err error) { started = err == nil })
+		for i := range 60 {
+			f.run(ctx, fmt.Sprint("short-", i), shortClass, time.Second, func(string, error) {
+				if !started {
+					before++
+				}
+
+			})
+		}
+		time.Sleep(30 * time.Second)
+		cancel()
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		if !started || before != shortGrantsPerLong {
+			t.Fatalf("long started %t after %d short requests, want after %d", started, before, shortGrantsPerLong)
+		}
+	})
+}
+
+func TestDeadlineIsCheckedBeforeAndInTheQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(1, 1)
+		class := config.Class{Name: "short", ExpectedMS: 400}
+		_, err := f.Acquire(t.Context(), f.info("hopeless", class, 300*time.Millisecond), f.snap, nil)
+		if reason := reasonOf(t, err); reason != ReasonDeadline || f.chooses.calls != 0 {
+			t.Fatalf("reason = %q after %d choices", reason, f.chooses.calls)
+		}
+		f.acquire(t, "holder", shortClass)
+		start := time.Now()
+		_, err = f.Acquire(t.Context(), f.info("queued", class, time.Second), f.snap, nil)
+		if reason := reasonOf(t, err); reason != ReasonDeadline || time.Since(start) != 600*time.Millisecond {
+			t.Fatalf("reason = %q after %s, want 600ms", reason, time.Since(start))
+		}
+	})
+}
+
+func TestCancelledCallerLeavesTheQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(1, 1)
+		holder := f.acquire(t, "holder", shortClass)
+		ctx, cancel := context.WithCancel(t.Context())
+		var got error
+		f.run(ctx, "gone", shortClass, 0, func(_ string, err error) { got = err })
+		cancel()
+		synctest.Wait()
+		if reasonOf(t, got) != ReasonCancelled || f.waiting() != 0 {
+			t.Fatalf("error = %v, %d waiting", got, f.waiting())
+		}
+		holder.Release()
+		f.acquire(t, "next", shortClass)
+	})
+}
+
+func TestOverflowRefusesLongFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(1, 1)
+		holder := f.acquire(t, "holder", shortClass)
+		ctx, cancel := context.WithCancel(t.Context())
+		refused := make(map[string]Reason)
+		note := func(id string, err error) {
+			if err != nil {
+				refused[id] = reasonOf(t, err)
+			}
+		}
+		big := func(c config.Class) config.Class { c.QueueLimit = serviceQueueLimit; return c }
+		for i := range serviceQueueLimit {
+			f.run(ctx, fmt.Sprint("long-", i), big(longClass), 0, note)
+		}
+		f.run(ctx, "short-1", big(shortClass), 0, note)
+		f.run(ctx, "long-more", big(longClass), 0, note)
+		last := fmt.Sprint("long-", serviceQueueLimit-1)
+		if len(refused) != 2 || refused[last] != ReasonEvicted || refused["long-more"] != ReasonFull {
+			t.Fatalf("refused = %v", refused)
+		}
+		cancel()
+		synctest.Wait()
+		holder.Release()
+	})
+}
+
+// TestFreedSlotWakesOnlyHeads bounds the choices made for freed slots, however
+// many requests wait.
+func TestFreedSlotWakesOnlyHeads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(1, 1)
+		holder := f.acquire(t, "holder", shortClass)
+		const waiting = 200
+		for i := range waiting {
+			f.run(t.Context(), fmt.Sprint("short-", i), shortClass, 0, func(string, error) {})
+		}
+		before := f.chooses.calls
+		holder.Release()
+		synctest.Wait()
+		if calls := f.chooses.calls - before; calls > 3*waiting || f.waiting() != 0 {
+			t.Fatalf("%d choices for %d freed slots, %d still wait", calls, waiting, f.waiting())
+		}
+	})
+}
+
+// TestLongLimitFollowsShortWork cuts the limit while short work waits, at most
+// once in an interval and never below the floor, and lets it grow when it is used.
+func TestLongLimitFollowsShortWork(t *testing.T) {
+	now := time.Unix(0, 0)
+	l := newLongLimit(now)
+	if !l.allows(longStart-1, now) || l.allows(longStart, now) {
+		t.Fatalf("a fresh limit allows other than %d", longStart)
+	}
+	for range 20 {
+		l.shortWaited(5, now)
+	}
+	if l.limit != 4 {
+		t.Fatalf("limit after one interval = %v, want 4", l.limit)
+	}
+	for range 20 {
+		now = now.Add(longCutInterval)
+		l.shortWaited(5, now)
+	}
+	if l.limit != longFloor || !l.allows(0, now) {
+		t.Fatalf("limit = %v, want the floor", l.limit)
+	}
+	for range 3 {
+		now = now.Add(longGrowInterval)
+		l.allows(int(l.limit), now)
+	}
+	if l.limit != longFloor+3 {
+		t.Fatalf("limit after three steps = %v", l.limit)
+	}
+}
+
+func TestRetryAfterIsSpread(t *testing.T) {
+	at := func(v int64) func(int64) int64 { return func(n int64) int64 { return min(v, n-1) } }
+	if lo, hi := retryAfter(false, at(0)), retryAfter(false, at(99)); lo != retryAfterMin || hi != retryAfterShort {
+		t.Errorf("short: %s to %s", lo, hi)
+	}
+	if lo, hi := retryAfter(true, at(0)), retryAfter(true, at(99)); lo != retryAfterMin || hi != retryAfterLong {
+		t.Errorf("long: %s to %s", lo, hi)
+	}
+}
--- a/request/request.go
+++ b/request/request.go
@@ -39,6 +39,8 @@
 	Deadline time.Time
 	// Idempotent is true when running the request twice is as good as once.
 	Idempotent bool
+	// Region limits the request to targets of one region; empty means all.
+	Region string
 }
 
 // FieldError reports a bad header of a request.
--- a/request/route/router.go
+++ b/request/route/router.go
@@ -74,7 +74,7 @@
 	var again []Candidate
 	for i := range svc.Targets {
 		t := &svc.Targets[i]
-		if snap.LeavingTargets[state.TargetKey{Service: svc.Name, Target: t.Name}] {
+		if snap.LeavingTargets[state.TargetKey{Service: svc.Name, Target: t.Name}] || !info.Serves(t.Region) {
 			continue
 		}
 		ask := askOf(info, t)
