--- a/request/admit/dispatch.go
+++ b/request/admit/dispatch.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"quetzalknot/process/health"
 	"quetzalknot/request/route"
 )
 
@@ -141,12 +142,21 @@
 	}
 	q.shortGrants = 0
 	q.longInFlight++
-	release := choice.Release
-	choice.Release = sync.OnceFunc(func() {
+	return onDone(choice, func() {
 		q.mu.Lock()
+		defer q.mu.Unlock()
 		q.longInFlight--
-		q.mu.Unlock()
-		release()
 	})
+}
+
+// onDone returns a choice that calls f once before its slot is given back.
+func onDone(choice route.Choice, f func()) route.Choice {
+	done := choice.Done
+	once := sync.OnceFunc(f)
+	choice.Done = func(o health.Outcome) {
+		once()
+		done(o)
+	}
+	choice.Release = func() { choice.Done(health.Outcome{Cancelled: true}) }
 	return choice
 }
