--- a/node.go
+++ b/node.go
@@ -21,7 +21,6 @@
 	"quetzalknot/process/metrics"
 	"quetzalknot/process/settings"
 	"quetzalknot/process/slots"
-	"quetzalknot/request/admit"
 	"quetzalknot/request/forward"
 	"quetzalknot/request/route"
 	"quetzalknot/version/lookup"
@@ -96,7 +95,7 @@
 	n.setUpVersions(opts)
 	n.lookupTable.Store(&lookup.Table{})
 	router := route.NewRouter(slots.NewLocal(), n.metrics, log)
-	n.forward = forward.New(&n.config, admit.New(router, n.metrics, log), n.pool, n.metrics, log)
+	n.forward = forward.New(&n.config, n.newAdmitter(router), n.pool, n.metrics, log)
 	return n
 }
 
