--- a/process/peer/clients.go
+++ b/process/peer/clients.go
@@ -206,6 +206,7 @@
 	if err != nil {
 		return nil, err
 	}
+	conn = &countedConn{Conn: conn, traffic: &c.Traffic}
 	if c.identity != nil {
 		conn = tls.Client(conn, c.identity.clientConfig())
 	}
--- a/process/peer/codec.go
+++ b/process/peer/codec.go
@@ -24,7 +24,7 @@
 // errTooLarge reports a message above MaxMessageBytes.
 var errTooLarge = errors.Newf("message is larger than %d bytes", MaxMessageBytes)
 
-// Traffic counts what one end sent and received. It is safe for concurrent use.
+// Traffic counts what one end sent and received over TCP. It is safe for concurrent use.
 type Traffic struct {
 	BytesSent, BytesReceived       atomic.Int64
 	MessagesSent, MessagesReceived atomic.Int64
@@ -43,9 +43,8 @@
 }
 
 func newCodec(conn net.Conn, traffic *Traffic, inFlight int) *codec {
-	counted := &countedConn{Conn: conn, traffic: traffic}
-	in := &budgetReader{conn: counted}
-	out := bufio.NewWriter(counted)
+	in := &budgetReader{conn: conn}
+	out := bufio.NewWriter(conn)
 	c := &codec{conn: conn, in: in, out: out, dec: cbor.NewDecoder(in), enc: cbor.NewEncoder(out), traffic: traffic}
 	if inFlight > 0 {
 		c.slots = make(chan struct{}, inFlight)
@@ -138,7 +137,7 @@
 	return n, err
 }
 
-// countedConn counts the bytes of a connection.
+// countedConn counts the bytes of a connection, those of TLS included.
 type countedConn struct {
 	net.Conn
 	traffic *Traffic
--- a/process/peer/server.go
+++ b/process/peer/server.go
@@ -101,9 +101,9 @@
 }
 
 func (s *Server) serve(raw net.Conn) {
-	conn := raw
+	var conn net.Conn = &countedConn{Conn: raw, traffic: &s.Traffic}
 	if s.identity != nil {
-		conn = tls.Server(raw, s.identity.serverConfig())
+		conn = tls.Server(conn, s.identity.serverConfig())
 	}
 	if _, err := greet(conn, s.hello); err != nil {
 		return
--- a/tools/cli/lab.go
+++ b/tools/cli/lab.go
@@ -22,6 +22,8 @@
 	Target     labTarget     `cmd:"" help:"Run a stand-in for a target."`
 	Demo       labDemo       `cmd:"" help:"Show a whole deployment at work in one process."`
 	Experiment labExperiment `cmd:"" help:"Compare policies under load and faults, and write a report."`
+	Spread     labSpread     `cmd:"" help:"Measure the spread of tickets and members between hosts."`
+	Identity   labIdentity   `cmd:"" help:"Write a CA, certificate and key for trials on one machine."`
 }
 
 type labExperiment struct {
