--- a/connection/target/pool.go
+++ b/connection/target/pool.go
@@ -1,17 +1,16 @@
 // Package target exchanges HTTP requests with targets over pooled connections
 // and says after each failure whether the request may have run.
+//
+// pool.go keeps idle connections, conn.go checks one before its reuse,
+// exchange.go runs one request and its answer, end.go finds out when the target
+// has ended a request that was given up.
 package target
 
 import (
-	"bufio"
 	"context"
-	"io"
 	"net"
-	"net/http"
 	"sync"
 	"time"
-
-	"quetzalknot/verdict"
 )
 
 const (
@@ -19,90 +18,78 @@
 	dialTimeout = time.Second
 	// idleLimit is how many unused connections are kept to one target.
 	idleLimit = 64
+	// idleTime is how long a connection may be unused and still be used again.
+	idleTime = 30 * time.Second
+	// freshIdleTime is the same for requests that must not meet a target that
+	// closes an idle connection at that moment.
+	freshIdleTime = time.Second
 )
 
 // Pool keeps connections to targets, by address. It is safe for concurrent use.
 type Pool struct {
-	mu   sync.Mutex
-	idle map[string][]*conn
+	mu     sync.Mutex
+	idle   map[string][]*conn
+	closed bool
+	ending sync.WaitGroup
 }
 
 // NewPool returns a pool without connections.
 func NewPool() *Pool { return &Pool{idle: make(map[string][]*conn)} }
 
-// conn is one connection to a target; it carries one exchange at a time.
-type conn struct {
-	net.Conn
-	addr    string
-	in      *bufio.Reader
-	written countingWriter
-}
-
-// countingWriter counts the bytes that were handed to the connection.
-type countingWriter struct {
-	w io.Writer
-	n int64
-}
-
-func (c *countingWriter) Write(p []byte) (int, error) {
-	n, err := c.w.Write(p)
-	c.n += int64(n)
-	return n, err
-}
-
-// Exchange sends one request and returns the answer's header. The body ends the
-// exchange when it is read to its end or closed; a connection whose answer was
-// not read whole is closed. Every error is a verdict.Error.
-func (p *Pool) Exchange(ctx context.Context, addr string, r *http.Request) (*http.Response, error) {
-	c, err := p.connection(ctx, addr)
-	if err != nil {
-		return nil, verdict.Wrap(verdict.NotRun, "dial", err)
-	}
-	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
-	resp, err := c.roundTrip(r)
-	if err != nil {
-		stop()
+// connection returns an idle connection that was used less than maxIdle ago, or a
+// new one. A maxIdle of 0 always opens a new one.
+func (p *Pool) connection(ctx context.Context, addr string, maxIdle time.Duration) (*conn, error) {
+	for {
+		c := p.take(addr, maxIdle)
+		if c == nil {
+			return dial(ctx, addr)
+		}
+		if c.quiet() {
+			c.reused = true
+			return c, nil
+		}
 		_ = c.Close()
-		return nil, err
 	}
-	resp.Body = &body{ReadCloser: resp.Body, pool: p, conn: c, stop: stop, reusable: !resp.Close}
-	return resp, nil
 }
 
-func (p *Pool) connection(ctx context.Context, addr string) (*conn, error) {
+// take removes the connection that was used last. Older ones stay for requests
+// that allow a longer idle time.
+func (p *Pool) take(addr string, maxIdle time.Duration) *conn {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	list := p.idle[addr]
-	if n := len(list); n > 0 {
-		c := list[n-1]
-		p.idle[addr] = list[:n-1]
-		p.mu.Unlock()
-		return c, nil
-	}
-	p.mu.Unlock()
-	dialer := net.Dialer{Timeout: dialTimeout}
-	raw, err := dialer.DialContext(ctx, "tcp", addr)
-	if err != nil {
-		return nil, err
+	n := len(list)
+	if n == 0 || time.Since(list[n-1].idleSince) >= maxIdle {
+		return nil
 	}
-	c := &conn{Conn: raw, addr: addr, in: bufio.NewReader(raw)}
-	c.written.w = raw
-	return c, nil
+	c := list[n-1]
+	list[n-1] = nil
+	p.idle[addr] = list[:n-1]
+	return c
 }
 
+// put keeps a connection for reuse, and closes those that were idle for too long.
 func (p *Pool) put(c *conn) {
+	c.idleSince = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle[c.addr]) >= idleLimit {
+	list := p.idle[c.addr]
+	for len(list) > 0 && (time.Since(list[0].idleSince) > idleTime || len(list) >= idleLimit) {
+		_ = list[0].Close()
+		list = list[1:]
+	}
+	if p.closed {
 		_ = c.Close()
 		return
 	}
-	p.idle[c.addr] = append(p.idle[c.addr], c)
+	p.idle[c.addr] = append(list, c)
 }
 
-// Close closes the unused connections.
+// Close closes the unused connections. Exchanges under way go on.
 func (p *Pool) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.closed = true
 	for addr, list := range p.idle {
 		for _, c := range list {
 			_ = c.Close()
@@ -111,53 +98,12 @@
 	}
 }
 
-func (c *conn) roundTrip(r *http.Request) (*http.Response, error) {
-	before := c.written.n
-	if err := r.Write(&c.written); err != nil {
-		v := verdict.MayHaveRun
-		if c.written.n == before {
-			v = verdict.NotRun
-		}
-		return nil, verdict.Wrap(v, "write request", err)
-	}
-	resp, err := http.ReadResponse(c.in, r)
+// Probe opens and closes a connection to a target. It returns the error of the opening.
+func Probe(ctx context.Context, addr string, timeout time.Duration) error {
+	dialer := net.Dialer{Timeout: timeout}
+	c, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
-		return nil, verdict.Wrap(verdict.MayHaveRun, "read answer header", err)
-	}
-	return resp, nil
-}
-
-// body returns its connection to the pool after the last byte.
-type body struct {
-	io.ReadCloser
-	pool     *Pool
-	conn     *conn
-	stop     func() bool
-	reusable bool
-	whole    bool
-	closed   bool
-}
-
-// Read implements io.Reader.
-func (b *body) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	if err == io.EOF {
-		b.whole = true
-	}
-	return n, err
-}
-
-// Close implements io.Closer.
-func (b *body) Close() error {
-	if b.closed {
-		return nil
-	}
-	b.closed = true
-	err := b.ReadCloser.Close()
-	if b.stop() && b.whole && b.reusable {
-		b.pool.put(b.conn)
 		return err
 	}
-	_ = b.conn.Close()
-	return err
+	return c.Close()
 }
--- a/request/forward/answer.go
+++ b/request/forward/answer.go
@@ -1,10 +1,15 @@
 package forward
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
+	"strconv"
+	"time"
 
+	"quetzalknot/connection/caller"
+	"quetzalknot/connection/target"
 	"quetzalknot/request"
 	"quetzalknot/request/route"
 	"quetzalknot/verdict"
@@ -12,50 +17,85 @@
 
 // answer is a target's answer whose body is still to be read. It holds the slot.
 type answer struct {
-	resp    *http.Response
-	release func()
+	resp *http.Response
 }
 
-// exchange sends one request to the chosen target. It gives the slot back on
-// failure; otherwise the answer holds it.
+// exchange sends one request to the chosen target. The slot is given back when
+// the target is known to have ended the request, which may be after the return.
 func (h *Handler) exchange(ctx context.Context, r *http.Request, info *request.Info, choice route.Choice) (*answer, error) {
-	resp, err := h.pool.Exchange(ctx, choice.Target.Addr, outbound(ctx, r, info))
+	call := &target.Call{
+		Addr:     choice.Target.Addr,
+		Request:  outbound(r, info),
+		Fresh:    !info.Idempotent,
+		Deadline: info.Deadline,
+		Ended:    choice.Release,
+	}
+	if info.Service.EchoRequestID {
+		call.EchoHeader = request.HeaderRequestID
+	}
+	if body, ok := r.Body.(*caller.Body); ok {
+		setBody(call, body)
+	}
+	resp, err := h.pool.Exchange(ctx, call)
 	if err != nil {
-		choice.Release()
 		return nil, err
 	}
-	return &answer{resp: resp, release: choice.Release}, nil
+	if shed(info, resp) {
+		discard(resp)
+		return nil, verdict.Wrap(verdict.NotRun, "shed", errShed)
+	}
+	if err := holdSmall(resp); err != nil {
+		return nil, err
+	}
+	return &answer{resp: resp}, nil
 }
 
-// outbound returns the request in the form sent to the target.
-func outbound(ctx context.Context, r *http.Request, info *request.Info) *http.Request {
-	out := r.Clone(ctx)
-	out.RequestURI = ""
-	out.URL.Scheme = "http"
-	out.URL.Host = info.Service.Name
-	out.Host = info.Service.Name
-	removeHopHeaders(out.Header)
-	out.Header.Set(request.HeaderRequestID, info.ID)
-	out.Close = false
-	return out
+// setBody makes a held body part of the request, and a streamed one stoppable.
+func setBody(call *target.Call, body *caller.Body) {
+	held, ok := body.Held()
+	if !ok {
+		call.StopBody = body.Stop
+		return
+	}
+	call.Request.Body = io.NopCloser(bytes.NewReader(held))
+	call.Request.ContentLength = int64(len(held))
+	call.Request.TransferEncoding = nil
+	call.Inline = true
 }
 
-// hopHeaders are meant for one connection and are not passed on.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+// shed reports whether an answer has the exact form by which the service's targets
+// say that they did not run a request.
+func shed(info *request.Info, resp *http.Response) bool {
+	form := info.Service.Shed
+	if form.Status == 0 || form.Header == "" {
+		return false
+	}
+	return resp.StatusCode == form.Status && len(resp.Header.Values(form.Header)) > 0
 }
 
-func removeHopHeaders(h http.Header) {
-	for _, name := range hopHeaders {
-		h.Del(name)
+// outbound returns the request in the form sent to the target. It shares the body
+// and the trailer of r.
+func outbound(r *http.Request, info *request.Info) *http.Request {
+	header := make(http.Header, len(r.Header)+2)
+	for name, values := range r.Header {
+		header[name] = values
+	}
+	removeHopHeaders(header)
+	header[request.HeaderRequestID] = []string{info.ID}
+	left := max(1, time.Until(info.Deadline).Milliseconds())
+	header[request.HeaderTimeout] = []string{strconv.FormatInt(left, 10)}
+	if header["User-Agent"] == nil {
+		header["User-Agent"] = []string{""} // none, in place of the library's
+	}
+	return &http.Request{
+		Method: r.Method, URL: r.URL, Host: info.Service.Name, Header: header,
+		Body: r.Body, ContentLength: r.ContentLength, TransferEncoding: r.TransferEncoding,
+		Trailer: r.Trailer, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
 }
 
-// copyTo passes the answer to the caller and gives the slot back. A broken body
-// aborts the caller's connection.
+// copyTo passes the answer to the caller. A broken body aborts the caller's connection.
 func (a *answer) copyTo(w http.ResponseWriter) verdict.Verdict {
-	defer a.release()
 	defer func() { _ = a.resp.Body.Close() }()
 	removeHopHeaders(a.resp.Header)
 	header := w.Header()
@@ -63,9 +103,15 @@
 		header[name] = values
 	}
 	header.Set(verdict.Header, verdict.Ran.String())
+	for name := range a.resp.Trailer {
+		header.Add("Trailer", name)
+	}
 	w.WriteHeader(a.resp.StatusCode)
-	if _, err := io.Copy(w, a.resp.Body); err != nil {
+	if _, err := target.Copy(w, a.resp.Body); err != nil {
 		panic(http.ErrAbortHandler)
 	}
+	for name, values := range a.resp.Trailer {
+		header[name] = values
+	}
 	return verdict.Ran
 }
