--- a/connection/target/conn.go
+++ b/connection/target/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"io"
 	"net"
 	"sync"
@@ -36,15 +35,6 @@
 	idleSince time.Time
 }
 
-func dial(ctx context.Context, addr string) (*conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	raw, err := dialer.DialContext(ctx, "tcp", addr)
-	if err != nil {
-		return nil, err
-	}
-	return newConn(raw, addr), nil
-}
-
 func newConn(raw net.Conn, addr string) *conn {
 	c := &conn{Conn: raw, addr: addr}
 	c.limit = headerLimit{r: raw, left: unlimited}
--- a/connection/target/exchange_test.go
+++ b/connection/target/exchange_test.go
@@ -176,7 +176,7 @@
 			if tc.echo {
 				call.EchoHeader = "Quetzal-Request-Id"
 			}
-			pool := NewPool()
+			pool := NewPool(nil)
 			defer pool.Close()
 			err := exchangeWhole(ctx, pool, call)
 			if got := verdict.Of(err); got != tc.want {
@@ -213,7 +213,7 @@
 func TestStaleConnection(t *testing.T) {
 	closeAfterOne := reply(okAnswer)
 	s := listen(t, closeAfterOne, reply(okAnswer))
-	pool := NewPool()
+	pool := NewPool(nil)
 	defer pool.Close()
 	for range 2 {
 		if err := exchangeWhole(t.Context(), pool, &Call{Addr: s.Addr().String(), Request: newRequest("POST", "")}); err != nil {
@@ -262,7 +262,7 @@
 	}
 	for i, script := range []func(*net.TCPConn, *bufio.Reader){twice, late} {
 		s := listen(t, script, reply(okAnswer))
-		pool := NewPool()
+		pool := NewPool(nil)
 		for range 2 {
 			resp, err := pool.Exchange(t.Context(), &Call{Addr: s.Addr().String(), Request: newRequest("GET", "")})
 			if err != nil {
@@ -291,7 +291,7 @@
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan struct{})
-	pool := NewPool()
+	pool := NewPool(nil)
 	call := &Call{Addr: s.Addr().String(), Request: newRequest("GET", ""), Deadline: time.Now().Add(patience), Ended: func() { close(ended) }}
 	time.AfterFunc(20*time.Millisecond, cancel)
 	err := exchangeWhole(ctx, pool, call)
@@ -322,7 +322,7 @@
 	defer cancel()
 	ended := make(chan time.Time, 1)
 	deadline := time.Now().Add(20 * time.Millisecond)
-	_ = exchangeWhole(ctx, NewPool(), &Call{
+	_ = exchangeWhole(ctx, NewPool(nil), &Call{
 		Addr: s.Addr().String(), Request: newRequest("GET", ""), Deadline: deadline,
 		Ended: func() { ended <- time.Now() },
 	})
@@ -346,7 +346,7 @@
 			reply(okAnswer)(c, in)
 		}
 	})
-	pool := NewPool()
+	pool := NewPool(nil)
 	defer pool.Close()
 	for i := range 20 {
 		body := ""
--- a/connection/target/pool.go
+++ b/connection/target/pool.go
@@ -25,16 +25,26 @@
 	freshIdleTime = time.Second
 )
 
+// Dial opens a connection; it has the form of net.Dialer.DialContext.
+type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // Pool keeps connections to targets, by address. It is safe for concurrent use.
 type Pool struct {
+	dial Dial
+
 	mu     sync.Mutex
 	idle   map[string][]*conn
 	closed bool
 	ending sync.WaitGroup
 }
 
-// NewPool returns a pool without connections.
-func NewPool() *Pool { return &Pool{idle: make(map[string][]*conn)} }
+// NewPool returns a pool without connections. A nil dial means net.Dialer.
+func NewPool(dial Dial) *Pool {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
+	return &Pool{dial: dial, idle: make(map[string][]*conn)}
+}
 
 // connection returns an idle connection that was used less than maxIdle ago, or a
 // new one. A maxIdle of 0 always opens a new one.
@@ -42,7 +52,7 @@
 	for {
 		c := p.take(addr, maxIdle)
 		if c == nil {
-			return dial(ctx, addr)
+			return p.open(ctx, addr)
 		}
 		if c.quiet() {
 			c.reused = true
@@ -99,11 +109,20 @@
 }
 
 // Probe opens and closes a connection to a target. It returns the error of the opening.
-func Probe(ctx context.Context, addr string, timeout time.Duration) error {
-	dialer := net.Dialer{Timeout: timeout}
-	c, err := dialer.DialContext(ctx, "tcp", addr)
+func (p *Pool) Probe(ctx context.Context, addr string) error {
+	c, err := p.open(ctx, addr)
 	if err != nil {
 		return err
 	}
 	return c.Close()
 }
+
+func (p *Pool) open(ctx context.Context, addr string) (*conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	raw, err := p.dial(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return newConn(raw, addr), nil
+}
--- a/request/forward/attempts.go
+++ b/request/forward/attempts.go
@@ -27,10 +27,8 @@
 			return answer.copyTo(w)
 		}
 		v := verdict.Of(err)
-		if r.Body != nil && r.Body != http.NoBody || !retry.Allowed(info, len(tried), v) {
-			w.Header().Set(verdict.Header, v.String())
-			http.Error(w, err.Error(), http.StatusBadGateway)
-			return v
+		if !canSendAgain(r) || !retry.Allowed(info, len(tried), v) {
+			return fail(w, err)
 		}
 	}
 }
--- a/version/ticket/check.go
+++ b/version/ticket/check.go
@@ -87,6 +87,8 @@
 func (c *checker) service(field string, s *config.Service) {
 	c.require(s.Name != "", field+".name", s.Name, "a service name")
 	c.require(s.TimeoutMS >= 0, field+".timeout_ms", s.TimeoutMS, "milliseconds, 0 or more")
+	c.require(s.MaxBodyBytes >= 0, field+".max_body_bytes", s.MaxBodyBytes, "bytes, 0 or more")
+	c.shed(field+".shed", s.Shed)
 	c.share(field+".retry_share", s.RetryShare)
 	c.share(field+".hedge_share", s.HedgeShare)
 	seen := make(map[string]bool)
@@ -101,11 +103,21 @@
 	for i, cl := range s.Classes {
 		at := fmt.Sprintf("%s.class[%d]", field, i)
 		c.require(cl.Name != "", at+".name", cl.Name, "a class name")
+		c.require(cl.MaxBodyBytes >= 0, at+".max_body_bytes", cl.MaxBodyBytes, "bytes, 0 or more")
 		c.share(at+".slot_share", cl.SlotShare)
 		c.share(at+".target_share", cl.TargetShare)
 	}
 }
 
+// shed requires both halves of the form, since a status alone proves nothing.
+func (c *checker) shed(field string, f config.ShedForm) {
+	if f == (config.ShedForm{}) {
+		return
+	}
+	c.require(f.Status >= 400 && f.Status <= 599, field+".status", f.Status, "a status from 400 to 599")
+	c.require(f.Header != "", field+".header", f.Header, "the name of a header that only a refusal has")
+}
+
 func (c *checker) shift(field string, s config.Shift) {
 	c.require(s.Name != "", field+".name", s.Name, "a shift name")
 	c.require(s.Service != "", field+".service", s.Service, "a service name")
