--- a/connection/caller/body.go
+++ b/connection/caller/body.go
@@ -64,6 +64,7 @@
 	touched atomic.Bool
 	stopped atomic.Bool
 	ended   atomic.Bool
+	tee     io.Writer
 }
 
 // NewBody returns the body of a request.
@@ -71,6 +72,9 @@
 	return &Body{src: src, control: control, pace: pace{limits: limits}}
 }
 
+// Tee writes all that is read from now on to w also.
+func (b *Body) Tee(w io.Writer) { b.tee = w }
+
 // Hold reads the whole body, which must be at most limit bytes, into memory.
 func (b *Body) Hold(limit int64) error {
 	held, err := io.ReadAll(io.LimitReader(readerFunc(b.readSource), limit+1))
@@ -107,7 +111,11 @@
 		return b.reader.Read(p)
 	}
 	b.touched.Store(true)
-	return b.readSource(p)
+	n, err := b.readSource(p)
+	if b.tee != nil {
+		_, _ = b.tee.Write(p[:n])
+	}
+	return n, err
 }
 
 func (b *Body) readSource(p []byte) (int, error) {
--- /dev/null
+++ b/process/drain/drain_test.go
@@ -0,0 +1,85 @@
+package drain
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+)
+
+// host is a fake whose last request ends at a given time.
+type host struct {
+	started time.Time
+	ends    time.Duration
+	calls   []string
+	closed  time.Duration
+}
+
+func (h *host) steps(limit time.Duration) Steps {
+	return Steps{
+		LookupWait: 2 * time.Second, Limit: limit,
+		Leave: func(context.Context) { h.calls = append(h.calls, "leave") },
+		Close: func(ctx context.Context) error {
+			h.calls = append(h.calls, "close")
+			h.closed = time.Since(h.started)
+			select {
+			case <-time.After(h.ends - h.closed):
+				return nil
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		},
+		Cut: func() { h.calls = append(h.calls, "cut") },
+		InFlight: func() int64 {
+			if time.Since(h.started) < h.ends {
+				return 3
+			}
+			return 0
+		},
+	}
+}
+
+// TestRun compares the steps of a stop and its error on a fake clock.
+func TestRun(t *testing.T) {
+	cases := []struct {
+		name string
+		// ends is when the last request ends, again when a second signal comes.
+		ends, again time.Duration
+		limit       time.Duration
+		calls       []string
+		closed      time.Duration
+		cause       error
+	}{
+		{name: "idle", limit: time.Minute, calls: []string{"leave", "close"}, closed: 2 * time.Second},
+		{name: "upload of 40 s", ends: 40 * time.Second, limit: time.Minute, calls: []string{"leave", "close"}, closed: 2 * time.Second},
+		{name: "limit", ends: time.Hour, limit: time.Minute, calls: []string{"leave", "close", "cut"}, closed: 2 * time.Second, cause: ErrLimit},
+		{name: "second signal while waiting", ends: time.Hour, again: time.Second, limit: time.Minute, calls: []string{"leave", "close", "cut"}, closed: time.Second, cause: context.Canceled},
+		{name: "second signal while finishing", ends: time.Hour, again: 9 * time.Second, limit: time.Minute, calls: []string{"leave", "close", "cut"}, closed: 2 * time.Second, cause: context.Canceled},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := &host{started: time.Now(), ends: tc.ends}
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				if tc.again > 0 {
+					time.AfterFunc(tc.again, cancel)
+				}
+				err := Run(ctx, zerolog.Nop(), h.steps(tc.limit))
+				if !slices.Equal(h.calls, tc.calls) || h.closed != tc.closed {
+					t.Errorf("got %v, closed after %v; want %v after %v", h.calls, h.closed, tc.calls, tc.closed)
+				}
+				if tc.cause == nil && err != nil {
+					t.Error(err)
+				}
+				if tc.cause != nil && (!errors.Is(err, tc.cause) || !errors.Is(err, ErrCut)) {
+					t.Errorf("got %v, want %v and ErrCut", err, tc.cause)
+				}
+			})
+		})
+	}
+}
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -84,6 +84,14 @@
 	return nil
 }
 
+// Find returns a member by its host, also one that is about to stop.
+func (m *Members) Find(host string) (Member, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	member, ok := m.known[host]
+	return member, ok
+}
+
 // Live returns the members that take new work, in order of name.
 func (m *Members) Live() []Member {
 	m.mu.RLock()
--- a/request/forward/answer.go
+++ b/request/forward/answer.go
@@ -8,13 +8,23 @@
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
 	"quetzalknot/connection/caller"
 	"quetzalknot/connection/target"
+	"quetzalknot/process/eventlog"
+	"quetzalknot/process/quarantine"
 	"quetzalknot/request"
 	"quetzalknot/request/route"
 	"quetzalknot/verdict"
 )
 
+var (
+	evCrossed = eventlog.Define(4004, zerolog.ErrorLevel, "answer belongs to another request")
+	evFailed  = eventlog.Define(4005, zerolog.WarnLevel, "attempt failed")
+)
+
 // answer is a target's answer whose body is still to be read. It holds the slot.
 type answer struct {
 	resp *http.Response
@@ -23,6 +33,24 @@
 // exchange sends one request to the chosen target. The slot is given back when
 // the target is known to have ended the request, which may be after the return.
 func (h *Handler) exchange(ctx context.Context, r *http.Request, info *request.Info, choice route.Choice) (*answer, error) {
+	state := h.opts.Quarantine.State(info.Fingerprint)
+	if state == quarantine.Clear {
+		return h.send(ctx, r, info, choice)
+	}
+	if state == quarantine.Quarantined {
+		choice.Release()
+		return nil, verdict.Wrap(verdict.MayHaveRun, "send", errQuarantined)
+	}
+	leave, err := h.suspects.enter(ctx, info.Service.Name)
+	if err != nil {
+		choice.Release()
+		return nil, verdict.Wrap(verdict.NotRun, "wait alone", err)
+	}
+	defer leave()
+	return h.send(ctx, r, info, choice)
+}
+
+func (h *Handler) send(ctx context.Context, r *http.Request, info *request.Info, choice route.Choice) (*answer, error) {
 	call := &target.Call{
 		Addr:     choice.Target.Addr,
 		Request:  outbound(r, info),
@@ -38,6 +66,7 @@
 	}
 	resp, err := h.pool.Exchange(ctx, call)
 	if err != nil {
+		h.noteFailure(ctx, info, choice, err)
 		return nil, err
 	}
 	if shed(info, resp) {
@@ -45,11 +74,23 @@
 		return nil, verdict.Wrap(verdict.NotRun, "shed", errShed)
 	}
 	if err := holdSmall(resp); err != nil {
+		h.noteFailure(ctx, info, choice, err)
 		return nil, err
 	}
+	h.opts.Quarantine.Succeeded(info.Fingerprint)
 	return &answer{resp: resp}, nil
 }
 
+func (h *Handler) noteFailure(ctx context.Context, info *request.Info, choice route.Choice, err error) {
+	if errors.Is(err, target.ErrCrossed) {
+		evCrossed.Log(h.log).Str("request", info.ID).Str("service", info.Service.Name).Str("target", choice.Target.Name).Err(err).Send()
+		h.counts.crossed.Add(1)
+	}
+	evFailed.Log(h.log).Str("request", info.ID).Str("service", info.Service.Name).Str("target", choice.Target.Name).
+		Stringer("verdict", verdict.Of(err)).Err(err).Send()
+	h.noteCrash(ctx, info, choice.Target, err)
+}
+
 // setBody makes a held body part of the request, and a streamed one stoppable.
 func setBody(call *target.Call, body *caller.Body) {
 	held, ok := body.Held()
@@ -96,13 +137,19 @@
 
 // copyTo passes the answer to the caller. A broken body aborts the caller's connection.
 func (a *answer) copyTo(w http.ResponseWriter) verdict.Verdict {
+	a.copyAs(w, verdict.Ran)
+	return verdict.Ran
+}
+
+// copyAs passes the answer on with a verdict.
+func (a *answer) copyAs(w http.ResponseWriter, v verdict.Verdict) {
 	defer func() { _ = a.resp.Body.Close() }()
 	removeHopHeaders(a.resp.Header)
 	header := w.Header()
 	for name, values := range a.resp.Header {
 		header[name] = values
 	}
-	header.Set(verdict.Header, verdict.Ran.String())
+	header.Set(verdict.Header, v.String())
 	for name := range a.resp.Trailer {
 		header.Add("Trailer", name)
 	}
@@ -113,5 +160,4 @@
 	for name, values := range a.resp.Trailer {
 		header[name] = values
 	}
-	return verdict.Ran
 }
--- a/request/forward/forward.go
+++ b/request/forward/forward.go
@@ -46,6 +46,10 @@
 // Options are what a handler needs besides routing.
 type Options struct {
 	Limits settings.Limits
+	// Host is the name of this host.
+	Host string
+	// Owners finds the owners of idempotency keys.
+	Owners Owners
 	// Claims runs requests with an idempotency key at most once.
 	Claims *claim.Claims
 	// Quarantine knows the requests that crash targets.
--- /dev/null
+++ b/request/trace/trace.go
@@ -0,0 +1,152 @@
+// Package trace reads and writes traces of requests in a line format, and records
+// them on a running host. docs/TRACES.md describes the format.
+package trace
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"quetzalknot/verdict"
+)
+
+// Header is the first line of a trace.
+const Header = "quetzalknot-trace 1"
+
+// none stands for an empty value.
+const none = "-"
+
+// Entry is one request with its outcome.
+type Entry struct {
+	// At is when the request arrived; in a file it is the time since the first one.
+	At      time.Time
+	Service string
+	Method  string
+	// Path is the request target with its query.
+	Path string
+	Key  string
+	// BodyBytes is the size of the request body, as far as it was announced.
+	BodyBytes int64
+	Timeout   time.Duration
+	Client    netip.Addr
+	// Run is how long the request took on the host.
+	Run         time.Duration
+	AnswerBytes int64
+	Status      int
+	Verdict     verdict.Verdict
+}
+
+// fieldCount is the number of fields of a line.
+const fieldCount = 12
+
+// Line returns the entry as one line of a trace that began at start.
+func (e *Entry) Line(start time.Time) string {
+	client := none
+	if e.Client.IsValid() {
+		client = e.Client.String()
+	}
+	return fmt.Sprintf("%d %s %s %s %s %d %d %s %d %d %d %s",
+		e.At.Sub(start).Microseconds(), escape(e.Service), escape(e.Method), escape(e.Path), escape(e.Key),
+		e.BodyBytes, e.Timeout.Milliseconds(), client, e.Run.Microseconds(), e.AnswerBytes, e.Status, e.Verdict)
+}
+
+func escape(s string) string {
+	if s == "" {
+		return none
+	}
+	return strings.ReplaceAll(strings.ReplaceAll(url.PathEscape(s), "%2F", "/"), "%3F", "?")
+}
+
+func unescape(s string) (string, error) {
+	if s == none {
+		return "", nil
+	}
+	return url.PathUnescape(s)
+}
+
+// parser reads fields and keeps the first error.
+type parser struct {
+	fields []string
+	err    error
+}
+
+func (p *parser) next() string {
+	field := p.fields[0]
+	p.fields = p.fields[1:]
+	return field
+}
+
+func (p *parser) text() string {
+	s, err := unescape(p.next())
+	p.fail(err)
+	return s
+}
+
+func (p *parser) number() int64 {
+	n, err := strconv.ParseInt(p.next(), 10, 64)
+	p.fail(err)
+	if n < 0 {
+		p.fail(errors.Newf("%d: must not be negative", n))
+	}
+	return n
+}
+
+func (p *parser) fail(err error) {
+	if p.err == nil {
+		p.err = err
+	}
+}
+
+// ParseLine reads one line. At is the zero time plus the offset.
+func ParseLine(line string) (Entry, error) {
+	fields := strings.Fields(line)
+	if len(fields) != fieldCount {
+		return Entry{}, errors.Newf("%d fields; a line has %d", len(fields), fieldCount)
+	}
+	p := &parser{fields: fields}
+	e := Entry{
+		At:      time.Time{}.Add(time.Duration(p.number()) * time.Microsecond),
+		Service: p.text(), Method: p.text(), Path: p.text(), Key: p.text(),
+		BodyBytes: p.number(), Timeout: time.Duration(p.number()) * time.Millisecond,
+	}
+	if client := p.next(); client != none {
+		addr, err := netip.ParseAddr(client)
+		p.fail(err)
+		e.Client = addr
+	}
+	e.Run = time.Duration(p.number()) * time.Microsecond
+	e.AnswerBytes, e.Status, e.Verdict = p.number(), int(p.number()), verdict.Parse(p.next())
+	return e, p.err
+}
+
+// Read reads a whole trace. Lines that begin with # and empty lines are passed over.
+// An error names the line.
+func Read(r io.Reader) ([]Entry, error) {
+	scanner := bufio.NewScanner(r)
+	var entries []Entry
+	for line := 1; scanner.Scan(); line++ {
+		text := strings.TrimSpace(scanner.Text())
+		if line == 1 {
+			if text != Header {
+				return nil, errors.Newf("line 1: %q: a trace begins with %q", text, Header)
+			}
+			continue
+		}
+		if text == "" || text[0] == '#' {
+			continue
+		}
+		e, err := ParseLine(text)
+		if err != nil {
+			return nil, errors.Wrapf(err, "line %d", line)
+		}
+		entries = append(entries, e)
+	}
+	return entries, errors.Wrap(scanner.Err(), "trace")
+}
