Exchanges with true verdicts, owners of keys, quarantine, planned stops

Cause: an exchange could reuse a connection with a late answer pending, gave a slot back while the target still ran a cancelled request, and took any status as an answer. A planned stop cut the host out of look-ups only after it had closed.

Shown by: go test -race ./... ./tools/...

--- a/api.go
+++ b/api.go
@@ -31,6 +31,7 @@
 	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
 	r.HandleFunc("/readyz", n.handleReady)
 	r.HandleFunc("/v1/explain/{request}", n.handleExplain).Methods(http.MethodGet)
+	r.Handle("/v1/trace", n.exchange.recorder).Methods(http.MethodGet)
 	r.Handle("/debug/vars", n.metrics)
 	return r
 }
@@ -75,6 +76,9 @@
 	answer := lookup.Answer{
 		Service: name, Version: snap.Version, TTLMS: lookup.DefaultTTLMS, Entries: entries,
 	}
+	if len(entries) > 0 {
+		answer.KeyPrefix = entries[0].KeyPrefix
+	}
 	evLookup.Log(n.log).Str("service", name).Stringer("client", client).
 		Uint64("version", snap.Version).Int("entries", len(entries)).Send()
 	writeJSON(w, http.StatusOK, answer)
@@ -83,9 +87,10 @@
 func (n *Node) lookupHosts() []lookup.Host {
 	leaving := n.config.Load().LeavingHosts
 	var hosts []lookup.Host
+	now := time.Now()
 	for _, m := range n.members.Live() {
-		if !leaving[m.Host] {
-			hosts = append(hosts, lookup.Host{Name: m.Host, Addr: m.ForwardAddr, API: m.APIAddr, Region: m.Region, FailureDomain: m.FailureDomain})
+		if !leaving[m.Host] && !n.exchange.leaving.has(m) && !n.leavesItself(m) {
+			hosts = append(hosts, lookup.Host{Name: m.Host, KeyPrefix: keyPrefix(m, now), Addr: m.ForwardAddr, API: m.APIAddr, Region: m.Region, FailureDomain: m.FailureDomain})
 		}
 	}
 	return hosts
@@ -204,6 +209,10 @@
 }
 
 func (n *Node) handleReady(w http.ResponseWriter, _ *http.Request) {
+	if n.exchange.leaving.self() {
+		writeError(w, http.StatusServiceUnavailable, errors.New("the host is about to stop"))
+		return
+	}
 	if !n.ready.Load() {
 		writeError(w, http.StatusServiceUnavailable, errors.New("no configuration is loaded yet"))
 		return
--- a/node.go
+++ b/node.go
@@ -69,6 +69,7 @@
 	peers       *peer.Server
 	pool        *target.Pool
 	forward     *forward.Handler
+	exchange    exchange
 
 	servers []*http.Server
 	addrs   Addrs
@@ -108,7 +109,7 @@
 	}
 	n.lookupTable.Store(&lookup.Table{})
 	router := route.NewRouter(slots.NewLocal(), n.metrics, log)
-	n.forward = forward.New(&n.config, admit.New(router, n.metrics, log), n.pool, n.metrics, log)
+	n.newExchange(admit.New(router, n.metrics, log), opts.Dial)
 	return n
 }
 
@@ -129,11 +130,15 @@
 		return err
 	}
 	n.loops.Go(func() { n.pollLoop(ctx) })
+	n.startExchange(ctx)
 	evStarted.Log(n.log).Str("api", n.addrs.API).Str("forward", n.addrs.Forward).Str("peer", n.addrs.Peer).Send()
 	return nil
 }
 
 func (n *Node) listen() error {
+	if err := n.registerExchange(); err != nil {
+		return err
+	}
 	if err := n.peers.Listen(n.settings.Listen.Peer); err != nil {
 		return err
 	}
@@ -142,7 +147,7 @@
 	if n.addrs.API, err = n.serve(n.settings.Listen.API, n.apiRouter()); err != nil {
 		return err
 	}
-	n.addrs.Forward, err = n.serve(n.settings.Listen.Forward, n.forward)
+	n.addrs.Forward, err = n.serveCallers(n.settings.Listen.Forward)
 	return err
 }
 
@@ -202,7 +207,7 @@
 	return membership.Member{
 		Host: host.Name, Region: host.Region, FailureDomain: host.FailureDomain,
 		ForwardAddr: n.addrs.Forward, APIAddr: n.addrs.API, PeerAddr: n.addrs.Peer,
-		LeaseUntil: now.Add(leaseTerm),
+		LeaseUntil: now.Add(leaseTerm), Incarnation: n.exchange.incarnation, Leaving: n.exchange.leaving.self(),
 	}
 }
 
@@ -221,20 +226,36 @@
 	return nil
 }
 
-// Stop ends the node after the requests in flight have finished, or when ctx ends.
+// Stop ends the node without cutting a request: it leaves the look-ups, waits until
+// callers have heard of it, and lets everything in flight end. When ctx ends it cuts
+// what is left and returns drain.ErrCut.
 func (n *Node) Stop(ctx context.Context) error {
+	var err error
+	if n.exchange.callers != nil {
+		err = n.drain(ctx)
+	}
+	n.close()
+	evStopped.Log(n.log).Send()
+	return err
+}
+
+// Kill ends the node at once, as a crash would.
+func (n *Node) Kill() {
+	if n.exchange.callers != nil {
+		_ = n.exchange.callers.Close()
+	}
+	n.close()
+}
+
+func (n *Node) close() {
 	n.cancel()
 	n.loops.Wait()
-	var firstErr error
 	for _, server := range n.servers {
-		if err := server.Shutdown(ctx); err != nil && firstErr == nil {
-			firstErr = err
-		}
+		_ = server.Close()
 	}
 	if n.addrs.Peer != "" {
 		_ = n.peers.Close()
 	}
+	n.exchange.calls.Close()
 	n.pool.Close()
-	evStopped.Log(n.log).Send()
-	return firstErr
 }
--- a/node_exchange.go
+++ b/node_exchange.go
@@ -133,6 +133,11 @@
 	return addrs
 }
 
+// leavesItself reports whether m is this process and it is about to stop.
+func (n *Node) leavesItself(m membership.Member) bool {
+	return n.exchange.leaving.self() && m.Host == n.settings.Host.Name
+}
+
 // drain leaves the look-ups, waits, and lets every request end.
 func (n *Node) drain(ctx context.Context) error {
 	stop := n.settings.Stop
--- a/request/forward/answer.go
+++ b/request/forward/answer.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,6 +15,7 @@
 	"quetzalknot/connection/caller"
 	"quetzalknot/connection/target"
 	"quetzalknot/process/eventlog"
+	"quetzalknot/process/health"
 	"quetzalknot/process/quarantine"
 	"quetzalknot/request"
 	"quetzalknot/request/route"
@@ -25,7 +27,8 @@
 	evFailed  = eventlog.Define(4005, zerolog.WarnLevel, "attempt failed")
 )
 
-// answer is a target's answer whose body is still to be read. It holds the slot.
+// answer is a target's answer whose body is still to be read. Its exchange holds
+// the slot until the body is closed.
 type answer struct {
 	resp *http.Response
 }
@@ -51,12 +54,40 @@
 }
 
 func (h *Handler) send(ctx context.Context, r *http.Request, info *request.Info, choice route.Choice) (*answer, error) {
+	rep := &report{done: choice.Done}
+	start := time.Now()
+	resp, err := h.pool.Exchange(ctx, h.call(r, info, choice, rep))
+	outcome := health.Outcome{RunTime: time.Since(start)}
+	if err == nil && info.Service.Shed.Matches(resp.StatusCode, resp.Header) {
+		discard(resp)
+		outcome.Shed = true
+		rep.known(outcome)
+		return nil, verdict.Wrap(verdict.NotRun, "shed", errShed)
+	}
+	if err == nil {
+		err = holdSmall(resp)
+	}
+	outcome.Verdict = verdict.Of(err)
+	if err != nil {
+		outcome.Failed = true
+		outcome.Cancelled = ctx.Err() != nil && r.Context().Err() != nil
+		rep.known(outcome)
+		h.noteFailure(ctx, info, choice, err)
+		return nil, err
+	}
+	h.opts.Quarantine.Succeeded(info.Fingerprint)
+	rep.known(outcome)
+	return &answer{resp: resp}, nil
+}
+
+// call returns the exchange with the chosen target.
+func (h *Handler) call(r *http.Request, info *request.Info, choice route.Choice, rep *report) *target.Call {
 	call := &target.Call{
 		Addr:     choice.Target.Addr,
 		Request:  outbound(r, info),
 		Fresh:    !info.Idempotent,
 		Deadline: info.Deadline,
-		Ended:    choice.Release,
+		Ended:    rep.ended,
 	}
 	if info.Service.EchoRequestID {
 		call.EchoHeader = request.HeaderRequestID
@@ -64,21 +95,36 @@
 	if body, ok := r.Body.(*caller.Body); ok {
 		setBody(call, body)
 	}
-	resp, err := h.pool.Exchange(ctx, call)
-	if err != nil {
-		h.noteFailure(ctx, info, choice, err)
-		return nil, err
-	}
-	if shed(info, resp) {
-		discard(resp)
-		return nil, verdict.Wrap(verdict.NotRun, "shed", errShed)
-	}
-	if err := holdSmall(resp); err != nil {
-		h.noteFailure(ctx, info, choice, err)
-		return nil, err
+	return call
+}
+
+// report tells the outcome of an attempt, and gives its slot back, once the outcome
+// is known and the target has ended the request.
+type report struct {
+	done func(health.Outcome)
+
+	mu      sync.Mutex
+	outcome health.Outcome
+	parts   int
+}
+
+func (p *report) known(o health.Outcome) {
+	p.mu.Lock()
+	p.outcome = o
+	p.mu.Unlock()
+	p.part()
+}
+
+func (p *report) ended() { p.part() }
+
+func (p *report) part() {
+	p.mu.Lock()
+	p.parts++
+	both, outcome := p.parts == 2, p.outcome
+	p.mu.Unlock()
+	if both {
+		p.done(outcome)
 	}
-	h.opts.Quarantine.Succeeded(info.Fingerprint)
-	return &answer{resp: resp}, nil
 }
 
 func (h *Handler) noteFailure(ctx context.Context, info *request.Info, choice route.Choice, err error) {
@@ -104,16 +150,6 @@
 	call.Inline = true
 }
 
-// shed reports whether an answer has the exact form by which the service's targets
-// say that they did not run a request.
-func shed(info *request.Info, resp *http.Response) bool {
-	form := info.Service.Shed
-	if form.Status == 0 || form.Header == "" {
-		return false
-	}
-	return resp.StatusCode == form.Status && len(resp.Header.Values(form.Header)) > 0
-}
-
 // outbound returns the request in the form sent to the target. It shares the body
 // and the trailer of r.
 func outbound(r *http.Request, info *request.Info) *http.Request {
--- a/version/lookup/lookup.go
+++ b/version/lookup/lookup.go
@@ -27,6 +27,8 @@
 	API           string `json:"api,omitempty"`
 	Region        string `json:"region"`
 	FailureDomain string `json:"failure_domain"`
+	// KeyPrefix starts the idempotency keys that the host runs.
+	KeyPrefix string `json:"key_prefix,omitempty"`
 }
 
 // Answer is the result of one look-up, best entry first.
