--- a/node_exchange.go
+++ b/node_exchange.go
@@ -73,7 +73,7 @@
 
 // registerExchange adds the services for other hosts.
 func (n *Node) registerExchange() error {
-	if err := n.peers.Register(quarantine.ServiceName, quarantine.NewService(n.exchange.quarantine)); err != nil {
+	if err := n.peers.Register(quarantine.ServiceName, quarantine.NewService(n.exchange.quarantine, n.exchange.spreader.PassOn)); err != nil {
 		return err
 	}
 	return n.peers.Register(leavingService, &leavingPeer{hosts: &n.exchange.leaving, log: n.log})
--- a/process/quarantine/quarantine.go
+++ b/process/quarantine/quarantine.go
@@ -46,7 +46,7 @@
 	Fingerprint uint64
 	// Crashes has at most two entries, oldest first.
 	Crashes []Crash
-	// ClearedMS is when the request last ended well; earlier crashes do not count.
+	// ClearedMS is when a suspect last ended well; earlier crashes do not count.
 	ClearedMS int64
 }
 
@@ -106,7 +106,7 @@
 	if r == nil {
 		return Clear
 	}
-	oldest := max(r.ClearedMS+1, l.now().Add(-markTime).UnixMilli())
+	oldest := max(r.ClearedMS, l.now().Add(-markTime).UnixMilli())
 	count := 0
 	for _, c := range r.Crashes {
 		if c.AtMS >= oldest {
--- a/process/quarantine/spread.go
+++ b/process/quarantine/spread.go
@@ -40,14 +40,21 @@
 }
 
 // Service serves marks over net/rpc.
-type Service struct{ list *List }
+type Service struct {
+	list *List
+	// changed is called after marks were new here.
+	changed func()
+}
 
-// NewService returns the service of a list.
-func NewService(l *List) *Service { return &Service{list: l} }
+// NewService returns the service of a list. It calls changed, if not nil, when
+// another host sent marks that were new.
+func NewService(l *List, changed func()) *Service { return &Service{list: l, changed: changed} }
 
 // Push takes in marks.
 func (s *Service) Push(args *PushArgs, _ *PushReply) error {
-	s.list.Merge(args.Marks)
+	if s.list.Merge(args.Marks) > 0 && s.changed != nil {
+		s.changed()
+	}
 	return nil
 }
 
@@ -75,6 +82,9 @@
 	return &Spreader{list: l, calls: calls, peers: peers, pulled: make(map[string]uint64)}
 }
 
+// PassOn sends new marks in the background.
+func (s *Spreader) PassOn() { go s.Push(context.Background()) }
+
 // Push sends the marks that changed since the last Push to up to 8 hosts, and
 // waits until they have them or 300 ms have passed.
 func (s *Spreader) Push(ctx context.Context) {
--- a/tools/lab/fleet/deployment.go
+++ b/tools/lab/fleet/deployment.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"quetzalknot/process/settings"
 	"quetzalknot/version/config"
 )
 
@@ -23,6 +24,8 @@
 	LinkBytesPerSecond int
 	Hosts              int
 	Services           []Service
+	// Adjust changes the settings of each host before its start. It may be nil.
+	Adjust func(s *settings.Settings)
 }
 
 // Region is a group of failure domains.
--- a/tools/lab/fleet/fleet.go
+++ b/tools/lab/fleet/fleet.go
@@ -139,6 +139,9 @@
 	for _, r := range f.Deployment.Regions {
 		s.Topology.Regions = append(s.Topology.Regions, settings.Region{Name: r.Name, FailureDomains: r.FailureDomains})
 	}
+	if f.Deployment.Adjust != nil {
+		f.Deployment.Adjust(s)
+	}
 	if err := s.Complete(); err != nil {
 		return err
 	}
@@ -159,14 +162,26 @@
 
 // StopHost stops the process on the i-th host gracefully.
 func (f *Fleet) StopHost(ctx context.Context, i int) error {
+	if node := f.take(i); node != nil {
+		return node.Stop(ctx)
+	}
+	return nil
+}
+
+// KillHost ends the process on the i-th host at once.
+func (f *Fleet) KillHost(i int) {
+	if node := f.take(i); node != nil {
+		node.Kill()
+	}
+}
+
+// take returns the process on the i-th host, if any, and counts it as ended.
+func (f *Fleet) take(i int) *quetzalknot.Node {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	node := f.hosts[i].Node
 	f.hosts[i].Node = nil
-	f.mu.Unlock()
-	if node == nil {
-		return nil
-	}
-	return node.Stop(ctx)
+	return node
 }
 
 // Hosts returns the hosts whose process runs.
@@ -236,11 +251,9 @@
 
 // Close stops everything.
 func (f *Fleet) Close() {
-	ctx, cancel := context.WithTimeout(context.Background(), readyTimeout)
-	defer cancel()
 	var stopping sync.WaitGroup
 	for i := range f.hosts {
-		stopping.Go(func() { _ = f.StopHost(ctx, i) })
+		stopping.Go(func() { f.KillHost(i) })
 	}
 	stopping.Wait()
 	for _, servers := range f.Targets {
