--- a/connection/caller/body.go
+++ b/connection/caller/body.go
@@ -4,7 +4,7 @@
 
 import (
 	"bytes"
-	"fmt"
+	"context"
 	"io"
 	"net/http"
 	"sync/atomic"
@@ -19,7 +19,7 @@
 	// ErrTooSlow reports a caller that sends or reads too slowly.
 	ErrTooSlow = errors.New("caller is too slow")
 	// errStopped reports a read of a body that nobody wants any more.
-	errStopped = errors.New("request body is no longer read")
+	errStopped = errors.Wrap(context.Canceled, "request body is no longer read")
 )
 
 // Limits bound one request's use of its caller's connection.
@@ -139,17 +139,21 @@
 		return n, slow
 	}
 	if err != nil && err != io.EOF {
-		return n, b.readError(err)
+		return n, b.readError(err, time.Since(start))
 	}
 	return n, err
 }
 
-func (b *Body) readError(err error) error {
+func (b *Body) readError(err error, waited time.Duration) error {
 	var timeout interface{ Timeout() bool }
-	if !b.stopped.Load() && errors.As(err, &timeout) && timeout.Timeout() {
+	switch {
+	case errors.As(err, &timeout) && timeout.Timeout() && waited >= b.pace.limits.Stall:
 		return errors.Wrapf(ErrTooSlow, "no byte for %v", b.pace.limits.Stall)
+	case b.stopped.Load():
+		return errStopped
+	default:
+		return errors.Wrap(err, "read from caller")
 	}
-	return fmt.Errorf("read from caller: %w", err)
 }
 
 // Stop makes a blocked Read return, and all later ones fail. A body that was read
--- a/connection/target/exchange.go
+++ b/connection/target/exchange.go
@@ -45,7 +45,8 @@
 	Fresh bool
 	// Deadline is the time by which the target was told to end the request.
 	Deadline time.Time
-	// StopBody makes a blocked read of the request body return. It may be nil.
+	// StopBody makes a blocked read of the request body return an error that is
+	// context.Canceled. It may be nil.
 	StopBody func()
 	// Ended is called once, when the target is known to have ended the request, or
 	// its deadline and a grace time have passed. It may be nil.
@@ -253,7 +254,7 @@
 // cause prefers what ended the request over what was seen of it on the connection.
 func (x *exchange) cause(readErr error) error {
 	switch {
-	case x.body != nil && x.body.failure() != nil && x.ctx.Err() == nil && !x.crossed:
+	case x.body.broken() && !x.crossed:
 		return errors.Mark(errors.Wrap(x.body.failure(), "request body"), ErrCallerBody)
 	case x.ctx.Err() != nil:
 		return context.Cause(x.ctx)
@@ -310,6 +311,15 @@
 	return b.read
 }
 
+// broken reports whether the body failed by itself, and not because it was stopped.
+func (b *trackedBody) broken() bool {
+	if b == nil {
+		return false
+	}
+	err := b.failure()
+	return err != nil && !errors.Is(err, context.Canceled)
+}
+
 func (b *trackedBody) failure() error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/process/quarantine/quarantine_test.go
+++ b/process/quarantine/quarantine_test.go
@@ -91,8 +91,8 @@
 	lists map[string]*List
 	// changed passes new marks on, by host.
 	changed map[string]func()
-	mu    sync.Mutex
-	calls int
+	mu      sync.Mutex
+	calls   int
 }
 
 // Call implements peer.Caller.
--- /dev/null
+++ b/tools/scenario/restart_test.go
@@ -0,0 +1,79 @@
+package scenario
+
+import (
+	"testing"
+	"time"
+
+	"quetzalknot/tools/lab/fleet"
+	"quetzalknot/tools/lab/load"
+	"quetzalknot/tools/standin/targetd"
+)
+
+// TestRollingRestart stops and starts every host in turn under load.
+func TestRollingRestart(t *testing.T) {
+	t.Parallel()
+	f := smallFleet(t, 7, 8)
+	sender := load.NewClientSender(apis(f), 3)
+	defer sender.Close()
+	restarted := make(chan error, 1)
+	go func() { restarted <- restartAll(t, f) }()
+	report, err := load.Run(t.Context(), load.Options{
+		Kinds: []load.Kind{
+			{Name: "search", Service: "bokun", Path: "/slots", RatePerSecond: 60, RunMS: 5},
+			{Name: "booking", Service: "bokun", Method: "POST", Path: "/bookings", RatePerSecond: 20, RunMS: 20, BodyBytes: 200, Keyed: true},
+			{Name: "claim", Service: "bokun", Method: "POST", Path: "/claims", RatePerSecond: 10, RunMS: 20, BodyBytes: 200},
+			{Name: "photo", Service: "bokun", Method: "POST", Path: "/photos", RatePerSecond: 2, RunMS: 900, BodyBytes: 2 << 20},
+			{Name: "archive", Service: "bokun", Path: "/archive", RatePerSecond: 2, RunMS: 500, AnswerBytes: 2 << 20},
+		},
+		Regions: []string{"sudvestur"}, Blocks: []string{"198.18.0.0/24"},
+		Seed: 5, Duration: 24 * time.Second, RunID: "rolling", Sender: sender,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := <-restarted; err != nil {
+		t.Fatal(err)
+	}
+	expectWhole(t, f, report)
+}
+
+func apis(f *fleet.Fleet) []string {
+	var addrs []string
+	for _, h := range f.Hosts() {
+		addrs = append(addrs, h.Node.Addrs().API)
+	}
+	return addrs
+}
+
+// restartAll gives each host a new process, one after the other.
+func restartAll(t *testing.T, f *fleet.Fleet) error {
+	for i := range 7 {
+		if err := f.StopHost(t.Context(), i); err != nil {
+			return err
+		}
+		if err := f.StartHost(t.Context(), i); err != nil {
+			return err
+		}
+		if err := f.WaitVersion(t.Context(), 1); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// expectWhole requires that every request ran once and was answered whole, or was refused without a run.
+func expectWhole(t *testing.T, f *fleet.Fleet, report *load.Report) {
+	t.Helper()
+	var targets []*targetd.Server
+	for _, servers := range f.Targets {
+		targets = append(targets, servers...)
+	}
+	report.Reconcile(targets)
+	for _, r := range report.Results {
+		t.Logf("%s: sent=%d ran=%d not-run=%d may-have-run=%d lost=%d doubled=%d crossed=%d cut=%d unanswered=%d failed=%d",
+			r.Kind, r.Sent, r.Ran, r.NotRun, r.MayHaveRun, r.Lost, r.Doubled, r.Crossed, r.Cut, r.Unanswered, r.Failed)
+		if r.Broken() > 0 || r.MayHaveRun > 0 || r.Ran == 0 {
+			t.Errorf("%s: a request was lost, doubled, crossed, cut or left in doubt", r.Kind)
+		}
+	}
+}
