--- a/process/quarantine/quarantine.go
+++ b/process/quarantine/quarantine.go
@@ -1,8 +1,10 @@
 // Package quarantine knows the requests that crash the targets that run them.
 //
 // Every request that was in flight on a target that crashed becomes a suspect. A
-// suspect that ends well is cleared; one that is in flight at a second crash is
-// quarantined, on every host that learns of both crashes. Suspicion and
+// suspect that ends well is cleared; one that is run again and crashes another
+// target is quarantined. A request that was already in flight at the first crash
+// when a second target crashed is still only a suspect, so that a request which
+// many callers send is not blamed for two crashes of another one. Suspicion and
 // quarantine lapse by themselves. Marks are merged without regard to order,
 // repetition or source, so that any exchange between hosts may carry them.
 package quarantine
@@ -14,12 +16,8 @@
 )
 
 const (
-	// crashLimit is how many crashes quarantine a request.
-	crashLimit = 2
 	// markTime is how long a crash counts.
 	markTime = 10 * time.Minute
-	// sameCrashTime is how far apart two hosts may see one crash of a target.
-	sameCrashTime = time.Second
 	// marksLimit bounds the memory for marks.
 	marksLimit = 10_000
 )
@@ -34,22 +32,26 @@
 	Quarantined
 )
 
-// Crash is one crash of a target with the request in flight.
-type Crash struct {
-	Target string
-	// AtMS is the time in milliseconds since 1970.
-	AtMS int64
-}
-
-// Mark is what is known of one request.
+// Mark is what is known of one request. Times are in milliseconds since 1970; 0
+// means never.
 type Mark struct {
 	Fingerprint uint64
-	// Crashes has at most two entries, oldest first.
-	Crashes []Crash
-	// ClearedMS is when a suspect last ended well; earlier crashes do not count.
+	// SuspectMS is when a target last crashed with the request in flight.
+	SuspectMS int64
+	// CrashedMS is when a target last crashed that ran the request as a suspect.
+	CrashedMS int64
+	// ClearedMS is when a suspect last ended well; an earlier SuspectMS does not count.
 	ClearedMS int64
 }
 
+// join returns the later time of each kind.
+func (m Mark) join(o Mark) Mark {
+	return Mark{
+		Fingerprint: m.Fingerprint, SuspectMS: max(m.SuspectMS, o.SuspectMS),
+		CrashedMS: max(m.CrashedMS, o.CrashedMS), ClearedMS: max(m.ClearedMS, o.ClearedMS),
+	}
+}
+
 // List holds the marks of one host. It is safe for concurrent use.
 type List struct {
 	now func() time.Time
@@ -74,13 +76,17 @@
 	return &List{now: now, marks: make(map[uint64]*record)}
 }
 
-// Crashed notes that a target crashed with the request in flight, and returns the
-// request's new state.
-func (l *List) Crashed(fingerprint uint64, target string) State {
+// Crashed notes that a target crashed with the request in flight. began is the
+// request's state when it was sent to the target. It returns the new state.
+func (l *List) Crashed(fingerprint uint64, began State) State {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	crash := Crash{Target: target, AtMS: l.now().UnixMilli()}
-	l.merge(Mark{Fingerprint: fingerprint, Crashes: []Crash{crash}})
+	now := l.now().UnixMilli()
+	m := Mark{Fingerprint: fingerprint, SuspectMS: now}
+	if began != Clear {
+		m.CrashedMS = now
+	}
+	l.merge(m)
 	return l.state(fingerprint)
 }
 
@@ -106,17 +112,11 @@
 	if r == nil {
 		return Clear
 	}
-	oldest := max(r.ClearedMS, l.now().Add(-markTime).UnixMilli())
-	count := 0
-	for _, c := range r.Crashes {
-		if c.AtMS >= oldest {
-			count++
-		}
-	}
+	oldest := l.now().Add(-markTime).UnixMilli()
 	switch {
-	case count >= crashLimit:
+	case r.CrashedMS >= oldest:
 		return Quarantined
-	case count > 0:
+	case r.SuspectMS >= max(oldest, r.ClearedMS):
 		return Suspect
 	default:
 		return Clear
@@ -143,37 +143,12 @@
 		r = &record{Mark: Mark{Fingerprint: m.Fingerprint}}
 		l.marks[m.Fingerprint] = r
 	}
-	changed := false
-	if m.ClearedMS > r.ClearedMS && l.state(m.Fingerprint) != Quarantined {
-		r.ClearedMS = m.ClearedMS
-		changed = true
-	}
-	for _, c := range m.Crashes {
-		changed = r.add(c) || changed
-	}
-	if changed {
-		l.seq++
-		r.seq = l.seq
-	}
-	return changed
-}
-
-// add keeps the two newest crashes, and reports whether c was new.
-func (r *record) add(c Crash) bool {
-	for _, known := range r.Crashes {
-		apart := time.Duration(known.AtMS-c.AtMS) * time.Millisecond
-		if known.Target == c.Target && apart.Abs() < sameCrashTime {
-			return false
-		}
-	}
-	if len(r.Crashes) == crashLimit && c.AtMS < r.Crashes[0].AtMS {
+	joined := r.join(m)
+	if joined == r.Mark {
 		return false
 	}
-	r.Crashes = append(r.Crashes, c)
-	slices.SortFunc(r.Crashes, func(a, b Crash) int { return int(a.AtMS - b.AtMS) })
-	if len(r.Crashes) > crashLimit {
-		r.Crashes = slices.Delete(r.Crashes, 0, 1)
-	}
+	l.seq++
+	r.Mark, r.seq = joined, l.seq
 	return true
 }
 
@@ -214,7 +189,6 @@
 	marks := make([]Mark, len(changed))
 	for i, r := range changed {
 		marks[i] = r.Mark
-		marks[i].Crashes = slices.Clone(r.Crashes)
 		after = r.seq
 	}
 	return marks, after
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -23,6 +23,7 @@
 	Limits   Limits   `toml:"limits"`
 	Claims   Claims   `toml:"claims"`
 	Stop     Stop     `toml:"stop"`
+	Peer     Peer     `toml:"peer"`
 }
 
 // Host says which host this is and where it stands.
@@ -79,7 +80,10 @@
 
 // sections lists the tables in the order in which they are checked.
 func (s *Settings) sections() []section {
-	return []section{&s.Host, &s.Listen, &s.Roles, &s.Platform, &s.Topology, &s.Limits, &s.Claims, &s.Stop}
+	return []section{
+		&s.Host, &s.Listen, &s.Roles, &s.Platform, &s.Topology, &s.Peer,
+		&s.Limits, &s.Claims, &s.Stop,
+	}
 }
 
 // Load reads and checks a settings file. A bad file gives an *Error.
--- a/request/claim/claims.go
+++ b/request/claim/claims.go
@@ -39,6 +39,8 @@
 // ErrExpired reports a key that was made too long ago to know whether it ran.
 var ErrExpired = errors.New("the idempotency key is too old")
 
+var errNotMember = errors.New("this host is not a member yet")
+
 // Place says who runs a key.
 type Place struct {
 	Owner Owner
@@ -50,7 +52,8 @@
 
 // Options configure Claims.
 type Options struct {
-	Self  Owner
+	// Self returns this process; its host is empty while it can own no key.
+	Self  func() Owner
 	Table platform.Table
 	// Keep is how long a key is known.
 	Keep time.Duration
@@ -107,12 +110,16 @@
 // of the request may have found an owner.
 func (c *Claims) Place(ctx context.Context, request, key string) (Place, error) {
 	if expires, ok := c.Registry.Known(key); ok {
-		return Place{Owner: c.opts.Self, Mine: true, Expires: expires}, nil
+		return Place{Owner: c.opts.Self(), Mine: true, Expires: expires}, nil
+	}
+	self := c.opts.Self()
+	if self.Host == "" {
+		return Place{}, verdict.Wrap(verdict.MayHaveRun, "claim", errNotMember)
 	}
 	if owner, at, ok := parsePrefix(key); ok {
 		return c.place(owner, at)
 	}
-	claim := claimRow{Owner: c.opts.Self, At: c.opts.Now().UTC()}
+	claim := claimRow{Owner: self, At: c.opts.Now().UTC()}
 	data, err := json.Marshal(claim)
 	if err != nil {
 		return Place{}, err
@@ -149,7 +156,7 @@
 			return c.place(claim.Owner, claim.At)
 		case errors.Is(err, platform.ErrNotFound):
 			if err := c.batch.write(ctx, write, true); err == nil {
-				return c.place(c.opts.Self, c.opts.Now())
+				return c.place(c.opts.Self(), c.opts.Now())
 			}
 		}
 		pause(ctx, resolvePause)
@@ -162,7 +169,7 @@
 // place applies the age limit.
 func (c *Claims) place(owner Owner, at time.Time) (Place, error) {
 	now := c.opts.Now()
-	p := Place{Owner: owner, Mine: owner == c.opts.Self, Expires: at.Add(c.opts.Keep)}
+	p := Place{Owner: owner, Mine: owner == c.opts.Self(), Expires: at.Add(c.opts.Keep)}
 	if !p.Expires.After(now) || at.After(now.Add(clockSkew)) {
 		return p, verdict.Wrap(verdict.MayHaveRun, "claim", errors.Wrapf(ErrExpired, "made at %v", at))
 	}
--- a/request/forward/answer.go
+++ b/request/forward/answer.go
@@ -38,7 +38,7 @@
 func (h *Handler) exchange(ctx context.Context, r *http.Request, info *request.Info, choice route.Choice) (*answer, error) {
 	state := h.opts.Quarantine.State(info.Fingerprint)
 	if state == quarantine.Clear {
-		return h.send(ctx, r, info, choice)
+		return h.send(ctx, r, info, choice, state)
 	}
 	if state == quarantine.Quarantined {
 		choice.Release()
@@ -50,10 +50,14 @@
 		return nil, verdict.Wrap(verdict.NotRun, "wait alone", err)
 	}
 	defer leave()
-	return h.send(ctx, r, info, choice)
+	if h.quarantined(info) {
+		choice.Release()
+		return nil, verdict.Wrap(verdict.MayHaveRun, "send", errQuarantined)
+	}
+	return h.send(ctx, r, info, choice, state)
 }
 
-func (h *Handler) send(ctx context.Context, r *http.Request, info *request.Info, choice route.Choice) (*answer, error) {
+func (h *Handler) send(ctx context.Context, r *http.Request, info *request.Info, choice route.Choice, began quarantine.State) (*answer, error) {
 	rep := &report{done: choice.Done}
 	start := time.Now()
 	resp, err := h.pool.Exchange(ctx, h.call(r, info, choice, rep))
@@ -72,7 +76,7 @@
 		outcome.Failed = true
 		outcome.Cancelled = ctx.Err() != nil && r.Context().Err() != nil
 		rep.known(outcome)
-		h.noteFailure(ctx, info, choice, err)
+		h.noteFailure(ctx, info, choice, began, err)
 		return nil, err
 	}
 	h.opts.Quarantine.Succeeded(info.Fingerprint)
@@ -127,14 +131,14 @@
 	}
 }
 
-func (h *Handler) noteFailure(ctx context.Context, info *request.Info, choice route.Choice, err error) {
+func (h *Handler) noteFailure(ctx context.Context, info *request.Info, choice route.Choice, began quarantine.State, err error) {
 	if errors.Is(err, target.ErrCrossed) {
 		evCrossed.Log(h.log).Str("request", info.ID).Str("service", info.Service.Name).Str("target", choice.Target.Name).Err(err).Send()
 		h.counts.crossed.Add(1)
 	}
 	evFailed.Log(h.log).Str("request", info.ID).Str("service", info.Service.Name).Str("target", choice.Target.Name).
 		Stringer("verdict", verdict.Of(err)).Err(err).Send()
-	h.noteCrash(ctx, info, choice.Target, err)
+	h.noteCrash(ctx, info, choice.Target, began, err)
 }
 
 // setBody makes a held body part of the request, and a streamed one stoppable.
--- a/request/forward/crash.go
+++ b/request/forward/crash.go
@@ -31,7 +31,15 @@
 
 var errQuarantined = errors.New("request is quarantined: the targets that ran it crashed")
 
-// fingerprint identifies the request, so that one that is sent again is known.
+// varying are headers that may differ each time a request is sent.
+var varying = map[string]bool{
+	request.HeaderRequestID: true, request.HeaderTimeout: true, headerPassedBy: true,
+	"Date": true, "Traceparent": true, "Tracestate": true, "X-Request-Id": true, "X-Forwarded-For": true,
+}
+
+// fingerprint identifies the request, so that one that is sent again is known. A
+// request without a key is told from others by its headers too, since many callers
+// may ask for the same path.
 func fingerprint(r *http.Request, info *request.Info, body *caller.Body) uint64 {
 	h := xxhash.New()
 	for _, part := range []string{info.Service.Name, r.Method, r.URL.RequestURI(), info.Key} {
@@ -43,7 +51,27 @@
 		held, _ := body.Held()
 		_, _ = h.Write(held)
 	}
-	return h.Sum64()
+	if info.Key != "" {
+		return h.Sum64()
+	}
+	return h.Sum64() ^ headerSum(r.Header)
+}
+
+// headerSum does not depend on the order of the headers.
+func headerSum(header http.Header) uint64 {
+	sum := uint64(0)
+	for name, values := range header {
+		if varying[name] {
+			continue
+		}
+		h := xxhash.New()
+		_, _ = h.WriteString(name)
+		for _, value := range values {
+			_, _ = h.WriteString("\x00" + value)
+		}
+		sum += h.Sum64()
+	}
+	return sum
 }
 
 func (h *Handler) quarantined(info *request.Info) bool {
@@ -52,7 +80,7 @@
 
 // noteCrash finds out whether a target crashed with the request in flight, and
 // makes the crash known before anybody is told of the failure.
-func (h *Handler) noteCrash(ctx context.Context, info *request.Info, t *config.Target, err error) {
+func (h *Handler) noteCrash(ctx context.Context, info *request.Info, t *config.Target, began quarantine.State, err error) {
 	if verdict.Of(err) != verdict.MayHaveRun || !target.EndedByTarget(err) {
 		return
 	}
@@ -61,7 +89,7 @@
 	if !errors.Is(h.pool.Probe(probe, t.Addr), syscall.ECONNREFUSED) {
 		return
 	}
-	state := h.opts.Quarantine.Crashed(info.Fingerprint, info.Service.Name+"/"+t.Name)
+	state := h.opts.Quarantine.Crashed(info.Fingerprint, began)
 	evCrash.Log(h.log).Str("request", info.ID).Str("service", info.Service.Name).Str("target", t.Name).
 		Uint64("fingerprint", info.Fingerprint).Send()
 	if state == quarantine.Quarantined {
