--- a/api.go
+++ b/api.go
@@ -19,6 +19,7 @@
 	n.statusRoutes(r)
 	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
 	r.HandleFunc("/v1/explain/{request}", n.handleExplain).Methods(http.MethodGet)
+	r.Handle("/v1/trace", n.exchange.recorder).Methods(http.MethodGet)
 	r.Handle("/debug/vars", n.metrics)
 	return r
 }
--- a/api_lookup.go
+++ b/api_lookup.go
@@ -113,12 +113,15 @@
 	if len(entries) == 0 {
 		return nil, &queryError{status: http.StatusServiceUnavailable, err: errors.New("no entry host takes new work")}
 	}
+	for i := range entries {
+		entries[i].KeyPrefix = n.keyPrefix(entries[i])
+	}
 	n.metrics.Counter("lookup.answered_calls").Add(1)
 	evLookup.Log(n.log).Str("service", q.Service).Stringer("client", client).Uint64("version", view.Version()).
 		Str("entry", entries[0].Name).Str("region", entries[0].Region).Int("entries", len(entries)).Send()
 	return &lookup.Answer{
 		Service: q.Service, Version: view.Version(), TTLMS: choice.TTL.Milliseconds(), Entries: entries,
-		KeyPrefix: n.keyPrefix(entries[0]),
+		KeyPrefix: entries[0].KeyPrefix,
 	}, nil
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -69,7 +69,10 @@
 		return err
 	}
 	<-ctx.Done()
-	return node.Stop(context.Background())
+	again, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer cancel()
+	stop()
+	return node.Stop(again)
 }
 
 func connect(s *settings.Settings) platform.Platform {
--- a/node.go
+++ b/node.go
@@ -52,8 +52,9 @@
 	config  state.Holder
 	lookups lookups
 	versions
-	pool    *target.Pool
-	forward *forward.Handler
+	pool     *target.Pool
+	forward  *forward.Handler
+	exchange exchange
 
 	servers []*http.Server
 	addrs   Addrs
@@ -93,7 +94,7 @@
 	n.setUpVersions(opts)
 	n.setUpLookups(n.clients)
 	router := route.NewRouter(slots.NewLocal(), n.metrics, log)
-	n.forward = forward.New(&n.config, n.newAdmitter(router), n.pool, n.metrics, log)
+	n.newExchange(n.newAdmitter(router))
 	return n
 }
 
@@ -112,11 +113,15 @@
 	}
 	n.startVersions(ctx)
 	n.startLookups(ctx)
+	n.startExchange(ctx)
 	evStarted.Log(n.log).Str("api", n.addrs.API).Str("forward", n.addrs.Forward).Str("peer", n.addrs.Peer).Send()
 	return nil
 }
 
 func (n *Node) listen() error {
+	if err := n.registerExchange(); err != nil {
+		return err
+	}
 	if err := n.peers.Register(tables.ServiceName, n.lookups.tables.Service()); err != nil {
 		return err
 	}
@@ -127,7 +132,7 @@
 	if n.addrs.API, err = n.serve(n.settings.Listen.API, n.apiRouter()); err != nil {
 		return err
 	}
-	n.addrs.Forward, err = n.serve(n.settings.Listen.Forward, n.forward)
+	n.addrs.Forward, err = n.serveCallers(n.settings.Listen.Forward)
 	return err
 }
 
@@ -156,18 +161,33 @@
 	return nil
 }
 
-// Stop ends the node after the requests in flight have finished, or when ctx ends.
+// Stop ends the node without cutting a request: it leaves the look-ups, waits until
+// callers have heard of it, and lets everything in flight end. When ctx ends it cuts
+// what is left and returns drain.ErrCut.
 func (n *Node) Stop(ctx context.Context) error {
+	var err error
+	if n.exchange.callers != nil {
+		err = n.drain(ctx)
+	}
+	n.close()
+	evStopped.Log(n.log).Send()
+	return err
+}
+
+// Kill ends the node at once, as a crash would.
+func (n *Node) Kill() {
+	if n.exchange.callers != nil {
+		_ = n.exchange.callers.Close()
+	}
+	n.close()
+}
+
+func (n *Node) close() {
 	n.cancel()
 	n.loops.Wait()
-	var firstErr error
 	for _, server := range n.servers {
-		if err := server.Shutdown(ctx); err != nil && firstErr == nil {
-			firstErr = err
-		}
+		_ = server.Close()
 	}
 	n.stopVersions()
 	n.pool.Close()
-	evStopped.Log(n.log).Send()
-	return firstErr
 }
--- a/node_lookup.go
+++ b/node_lookup.go
@@ -156,4 +156,4 @@
 }
 
 // keyPrefix returns how idempotency keys begin that a host's process accepts.
-func (n *Node) keyPrefix(lookup.Host) string { return "" }
+func (n *Node) keyPrefix(h lookup.Host) string { return keyPrefix(h.Name, h.Incarnation, time.Now()) }
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -20,6 +20,9 @@
 	Roles    Roles    `toml:"roles"`
 	Platform Platform `toml:"platform"`
 	Topology Topology `toml:"topology"`
+	Limits   Limits   `toml:"limits"`
+	Claims   Claims   `toml:"claims"`
+	Stop     Stop     `toml:"stop"`
 	Peer     Peer     `toml:"peer"`
 	Lookup   Lookup   `toml:"lookup"`
 }
@@ -78,7 +81,10 @@
 
 // sections lists the tables in the order in which they are checked.
 func (s *Settings) sections() []section {
-	return []section{&s.Host, &s.Listen, &s.Roles, &s.Platform, &s.Topology, &s.Peer, &s.Lookup}
+	return []section{
+		&s.Host, &s.Listen, &s.Roles, &s.Platform, &s.Topology, &s.Peer,
+		&s.Limits, &s.Claims, &s.Stop, &s.Lookup,
+	}
 }
 
 // Load reads and checks a settings file. A bad file gives an *Error.
--- a/request/forward/forward.go
+++ b/request/forward/forward.go
@@ -1,30 +1,66 @@
 // Package forward carries a caller's request to a target and its answer back.
 //
 // forward.go reads the request, attempts.go runs the attempts, answer.go sends
-// one request and passes its answer on.
+// one request and passes its answer on, status.go words the failures, keyed.go
+// runs requests with an idempotency key at most once, crash.go notes requests
+// that were in flight on a target that crashed.
 package forward
 
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"quetzalknot/connection/caller"
 	"quetzalknot/connection/target"
 	"quetzalknot/process/eventlog"
 	"quetzalknot/process/metrics"
+	"quetzalknot/process/quarantine"
+	"quetzalknot/process/settings"
 	"quetzalknot/request"
 	"quetzalknot/request/admit"
+	"quetzalknot/request/claim"
+	"quetzalknot/request/trace"
 	"quetzalknot/verdict"
 	"quetzalknot/version/state"
 )
 
-var evDone = eventlog.Define(4001, zerolog.InfoLevel, "request finished")
+var (
+	evDone    = eventlog.Define(4001, zerolog.InfoLevel, "request finished")
+	evRefused = eventlog.Define(4002, zerolog.WarnLevel, "request refused")
+	evBroken  = eventlog.Define(4003, zerolog.WarnLevel, "answer broke off")
+)
+
+const (
+	// retryAfterSeconds is the Retry-After of a request that found no room.
+	retryAfterSeconds = "1"
+	// bodyHoldLimit is the largest request body, in bytes, that is held in memory so
+	// that it can be sent again.
+	bodyHoldLimit = 64 << 10
+)
 
-// retryAfterSeconds is the Retry-After of a request that found no room.
-const retryAfterSeconds = "1"
+// Options are what a handler needs besides routing.
+type Options struct {
+	Limits settings.Limits
+	// Host is the name of this host.
+	Host string
+	// Owners finds the owners of idempotency keys.
+	Owners Owners
+	// Claims runs requests with an idempotency key at most once.
+	Claims *claim.Claims
+	// Quarantine knows the requests that crash targets.
+	Quarantine *quarantine.List
+	// Spread tells other hosts at once of new marks. It may be nil.
+	Spread func(ctx context.Context)
+	// Recorder receives each finished request. It may be nil.
+	Recorder *trace.Recorder
+	// Leaving reports whether this host is about to stop.
+	Leaving func() bool
+}
 
 // Handler forwards callers' requests. It is an http.Handler.
 type Handler struct {
@@ -32,36 +68,163 @@
 	admit  *admit.Admitter
 	pool   *target.Pool
 	log    zerolog.Logger
+	opts   Options
+	counts counts
+
+	inFlight atomic.Int64
+	suspects isolation
 }
 
 // New returns a handler that routes by the configuration in force.
-func New(holder *state.Holder, admitter *admit.Admitter, pool *target.Pool, _ *metrics.Set, log zerolog.Logger) *Handler {
-	return &Handler{config: holder, admit: admitter, pool: pool, log: log}
+func New(holder *state.Holder, admitter *admit.Admitter, pool *target.Pool, set *metrics.Set, log zerolog.Logger, opts Options) *Handler {
+	h := &Handler{config: holder, admit: admitter, pool: pool, log: log, opts: opts, counts: newCounts(set)}
+	set.Gauge("forward.in_flight_requests", h.InFlight)
+	return h
 }
 
+// InFlight returns how many callers' requests are under way.
+func (h *Handler) InFlight() int64 { return h.inFlight.Load() }
+
 // ServeHTTP implements http.Handler.
-func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (h *Handler) ServeHTTP(raw http.ResponseWriter, r *http.Request) {
+	h.inFlight.Add(1)
+	defer h.inFlight.Add(-1)
+	started := time.Now()
+	control := http.NewResponseController(raw)
+	limits := caller.Limits{Stall: h.opts.Limits.Stall(), BytesPerSecond: h.opts.Limits.BytesPerSecond}
+	w := caller.NewWriter(raw, control, limits)
+	defer w.Finish()
+	if h.opts.Leaving() {
+		w.Header().Set("Connection", "close")
+	}
+	info, snap, refusal := h.read(r, started)
+	if refusal != nil {
+		h.refuse(w, info, refusal)
+		return
+	}
+	w.Header().Set(request.HeaderRequestID, info.ID)
+	limits.BodyBytes = info.BodyLimit(h.opts.Limits.BodyBytes)
+	body, refusal := holdBody(r, control, limits)
+	if refusal != nil {
+		h.refuse(w, info, refusal)
+		return
+	}
+	info.Fingerprint = fingerprint(r, info, body)
+	h.run(w, r, info, snap, started)
+}
+
+// run serves a request that is well formed, and notes its outcome even when the
+// caller's connection is aborted.
+func (h *Handler) run(w *caller.Writer, r *http.Request, info *request.Info, snap *state.Snapshot, started time.Time) {
+	v := verdict.MayHaveRun
+	broken := true
+	defer func() {
+		if broken {
+			evBroken.Log(h.log).Str("request", info.ID).Str("service", info.Service.Name).Int64("bytes", w.Bytes()).Send()
+			h.counts.broken.Add(1)
+		}
+		h.done(w, r, info, v, started)
+	}()
+	v = h.serve(w, r, info, snap)
+	broken = false
+}
+
+func (h *Handler) serve(w *caller.Writer, r *http.Request, info *request.Info, snap *state.Snapshot) verdict.Verdict {
+	if h.opts.Claims != nil && info.AtMostOnce() {
+		return h.serveKeyed(w, r, info, snap)
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), info.Deadline)
+	defer cancel()
+	return h.attempt(ctx, w, r, info, snap)
+}
+
+// attempt runs a request unless it is known to crash targets.
+func (h *Handler) attempt(ctx context.Context, w http.ResponseWriter, r *http.Request, info *request.Info, snap *state.Snapshot) verdict.Verdict {
+	if h.quarantined(info) {
+		h.refuse(w, info, &refusal{http.StatusUnprocessableEntity, errQuarantined})
+		return verdict.NotRun
+	}
+	return h.forward(ctx, w, r, info, snap)
+}
+
+// refusal is an answer to a request that no target ran.
+type refusal struct {
+	status int
+	err    error
+}
+
+// read finds the service and reads the headers.
+func (h *Handler) read(r *http.Request, now time.Time) (*request.Info, *state.Snapshot, *refusal) {
+	if n := headerBytes(r); n > h.opts.Limits.HeaderBytes {
+		err := errors.Newf("request header has %d bytes; at most %d are allowed", n, h.opts.Limits.HeaderBytes)
+		return nil, nil, &refusal{http.StatusRequestHeaderFieldsTooLarge, err}
+	}
 	snap := h.config.Load()
 	name := request.ServiceName(r)
 	svc := snap.Services[name]
 	if svc == nil {
-		refuse(w, http.StatusNotFound, errors.Newf("service %q is unknown", name))
-		return
+		return nil, nil, &refusal{http.StatusNotFound, errors.Newf("service %q is unknown", name)}
 	}
-	info, err := request.Parse(r, svc, time.Now())
+	info, err := request.Parse(r, svc, now)
 	if err != nil {
-		refuse(w, http.StatusBadRequest, err)
-		return
+		return nil, nil, &refusal{http.StatusBadRequest, err}
 	}
-	w.Header().Set(request.HeaderRequestID, info.ID)
-	ctx, cancel := context.WithDeadline(r.Context(), info.Deadline)
-	defer cancel()
-	v := h.forward(ctx, w, r, info, snap)
-	evDone.Log(h.log).Str("request", info.ID).Str("service", name).Stringer("verdict", v).Send()
+	return info, snap, nil
+}
+
+func headerBytes(r *http.Request) int {
+	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, value := range values {
+			n += len(name) + len(value) + len(": \r\n")
+		}
+	}
+	return n
+}
+
+// holdBody puts limits on the request body, and holds a short one in memory.
+func holdBody(r *http.Request, control *http.ResponseController, limits caller.Limits) (*caller.Body, *refusal) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil, nil
+	}
+	if r.ContentLength > limits.BodyBytes {
+		err := errors.Newf("request body has %d bytes; at most %d are allowed", r.ContentLength, limits.BodyBytes)
+		return nil, &refusal{http.StatusRequestEntityTooLarge, err}
+	}
+	_ = control.EnableFullDuplex() // an answer may begin while the body is read
+	body := caller.NewBody(r.Body, control, limits)
+	r.Body = body
+	if r.ContentLength < 0 || r.ContentLength > bodyHoldLimit {
+		return body, nil
+	}
+	if err := body.Hold(r.ContentLength); err != nil {
+		return nil, &refusal{statusOf(err, http.StatusBadRequest), err}
+	}
+	return body, nil
 }
 
 // refuse answers a request that no target ran.
-func refuse(w http.ResponseWriter, status int, err error) {
-	w.Header().Set(verdict.Header, verdict.NotRun.String())
-	http.Error(w, err.Error(), status)
+func (h *Handler) refuse(w http.ResponseWriter, info *request.Info, ref *refusal) {
+	ev := evRefused.Log(h.log).Int("status", ref.status).Err(ref.err)
+	if info != nil {
+		ev = ev.Str("request", info.ID)
+	}
+	ev.Send()
+	h.counts.refused.Add(1)
+	refuse(w, ref.status, ref.err)
+}
+
+func (h *Handler) done(w *caller.Writer, r *http.Request, info *request.Info, v verdict.Verdict, started time.Time) {
+	took := time.Since(started)
+	evDone.Log(h.log).Str("request", info.ID).Str("service", info.Service.Name).Stringer("verdict", v).
+		Int("status", w.Status()).Int64("bytes", w.Bytes()).Int64("took_us", took.Microseconds()).Send()
+	h.counts.of(v).Add(1)
+	if h.opts.Recorder == nil {
+		return
+	}
+	h.opts.Recorder.Add(trace.Entry{
+		At: started, Service: info.Service.Name, Method: r.Method, Path: r.URL.RequestURI(), Key: info.Key,
+		BodyBytes: max(r.ContentLength, 0), Timeout: info.Deadline.Sub(started), Client: info.Client,
+		Run: took, AnswerBytes: w.Bytes(), Status: w.Status(), Verdict: v,
+	})
 }
--- a/request/request.go
+++ b/request/request.go
@@ -41,6 +41,21 @@
 	Idempotent bool
 	// Region limits the request to targets of one region; empty means all.
 	Region string
+	// Fingerprint tells whether two requests are the same one sent twice.
+	Fingerprint uint64
+}
+
+// AtMostOnce reports whether the request must not run twice under its key.
+func (i *Info) AtMostOnce() bool { return i.Key != "" && !i.Idempotent }
+
+// BodyLimit returns the largest request body in bytes; other where the ticket states none.
+func (i *Info) BodyLimit(other int64) int64 {
+	for _, n := range []int64{i.Class.MaxBodyBytes, i.Service.MaxBodyBytes} {
+		if n > 0 {
+			return n
+		}
+	}
+	return other
 }
 
 // FieldError reports a bad header of a request.
--- a/version/config/config.go
+++ b/version/config/config.go
@@ -48,6 +48,11 @@
 	LoadPath string `toml:"load_path" json:"load_path,omitempty"`
 	// Shed is the exact answer by which a target says that it did not run a request.
 	Shed ShedForm `toml:"shed" json:"shed,omitzero"`
+	// EchoRequestID says that the targets repeat Quetzal-Request-Id in each answer. An
+	// answer without it, or with another one, is then never passed on.
+	EchoRequestID bool `toml:"echo_request_id" json:"echo_request_id,omitempty"`
+	// MaxBodyBytes is the largest request body. Default: the entry host's limit.
+	MaxBodyBytes int64 `toml:"max_body_bytes" json:"max_body_bytes,omitempty"`
 	// RetryShare bounds retries as a share of first attempts. Default 0.1.
 	RetryShare float64 `toml:"retry_share" json:"retry_share,omitempty"`
 	// HedgeShare bounds hedged attempts as a share of first attempts. Default 0.02.
@@ -66,12 +71,12 @@
 	Header string `toml:"header" json:"header,omitempty"`
 }
 
-// Matches reports whether an answer has the declared form.
+// Matches reports whether an answer has the declared form, both status and header.
 func (f ShedForm) Matches(status int, header http.Header) bool {
-	if f.Status == 0 || status != f.Status {
+	if f.Status == 0 || f.Header == "" || status != f.Status {
 		return false
 	}
-	return f.Header == "" || header.Get(f.Header) != ""
+	return len(header.Values(f.Header)) > 0
 }
 
 // Target is one back end of a service.
@@ -102,6 +107,8 @@
 	TargetShare float64 `toml:"target_share" json:"target_share,omitempty"`
 	// QueueLimit is how many requests may wait on one host. Default 256.
 	QueueLimit int `toml:"queue_limit" json:"queue_limit,omitempty"`
+	// MaxBodyBytes is the largest request body. Default: the service's.
+	MaxBodyBytes int64 `toml:"max_body_bytes" json:"max_body_bytes,omitempty"`
 	// TimeoutMS is the deadline in milliseconds of a request that names none. Default: the service's.
 	TimeoutMS int `toml:"timeout_ms" json:"timeout_ms,omitempty"`
 	// ExpectedMS is the declared usual run time in milliseconds. 0 means unknown.
--- a/version/lookup/lookup.go
+++ b/version/lookup/lookup.go
@@ -17,6 +17,8 @@
 	FailureDomain string `json:"failure_domain"`
 	// Incarnation tells the host's process from earlier ones.
 	Incarnation uint64 `json:"-"`
+	// KeyPrefix starts the idempotency keys that the host runs.
+	KeyPrefix string `json:"key_prefix,omitempty"`
 }
 
 // Answer is the result of one look-up, best entry first.
