Site health: three watchers each, aged reports, conservative settling

Look-ups knew nothing of the sites' health. The middle of three counts, with fewer reports nobody else is attracted, and a site that returns opens by one step every 20 s, also when its watcher changes.

Reports join in any order (rapid), one lying reporter or target changes nothing, old reports and those of strangers do not count.

--- a/node.go
+++ b/node.go
@@ -51,6 +51,7 @@
 
 	config  state.Holder
 	lookups lookups
+	sites   sites
 	versions
 	pool    *target.Pool
 	forward *forward.Handler
@@ -91,6 +92,7 @@
 		pool: target.NewPool(target.Dial(opts.Dial)),
 	}
 	n.setUpVersions(opts)
+	n.setUpSites(opts.Dial)
 	n.setUpLookups(n.clients)
 	router := route.NewRouter(slots.NewLocal(), n.metrics, log)
 	n.forward = forward.New(&n.config, n.newAdmitter(router), n.pool, n.metrics, log)
@@ -111,6 +113,7 @@
 		return err
 	}
 	n.startVersions(ctx)
+	n.startSites(ctx)
 	n.startLookups(ctx)
 	evStarted.Log(n.log).Str("api", n.addrs.API).Str("forward", n.addrs.Forward).Str("peer", n.addrs.Peer).Send()
 	return nil
--- a/node_lookup.go
+++ b/node_lookup.go
@@ -27,6 +27,9 @@
 // viewInterval is the time between two checks for new inputs of the look-ups.
 const viewInterval = 200 * time.Millisecond
 
+// reportsInterval is how often the view is made again for reports that grow old.
+const reportsInterval = 10 * time.Second
+
 // lookups is the part of a node that answers look-ups.
 type lookups struct {
 	tables    *tables.Keeper
@@ -41,7 +44,11 @@
 	config  *state.Snapshot
 	table   *lookup.Table
 	members []membership.Member
-	second  time.Time
+	// second changes each second while shifts are in force, and now and then
+	// without, since reports about sites grow old.
+	second time.Time
+	// reports is the sum of the reports about sites.
+	reports uint64
 }
 
 // setUpLookups makes the parts without starting them.
@@ -107,7 +114,10 @@
 
 // renewView puts a new view in place of the last one when an input changed.
 func (n *Node) renewView(now time.Time) {
-	next := viewInputs{config: n.config.Load(), table: n.lookups.tables.Table(), members: n.members.Live()}
+	next := viewInputs{
+		config: n.config.Load(), table: n.lookups.tables.Table(), members: n.members.Live(),
+		second: now.Truncate(reportsInterval), reports: n.sites.reports.Sum(),
+	}
 	if len(next.config.Shifts) > 0 {
 		next.second = now.Truncate(time.Second)
 	}
@@ -123,13 +133,15 @@
 }
 
 func (a viewInputs) equal(b viewInputs) bool {
-	return a.config == b.config && a.table == b.table && a.second.Equal(b.second) && slices.Equal(a.members, b.members)
+	same := a.config == b.config && a.table == b.table && a.second.Equal(b.second) && a.reports == b.reports
+	return same && slices.Equal(a.members, b.members)
 }
 
 func (n *Node) viewInputs(from viewInputs, now time.Time) lookup.Inputs {
 	in := lookup.Inputs{
 		Version: from.config.Version, Table: from.table,
 		Placements: from.config.Placements, Shifts: from.config.Shifts,
+		Weights:    n.regionWeights(from.config, from.members),
 		Latency:    lookup.Latencies{Settings: n.lookups.latencies}.Between,
 		ShiftShare: shiftShareAt(now),
 	}
--- /dev/null
+++ b/process/digest/digest_test.go
@@ -0,0 +1,198 @@
+package digest_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"quetzalknot/process/digest"
+)
+
+func fixed() time.Time { return time.Unix(1000, 0) }
+
+// TestReportsJoin merges the same reports in different orders and by digest and
+// delta: both sides must hold the same, and the newest of each reporter.
+func TestReportsJoin(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rnd := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		var all []digest.Report
+		for range 60 {
+			all = append(all, digest.Report{Site: digest.ID(rnd.IntN(9)), Reporter: digest.ID(rnd.IntN(5)), Stamp: uint64(rnd.IntN(1e9)), Own: uint8(rnd.Uint32()), AgeMS: rnd.Uint32N(1000)})
+		}
+		a, b := digest.New(fixed), digest.New(fixed)
+		merge(t, a, all)
+		rnd.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+		merge(t, b, all[:rnd.IntN(len(all))])
+		for range 20 {
+			if delta := a.Delta(b.Digest(), 300); delta != nil {
+				if _, err := b.Merge(delta); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		if a.Sum() != b.Sum() || !reflect.DeepEqual(a.Digest(), b.Digest()) {
+			t.Fatalf("sums %x and %x after all deltas", a.Sum(), b.Sum())
+		}
+		if changed, err := a.Merge(digest.Encode(all)); changed || err != nil {
+			t.Fatalf("the same reports again: changed %v, %v", changed, err)
+		}
+	})
+}
+
+func merge(t *rapid.T, r *digest.Reports, reports []digest.Report) {
+	for _, one := range reports {
+		if _, err := r.Merge(digest.Encode([]digest.Report{one})); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// TestAgeIsCarried passes a report over three hosts that hold it for a minute each.
+func TestAgeIsCarried(t *testing.T) {
+	now := time.Unix(1000, 0)
+	clock := func() time.Time { return now }
+	delta := digest.Encode([]digest.Report{{Site: digest.IDOf("s"), Reporter: 1, Stamp: 1, Own: 5}})
+	for range 3 {
+		r := digest.New(clock)
+		if changed, err := r.Merge(delta); !changed || err != nil {
+			t.Fatal(changed, err)
+		}
+		now = now.Add(time.Minute)
+		delta = r.Delta(digest.New(clock).Digest(), 1000)
+		if got := r.About("s"); len(got) != 1 {
+			t.Fatal(got)
+		}
+	}
+	last := digest.New(clock)
+	_, _ = last.Merge(delta)
+	if got := last.About("s")[0].AgeMS; got != 180_000 {
+		t.Errorf("age %d ms, want 180000", got)
+	}
+	now = now.Add(time.Hour)
+	if last.Digest(); last.Sum() != 0 || len(last.About("s")) != 0 {
+		t.Error("an old report was not forgotten")
+	}
+	if _, err := last.Merge([]byte("x")); err == nil {
+		t.Error("a malformed delta was taken in")
+	}
+}
+
+// TestSettleIsConservative tries lying, lagging, missing and foreign reports.
+func TestSettleIsConservative(t *testing.T) {
+	watchers := []string{"a", "b", "c"}
+	report := func(name string, own, other uint8, age time.Duration) digest.Report {
+		return digest.Report{Reporter: digest.IDOf(name), Own: own, Other: other, AgeMS: uint32(age.Milliseconds())}
+	}
+	const full, old = digest.Full, 13 * time.Minute
+	for name, tc := range map[string]struct {
+		reports []digest.Report
+		want    digest.Level
+	}{
+		"none":                      {nil, digest.Level{Own: full}},
+		"one attracts nobody":       {[]digest.Report{report("a", full, full, 0)}, digest.Level{Own: full}},
+		"one liar says empty":       {[]digest.Report{report("a", full, full, 0), report("b", 64, 0, 0), report("c", 64, 0, 0)}, digest.Level{Own: 64}},
+		"one liar says down":        {[]digest.Report{report("a", 0, 0, 0), report("b", full, 128, 0), report("c", full, 192, 0)}, digest.Level{Own: full, Other: 128}},
+		"two disagree":              {[]digest.Report{report("a", 0, 0, 0), report("b", full, full, 0)}, digest.Level{Own: full}},
+		"lagging ones do not count": {[]digest.Report{report("a", full, full, old), report("b", 0, 0, 0), report("c", full, full, old)}, digest.Level{}},
+		"strangers do not count":    {[]digest.Report{report("x", 0, full, 0), report("y", 0, full, 0), report("z", 0, full, 0)}, digest.Level{Own: full}},
+		"all say down":              {[]digest.Report{report("a", 0, 0, 0), report("b", 0, 0, 0), report("c", 0, 0, 0)}, digest.Level{}},
+	} {
+		if got := digest.Settle(tc.reports, watchers); got != tc.want {
+			t.Errorf("%s: got %+v, want %+v", name, got, tc.want)
+		}
+	}
+}
+
+// TestReturningSiteOpensStepByStep takes a site down and up again, also over a
+// change of the watching host in between.
+func TestReturningSiteOpensStepByStep(t *testing.T) {
+	var r digest.Reporter
+	now := fixed()
+	up, dead := digest.Measurement{Up: 4, Total: 4, Room: 1}, digest.Measurement{Up: 1, Total: 4, Room: 1}
+	if l, _ := r.Next(up, now); l.Own != digest.Full {
+		t.Fatalf("a new site starts at %+v", l)
+	}
+	if l, publish := r.Next(dead, now.Add(time.Second)); l != (digest.Level{}) || !publish {
+		t.Fatalf("a dead site is at %+v, published %v", l, publish)
+	}
+	now = now.Add(time.Second)
+	published, last := 0, digest.Level{}
+	for second := range 100 {
+		now = now.Add(time.Second)
+		if second == 50 {
+			var other digest.Reporter
+			other.Resume(last, now)
+			r = other
+		}
+		l, publish := r.Next(up, now)
+		if int(l.Own) > int(last.Own)+64 {
+			t.Fatalf("level %d after %d in one step", l.Own, last.Own)
+		}
+		if l.Own == digest.Full && second < 60 {
+			t.Fatalf("full after %d s", second)
+		}
+		if publish {
+			published++
+		}
+		last = l
+	}
+	if last.Own != digest.Full || published > 6 {
+		t.Errorf("after 100 s at %+v with %d reports published, want full with at most 6", last, published)
+	}
+}
+
+// TestWatchersStandApart wants one in the domain, one in the region, one elsewhere.
+func TestWatchersStandApart(t *testing.T) {
+	var hosts []digest.Host
+	for i := range 60 {
+		hosts = append(hosts, digest.Host{Name: fmt.Sprint("h", i), Region: fmt.Sprint("r", i%3), FailureDomain: fmt.Sprint("d", i%6)})
+	}
+	place := make(map[string]digest.Host)
+	for _, h := range hosts {
+		place[h.Name] = h
+	}
+	duties := make(map[string]int)
+	for i := range 100 {
+		site := digest.Site{Region: fmt.Sprint("r", i%3), FailureDomain: fmt.Sprint("d", i%6)}
+		w := digest.WatchersOf(site, hosts)
+		if len(w) != 3 || place[w[0]].FailureDomain != site.FailureDomain || place[w[1]].Region != site.Region || place[w[1]].FailureDomain == site.FailureDomain || place[w[2]].Region == site.Region {
+			t.Fatalf("%v is watched by %v", site, w)
+		}
+		duties[w[0]]++
+	}
+	if got := digest.WatchersOf(digest.Site{Region: "r0", FailureDomain: "d0"}, hosts[:1]); len(got) != 1 {
+		t.Errorf("one host alone: %v", got)
+	}
+}
+
+// targets answers probes by address: a JSON load, or nothing.
+type targets map[string]string
+
+func (t targets) RoundTrip(r *http.Request) (*http.Response, error) {
+	body, ok := t[r.URL.Host]
+	if !ok {
+		return nil, errors.New("refused")
+	}
+	return &http.Response{StatusCode: 200, Body: io.NopCloser(strings.NewReader(body)), Request: r}, nil
+}
+
+// TestOneLyingTargetDoesNotMakeRoom lets one of three busy targets claim to be empty.
+func TestOneLyingTargetDoesNotMakeRoom(t *testing.T) {
+	site := targets{"a": `{"in_flight":0}`, "b": `{"in_flight":10}`, "c": `{"in_flight":9}`, "d": `broken`, "f": `{"in_flight":-50}`}
+	var list []digest.Target
+	for _, addr := range []string{"a", "b", "c", "d", "e"} {
+		list = append(list, digest.Target{Addr: addr, HealthPath: "/health", LoadPath: "/load", Slots: 10})
+	}
+	if m := digest.Probe(context.Background(), site, list); m.Up != 4 || m.Total != 5 || m.Room != 0 {
+		t.Errorf("got %+v, want 4 of 5 up without room", m)
+	}
+}
