--- a/node.go
+++ b/node.go
@@ -51,6 +51,7 @@
 
 	config  state.Holder
 	lookups lookups
+	sites   sites
 	versions
 	pool     *target.Pool
 	forward  *forward.Handler
@@ -92,6 +93,7 @@
 		pool: target.NewPool(target.Dial(opts.Dial)),
 	}
 	n.setUpVersions(opts)
+	n.setUpSites(opts.Dial)
 	n.setUpLookups(n.clients)
 	router := route.NewRouter(slots.NewLocal(), n.metrics, log)
 	n.newExchange(n.newAdmitter(router))
@@ -112,6 +114,7 @@
 		return err
 	}
 	n.startVersions(ctx)
+	n.startSites(ctx)
 	n.startLookups(ctx)
 	n.startExchange(ctx)
 	evStarted.Log(n.log).Str("api", n.addrs.API).Str("forward", n.addrs.Forward).Str("peer", n.addrs.Peer).Send()
