--- a/node.go
+++ b/node.go
@@ -159,6 +159,7 @@
 	}
 	n.config.Store(snap)
 	n.lookups.tables.Want(tables.Wanted{Version: snap.Version, Tables: snap.BlockTables, Blocks: snap.Blocks})
+	n.lookups.configChanged()
 	n.inForceAt = time.Now()
 	evInForce.Log(n.log).Uint64("version", snap.Version).Int("services", len(snap.Services)).Send()
 	return nil
--- a/node_lookup.go
+++ b/node_lookup.go
@@ -37,6 +37,8 @@
 	limits    *callerLimits
 	latencies map[lookup.Pair]time.Duration
 	last      viewInputs
+	// changed holds an item while a new configuration version is not yet in the view.
+	changed chan struct{}
 }
 
 // viewInputs are what the last view was made from.
@@ -57,6 +59,7 @@
 		Objects: n.platform.Objects, Caller: caller, Peers: n.tablePeers, Metrics: n.metrics, Log: n.log,
 	})
 	n.lookups.view.Store(lookup.NewView(lookup.Inputs{}))
+	n.lookups.changed = make(chan struct{}, 1)
 	n.lookups.limits = newCallerLimits(n.settings.Lookup.PerCaller)
 	n.lookups.latencies = configuredLatencies(n.settings.Lookup)
 	n.metrics.Gauge("lookup.entry_hosts", func() int64 { return int64(n.lookups.view.Load().Size()) })
@@ -108,10 +111,19 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-n.lookups.changed:
 		}
 	}
 }
 
+// configChanged makes the look-ups follow a new configuration version at once.
+func (l *lookups) configChanged() {
+	select {
+	case l.changed <- struct{}{}:
+	default:
+	}
+}
+
 // renewView puts a new view in place of the last one when an input changed.
 func (n *Node) renewView(now time.Time) {
 	next := viewInputs{
