Retries and hedges within budgets, and no not-run after an attempt that may have run

Cause: retries had no budget, and a refused second attempt told the caller not-run although the first one may have run.

--- a/request/admit/admit.go
+++ b/request/admit/admit.go
@@ -18,6 +18,7 @@
 
 	"quetzalknot/process/metrics"
 	"quetzalknot/request"
+	"quetzalknot/request/latency"
 	"quetzalknot/request/route"
 	"quetzalknot/version/state"
 )
@@ -30,16 +31,10 @@
 	Changed(service string) <-chan struct{}
 }
 
-// RunTimes estimates how long requests of a class run.
-type RunTimes interface {
-	// Expected returns the usual run time of a class, or 0 when it is unknown.
-	Expected(info *request.Info) time.Duration
-}
-
 // Admitter admits requests to targets. It is safe for concurrent use.
 type Admitter struct {
 	chooser Chooser
-	times   RunTimes
+	times   *latency.Tracker
 	log     zerolog.Logger
 	counts  counters
 
@@ -48,12 +43,15 @@
 }
 
 // New returns an Admitter without waiting requests. It adds its figures to m.
-func New(chooser Chooser, times RunTimes, m *metrics.Set, log zerolog.Logger) *Admitter {
+func New(chooser Chooser, times *latency.Tracker, m *metrics.Set, log zerolog.Logger) *Admitter {
 	a := &Admitter{chooser: chooser, times: times, log: log, counts: newCounters(m), queues: make(map[string]*queue)}
 	m.Gauge("admission.waiting_requests", a.waiting)
 	return a
 }
 
+// RunTimes returns the run times that the deadlines are checked with.
+func (a *Admitter) RunTimes() *latency.Tracker { return a.times }
+
 // Acquire waits until a target has room and returns it with a slot held. It ends
 // early when the request can no longer make its deadline, when ctx ends and when
 // the queue overflows; the error is then a RefusedError with the verdict not-run.
--- a/request/admit/admit_test.go
+++ b/request/admit/admit_test.go
@@ -18,6 +18,7 @@
 	"quetzalknot/process/metrics"
 	"quetzalknot/process/slots"
 	"quetzalknot/request"
+	"quetzalknot/request/latency"
 	"quetzalknot/request/route"
 	"quetzalknot/verdict"
 	"quetzalknot/version/config"
@@ -61,12 +62,6 @@
 	return route.Choice{}, verdict.Wrap(verdict.NotRun, "route", route.ErrNoRoom)
 }
 
-type noTimes struct{}
-
-func (noTimes) Expected(info *request.Info) time.Duration {
-	return time.Duration(info.Class.ExpectedMS) * time.Millisecond
-}
-
 func newFixture(targets, slotsEach int) *fixture {
 	svc := &config.Service{Name: "bokun"}
 	for i := range targets {
@@ -76,7 +71,7 @@
 	log := zerolog.New(io.Discard)
 	chooses := &countingChooser{Room: slots.NewLocal()}
 	return &fixture{
-		Admitter: New(chooses, noTimes{}, m, log), service: svc, chooses: chooses,
+		Admitter: New(chooses, latency.NewTracker(), m, log), service: svc, chooses: chooses,
 		snap: &state.Snapshot{Services: map[string]*config.Service{svc.Name: svc}},
 	}
 }
--- a/request/forward/answer.go
+++ b/request/forward/answer.go
@@ -77,3 +77,9 @@
 	}
 	return verdict.Ran
 }
+
+// drop ends an answer that nobody wants.
+func (a *answer) drop() {
+	_ = a.resp.Body.Close()
+	a.done(a.outcome)
+}
--- a/request/forward/attempts.go
+++ b/request/forward/attempts.go
@@ -3,34 +3,125 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
+	"time"
 
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"quetzalknot/process/metrics"
 	"quetzalknot/request"
+	"quetzalknot/request/admit"
+	"quetzalknot/request/hedge"
+	"quetzalknot/request/latency"
 	"quetzalknot/request/retry"
+	"quetzalknot/request/route"
 	"quetzalknot/verdict"
 	"quetzalknot/version/state"
 )
 
+// extra decides on attempts beyond the first.
+type extra struct {
+	retry *retry.Retrier
+	hedge *hedge.Hedger
+	times *latency.Tracker
+}
+
+func newExtra(times *latency.Tracker, set *metrics.Set, log zerolog.Logger) extra {
+	return extra{retry: retry.New(times, set, log), hedge: hedge.New(times, set, log), times: times}
+}
+
+// series is the attempts of one request.
+type series struct {
+	*Handler
+	r     *http.Request
+	info  *request.Info
+	snap  *state.Snapshot
+	tried []string
+	// mayHaveRun is true once an attempt failed that may have run. From then on
+	// the caller is never told not-run.
+	mayHaveRun bool
+}
+
 // forward runs attempts until one is answered or no further one is allowed, and
 // writes the answer. It returns the verdict that the caller was told.
 func (h *Handler) forward(ctx context.Context, w http.ResponseWriter, r *http.Request, info *request.Info, snap *state.Snapshot) verdict.Verdict {
-	var tried []string
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	h.extra.retry.Begin(info)
+	h.extra.hedge.Begin(info)
+	s := &series{Handler: h, r: r, info: info, snap: snap}
 	for {
-		choice, err := h.admit.Acquire(ctx, info, snap, tried)
+		choice, err := h.admit.Acquire(ctx, info, snap, s.tried)
 		if err != nil {
-			w.Header().Set("Retry-After", retryAfterSeconds)
-			refuse(w, http.StatusServiceUnavailable, err)
-			return verdict.NotRun
+			return s.fail(w, http.StatusServiceUnavailable, err)
 		}
-		tried = append(tried, choice.Target.Name)
-		answer, err := h.exchange(ctx, r, info, choice)
+		answer, err := s.attempt(ctx, choice)
 		if err == nil {
 			return answer.copyTo(w)
 		}
-		v := verdict.Of(err)
-		if r.Body != nil && r.Body != http.NoBody || !retry.Allowed(info, len(tried), v) {
-			w.Header().Set(verdict.Header, v.String())
-			http.Error(w, err.Error(), http.StatusBadGateway)
-			return v
+		if !s.again(ctx, err) {
+			return s.fail(w, http.StatusBadGateway, err)
+		}
+	}
+}
+
+// attempt sends the request once, or twice where it is hedged.
+func (s *series) attempt(ctx context.Context, choice route.Choice) (*answer, error) {
+	s.tried = append(s.tried, choice.Target.Name)
+	if s.r.Body == nil || s.r.Body == http.NoBody {
+		if delay, ok := s.extra.hedge.Delay(s.info); ok {
+			return s.hedged(ctx, choice, delay)
 		}
 	}
+	return s.send(ctx, choice)
+}
+
+// send exchanges the request with one target and notes its run time.
+func (s *series) send(ctx context.Context, choice route.Choice) (*answer, error) {
+	start := time.Now()
+	answer, err := s.exchange(ctx, s.r, s.info, choice)
+	if err == nil {
+		now := time.Now()
+		s.extra.times.Observe(s.info, now.Sub(start), now)
+	}
+	return answer, err
+}
+
+// again decides on a further attempt and waits for its time.
+func (s *series) again(ctx context.Context, err error) bool {
+	v := verdict.Of(err)
+	if v != verdict.NotRun {
+		s.mayHaveRun = true
+	}
+	failure := retry.Failure{Verdict: v, Attempts: len(s.tried), Replayable: canSendAgain(s.r)}
+	wait, ok := s.extra.retry.Next(s.info, failure, time.Now())
+	if !ok {
+		return false
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// fail writes the failure of the last attempt with a verdict for all of them.
+func (s *series) fail(w http.ResponseWriter, status int, err error) verdict.Verdict {
+	v := verdict.Of(err)
+	if s.mayHaveRun {
+		v = verdict.MayHaveRun
+	}
+	var refused *admit.RefusedError
+	if v == verdict.NotRun && errors.As(err, &refused) && refused.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(refused.RetryAfter/time.Second)))
+	}
+	w.Header().Set(verdict.Header, v.String())
+	http.Error(w, err.Error(), status)
+	return v
 }
+
+func canSendAgain(r *http.Request) bool { return r.Body == nil || r.Body == http.NoBody }
--- /dev/null
+++ b/request/forward/attempts_test.go
@@ -0,0 +1,134 @@
+package forward
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"quetzalknot/connection/target"
+	"quetzalknot/process/metrics"
+	"quetzalknot/process/slots"
+	"quetzalknot/request"
+	"quetzalknot/request/admit"
+	"quetzalknot/request/latency"
+	"quetzalknot/request/route"
+	"quetzalknot/verdict"
+	"quetzalknot/version/config"
+	"quetzalknot/version/state"
+)
+
+// bench is a handler in front of test servers.
+type bench struct {
+	*Handler
+	room    *slots.Local
+	svc     *config.Service
+	figures *metrics.Set
+}
+
+func newBench(t *testing.T, targets ...http.HandlerFunc) *bench {
+	svc := &config.Service{Name: "rota-desk", Policy: "round-robin"}
+	for i, handler := range targets {
+		server := httptest.NewServer(handler)
+		t.Cleanup(server.Close)
+		svc.Targets = append(svc.Targets, config.Target{
+			Name: string(rune('a' + i)), Addr: server.Listener.Addr().String(), Slots: 1, FailureDomain: string(rune('a' + i)),
+		})
+	}
+	m := metrics.NewSet()
+	log := zerolog.New(io.Discard)
+	room := slots.NewLocal()
+	holder := &state.Holder{}
+	holder.Store(&state.Snapshot{Services: map[string]*config.Service{svc.Name: svc}})
+	admitter := admit.New(route.NewRouter(room, m, log), latency.NewTracker(), m, log)
+	return &bench{Handler: newTestHandler(holder, admitter, m, log), room: room, svc: svc, figures: m}
+}
+
+func newTestHandler(holder *state.Holder, admitter *admit.Admitter, m *metrics.Set, log zerolog.Logger) *Handler {
+	return New(holder, admitter, target.NewPool(nil), m, log)
+}
+
+func (b *bench) info(timeout time.Duration) *request.Info {
+	return &request.Info{ID: "r", Service: b.svc, Class: config.Class{Name: "short"}, Idempotent: true, Deadline: time.Now().Add(timeout)}
+}
+
+func (b *bench) get() *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	r := httptest.NewRequest(http.MethodGet, "/roster", nil)
+	r.Header.Set(request.HeaderService, b.svc.Name)
+	b.ServeHTTP(w, r)
+	return w
+}
+
+// TestHedgeAnswersAndEndsTheSlowAttempt lets one of two targets hang. The other
+// one answers, and the hanging attempt is cancelled and gives its slot back.
+func TestHedgeAnswersAndEndsTheSlowAttempt(t *testing.T) {
+	ended := make(chan struct{}, 2)
+	hang := func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		ended <- struct{}{}
+	}
+	b := newBench(t, hang, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") })
+	for range 100 {
+		b.extra.times.Observe(b.info(0), time.Millisecond, time.Now())
+	}
+	sent := b.figures.Counter("hedge.sent_attempts")
+	for range 100 { // until one starts at the hanging target
+		if sent.Value() > 0 {
+			break
+		}
+		w := b.get()
+		if w.Body.String() != "whole" || w.Header().Get(verdict.Header) != "ran" {
+			t.Fatalf("answer = %q, verdict %s", w.Body.String(), w.Header().Get(verdict.Header))
+		}
+	}
+	if sent.Value() == 0 {
+		t.Fatal("no request was hedged")
+	}
+	<-ended
+	for _, name := range []string{"a", "b"} {
+		for b.room.InFlight(slots.Target{Service: b.svc.Name, Name: name}) != 0 {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	if sent.Value() != 1 || len(ended) != 0 {
+		t.Fatalf("%d hedges, %d further requests at the hanging target", sent.Value(), len(ended))
+	}
+}
+
+// TestNotRunIsNeverClaimedAfterAnAttemptThatMayHaveRun was a fault: the refusal of a
+// second attempt answered not-run for the request as a whole.
+func TestNotRunIsNeverClaimedAfterAnAttemptThatMayHaveRun(t *testing.T) {
+	b := newBench(t)
+	s := &series{Handler: b.Handler, r: httptest.NewRequest(http.MethodGet, "/roster", nil), info: b.info(time.Minute), tried: []string{"a"}}
+	if !s.again(t.Context(), errors.New("connection reset")) {
+		t.Fatal("an idempotent request is not retried")
+	}
+	w := httptest.NewRecorder()
+	refused := &admit.RefusedError{Reason: admit.ReasonFull, RetryAfter: time.Second}
+	v := s.fail(w, http.StatusServiceUnavailable, verdict.Wrap(verdict.NotRun, "admit", refused))
+	if v != verdict.MayHaveRun || w.Header().Get(verdict.Header) != "may-have-run" || w.Header().Get("Retry-After") != "" {
+		t.Fatalf("verdict = %s, headers %v", v, w.Header())
+	}
+}
+
+// TestLostRegionCausesNoRetryStorm lets every connection fail and counts attempts.
+func TestLostRegionCausesNoRetryStorm(t *testing.T) {
+	b := newBench(t)
+	for _, name := range []string{"a", "b", "c"} {
+		b.svc.Targets = append(b.svc.Targets, config.Target{Name: name, Addr: "127.0.0.1:1", Slots: 6, FailureDomain: name})
+	}
+	const requests = 100
+	for range requests {
+		if w := b.get(); w.Header().Get(verdict.Header) != "not-run" {
+			t.Fatalf("verdict = %s", w.Header().Get(verdict.Header))
+		}
+	}
+	if n := b.figures.Counter("retry.retried_attempts").Value(); n > requests/10+10 {
+		t.Fatalf("%d retries of %d requests", n, requests)
+	}
+}
--- a/request/forward/forward.go
+++ b/request/forward/forward.go
@@ -1,7 +1,7 @@
 // Package forward carries a caller's request to a target and its answer back.
 //
-// forward.go reads the request, attempts.go runs the attempts, answer.go sends
-// one request and passes its answer on.
+// forward.go reads the request, attempts.go runs the attempts, hedged.go runs two
+// beside each other, answer.go sends one request and passes its answer on.
 package forward
 
 import (
@@ -23,20 +23,18 @@
 
 var evDone = eventlog.Define(4001, zerolog.InfoLevel, "request finished")
 
-// retryAfterSeconds is the Retry-After of a request that found no room.
-const retryAfterSeconds = "1"
-
 // Handler forwards callers' requests. It is an http.Handler.
 type Handler struct {
 	config *state.Holder
 	admit  *admit.Admitter
 	pool   *target.Pool
 	log    zerolog.Logger
+	extra  extra
 }
 
 // New returns a handler that routes by the configuration in force.
-func New(holder *state.Holder, admitter *admit.Admitter, pool *target.Pool, _ *metrics.Set, log zerolog.Logger) *Handler {
-	return &Handler{config: holder, admit: admitter, pool: pool, log: log}
+func New(holder *state.Holder, admitter *admit.Admitter, pool *target.Pool, set *metrics.Set, log zerolog.Logger) *Handler {
+	return &Handler{config: holder, admit: admitter, pool: pool, log: log, extra: newExtra(admitter.RunTimes(), set, log)}
 }
 
 // ServeHTTP implements http.Handler.
