--- a/node.go
+++ b/node.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -18,33 +17,24 @@
 	"quetzalknot/connection/target"
 	"quetzalknot/platform"
 	"quetzalknot/process/eventlog"
-	"quetzalknot/process/membership"
 	"quetzalknot/process/metrics"
-	"quetzalknot/process/peer"
 	"quetzalknot/process/settings"
 	"quetzalknot/process/slots"
 	"quetzalknot/request/forward"
 	"quetzalknot/request/route"
-	"quetzalknot/version/lookup"
 	"quetzalknot/version/state"
-	"quetzalknot/version/store"
+	"quetzalknot/version/tables"
 )
 
 var (
 	evStarted  = eventlog.Define(1001, zerolog.InfoLevel, "host started")
 	evStopped  = eventlog.Define(1002, zerolog.InfoLevel, "host stopped")
-	evPoll     = eventlog.Define(1003, zerolog.WarnLevel, "platform read failed")
 	evAccepted = eventlog.Define(2001, zerolog.InfoLevel, "ticket accepted")
 	evInForce  = eventlog.Define(2002, zerolog.InfoLevel, "configuration version in force")
 	evBadState = eventlog.Define(2003, zerolog.ErrorLevel, "configuration version refused")
-	evLookup   = eventlog.Define(2201, zerolog.InfoLevel, "look-up answered")
 )
 
 const (
-	// pollInterval is the time between two reads of the table service.
-	pollInterval = 500 * time.Millisecond
-	// leaseTerm is how long a member's row holds without renewal.
-	leaseTerm = 30 * time.Second
 	// readHeaderTimeout bounds how long a caller may take to send a header.
 	readHeaderTimeout = 10 * time.Second
 	// explainedRequests is how many requests a host can explain.
@@ -59,15 +49,11 @@
 	recent   *eventlog.Recent
 	metrics  *metrics.Set
 
-	config      state.Holder
-	lookupTable atomic.Pointer[lookup.Table]
-	ready       atomic.Bool
-	merged      *state.State
-	store       *store.Store
-	members     *membership.Members
-	peers       *peer.Server
-	pool        *target.Pool
-	forward     *forward.Handler
+	config  state.Holder
+	lookups lookups
+	versions
+	pool    *target.Pool
+	forward *forward.Handler
 
 	servers []*http.Server
 	addrs   Addrs
@@ -102,10 +88,10 @@
 	log := eventlog.New(recent, s.Host.Name)
 	n := &Node{
 		settings: s, platform: p, log: log, recent: recent, metrics: metrics.NewSet(),
-		merged: state.New(), store: store.New(p.Table), members: membership.New(p.Table),
-		peers: peer.NewServer(), pool: target.NewPool(target.Dial(opts.Dial)),
+		pool: target.NewPool(target.Dial(opts.Dial)),
 	}
-	n.lookupTable.Store(&lookup.Table{})
+	n.setUpVersions(opts)
+	n.setUpLookups(n.clients)
 	router := route.NewRouter(slots.NewLocal(), n.metrics, log)
 	n.forward = forward.New(&n.config, n.newAdmitter(router), n.pool, n.metrics, log)
 	return n
@@ -114,9 +100,6 @@
 // Addrs returns the addresses of a started node.
 func (n *Node) Addrs() Addrs { return n.addrs }
 
-// Ready reports whether the node has a configuration and serves callers.
-func (n *Node) Ready() bool { return n.ready.Load() }
-
 // Version returns the largest ticket number in force on this node.
 func (n *Node) Version() uint64 { return n.config.Load().Version }
 
@@ -127,16 +110,19 @@
 		_ = n.Stop(ctx)
 		return err
 	}
-	n.loops.Go(func() { n.pollLoop(ctx) })
+	n.startVersions(ctx)
+	n.startLookups(ctx)
 	evStarted.Log(n.log).Str("api", n.addrs.API).Str("forward", n.addrs.Forward).Str("peer", n.addrs.Peer).Send()
 	return nil
 }
 
 func (n *Node) listen() error {
-	if err := n.peers.Listen(n.settings.Listen.Peer); err != nil {
+	if err := n.peers.Register(tables.ServiceName, n.lookups.tables.Service()); err != nil {
+		return err
+	}
+	if err := n.listenPeers(); err != nil {
 		return err
 	}
-	n.addrs.Peer = n.peers.Addr()
 	var err error
 	if n.addrs.API, err = n.serve(n.settings.Listen.API, n.apiRouter()); err != nil {
 		return err
@@ -156,66 +142,16 @@
 	return l.Addr().String(), nil
 }
 
-func (n *Node) pollLoop(ctx context.Context) {
-	ticker := time.NewTicker(pollInterval)
-	defer ticker.Stop()
-	var after int64
-	for {
-		next, err := n.poll(ctx, after)
-		if err != nil {
-			evPoll.Log(n.log).Err(err).Send()
-		}
-		after = next
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
-// poll renews the lease, reads members and takes in new tickets.
-func (n *Node) poll(ctx context.Context, after int64) (int64, error) {
-	now := time.Now()
-	if err := n.members.Announce(ctx, n.self(now)); err != nil {
-		return after, err
-	}
-	if err := n.members.Refresh(ctx, now); err != nil {
-		return after, err
-	}
-	records, next, err := n.store.Accepted(ctx, after)
-	if err != nil {
-		return after, err
-	}
-	if n.merged.Merge(records...) {
-		if err := n.putInForce(); err != nil {
-			evBadState.Log(n.log).Err(err).Send()
-		}
-	}
-	n.ready.Store(true)
-	return next, nil
-}
-
-func (n *Node) self(now time.Time) membership.Member {
-	host := n.settings.Host
-	return membership.Member{
-		Host: host.Name, Region: host.Region, FailureDomain: host.FailureDomain,
-		ForwardAddr: n.addrs.Forward, APIAddr: n.addrs.API, PeerAddr: n.addrs.Peer,
-		LeaseUntil: now.Add(leaseTerm),
-	}
-}
-
 func (n *Node) putInForce() error {
+	n.entering.Lock()
+	defer n.entering.Unlock()
 	snap, err := n.merged.Snapshot()
 	if err != nil {
 		return err
 	}
-	table, err := lookup.Build(snap.Blocks)
-	if err != nil {
-		return err
-	}
-	n.lookupTable.Store(table)
 	n.config.Store(snap)
+	n.lookups.tables.Want(tables.Wanted{Version: snap.Version, Tables: snap.BlockTables, Blocks: snap.Blocks})
+	n.inForceAt = time.Now()
 	evInForce.Log(n.log).Uint64("version", snap.Version).Int("services", len(snap.Services)).Send()
 	return nil
 }
@@ -230,9 +166,7 @@
 			firstErr = err
 		}
 	}
-	if n.addrs.Peer != "" {
-		_ = n.peers.Close()
-	}
+	n.stopVersions()
 	n.pool.Close()
 	evStopped.Log(n.log).Send()
 	return firstErr
