Traffic shifts with an exact cap on each host's stream, and parts of shared things without messages

Change: package shift decides which requests move: moved <= cap * total at every prefix of a host's stream, counted in whole numbers, with bounded credit, growth by the second and stickiness by client block. Package share divides slots and links among the hosts by the live list, with a handover so that parts never overlap.

--- /dev/null
+++ b/process/share/share_test.go
@@ -0,0 +1,94 @@
+package share
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// fakeHost is a process that reads the list now and then.
+type fakeHost struct {
+	name   string
+	view   *View
+	listed time.Time
+	alive  bool
+}
+
+// TestPartsNeverOverlap starts, pauses and stops hosts in any order. Hosts read the
+// list at their own times, and a host that is paused goes on using what it has.
+// Rows lapse no sooner than ViewTerm after the last renewal.
+func TestPartsNeverOverlap(t *testing.T) {
+	const units = 12
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(0, 0)
+		var hosts []*fakeHost
+		table := make(map[Host]time.Time)
+		for range rapid.IntRange(1, 150).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 8000).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			case 0:
+				name := fmt.Sprint("h", len(hosts))
+				hosts = append(hosts, &fakeHost{name: name, view: NewView(name), alive: true})
+			case 1:
+				if len(hosts) > 0 {
+					h := rapid.SampledFrom(hosts).Draw(t, "pause")
+					h.alive = !h.alive
+				}
+			default:
+				readAll(t, hosts, table, now)
+			}
+			owned, portion := 0, 0.0
+			for _, h := range hosts {
+				if h.view.Usable(now) {
+					owned += h.view.Owned("bokun/nordur", units)
+					portion += 1 / float64(h.view.Count("nordur"))
+				}
+			}
+			if owned > units || portion > 1+1e-9 {
+				t.Fatalf("%d of %d units are used, portions sum to %v", owned, units, portion)
+			}
+		}
+	})
+}
+
+// readAll lets some of the hosts that run renew their row and read the list.
+func readAll(t *rapid.T, hosts []*fakeHost, table map[Host]time.Time, now time.Time) {
+	for _, h := range hosts {
+		if !h.alive || rapid.IntRange(0, 4).Draw(t, "skip") == 0 {
+			continue
+		}
+		row := Host{Name: h.name, Region: "nordur"}
+		table[row] = now
+		var live []Host
+		for host, renewed := range table {
+			if now.Sub(renewed) <= Handover {
+				live = append(live, host)
+			}
+		}
+		h.view.Observe(now, live)
+	}
+}
+
+func TestUnitsAreAllOwnedOnceSettled(t *testing.T) {
+	now := time.Unix(0, 0)
+	live := []Host{{"a", "x"}, {"b", "x"}, {"c", "y"}}
+	owned := 0
+	for _, h := range live {
+		v := NewView(h.Name)
+		v.Observe(now, live)
+		if v.Usable(now.Add(ViewTerm)) {
+			t.Fatal("a host that was just listed uses its part")
+		}
+		v.Observe(now.Add(ViewTerm), live)
+		v.Observe(now.Add(Handover), live)
+		if !v.Usable(now.Add(Handover)) || v.Usable(now.Add(Handover+ViewTerm+1)) {
+			t.Fatal("a part is usable from the handover on while the list is fresh")
+		}
+		owned += v.Owned("bokun/y", 10)
+	}
+	if owned != 10 {
+		t.Fatalf("%d of 10 units are owned", owned)
+	}
+}
--- /dev/null
+++ b/version/shift/shift_test.go
@@ -0,0 +1,182 @@
+package shift
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"quetzalknot/version/config"
+)
+
+// tally counts what one version of a shift moved, summed over all hosts.
+type tally struct{ total, moved int }
+
+// TestCapHoldsInAnyOrderOfEvents runs several hosts through requests, racing
+// tickets, restarts, stale spells and time, and checks after every request that
+// no version of a shift moved more than its cap of the requests counted under it.
+func TestCapHoldsInAnyOrderOfEvents(t *testing.T) {
+	regions := []string{"sudvestur", "nordur", "austur"}
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1_000_000, 0)
+		hosts := rapid.IntRange(1, 4).Draw(t, "hosts")
+		movers := make([]*Mover, hosts)
+		inForce := make([][]*config.Shift, hosts)
+		for h := range hosts {
+			movers[h] = NewMover()
+		}
+		var newest []*config.Shift
+		tallies := make(map[config.Shift]*tally)
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+			host := rapid.IntRange(0, hosts-1).Draw(t, "host")
+			switch rapid.IntRange(0, 19).Draw(t, "step") {
+			case 0:
+				movers[host] = NewMover()
+			case 1:
+				newest = drawShifts(t, now, regions)
+			case 2:
+				inForce[host] = newest
+				movers[host].Retain(map[string][]*config.Shift{"bokun": newest})
+			case 3:
+				now = now.Add(time.Duration(rapid.IntRange(0, 5000).Draw(t, "ms")) * time.Millisecond)
+			default:
+				q := Question{
+					Shifts: inForce[host], Region: rapid.SampledFrom(regions).Draw(t, "region"), Now: now,
+					Block: rapid.Uint64().Draw(t, "block") * 0x9E3779B97F4A7C15, Fresh: rapid.Bool().Draw(t, "fresh"),
+				}
+				check(t, tallies, q, movers[host].Decide(q))
+			}
+		}
+	})
+}
+
+func drawShifts(t *rapid.T, now time.Time, regions []string) []*config.Shift {
+	var shifts []*config.Shift
+	for i := range rapid.IntRange(0, 3).Draw(t, "shifts") {
+		capped := rapid.Float64Range(0, 1).Draw(t, "cap")
+		s := &config.Shift{
+			Name: fmt.Sprint("shift-", i), Service: "bokun", Cap: capped,
+			From: rapid.SampledFrom(regions).Draw(t, "from"), To: rapid.SampledFrom(regions).Draw(t, "to"),
+			Share: rapid.Float64Range(0, capped).Draw(t, "share"), RatePerSecond: rapid.SampledFrom([]float64{0, 0.01, 1}).Draw(t, "rate"),
+		}
+		if rapid.Bool().Draw(t, "ends") {
+			s.End = now.Add(2 * time.Second)
+		}
+		shifts = append(shifts, s)
+	}
+	return shifts
+}
+
+func check(t *rapid.T, tallies map[config.Shift]*tally, q Question, d Decision) {
+	for _, s := range q.Shifts {
+		if s.From != q.Region {
+			continue
+		}
+		if tallies[*s] == nil {
+			tallies[*s] = &tally{}
+		}
+		count := tallies[*s]
+		count.total++
+		if s.Name == d.Shift && !d.Held {
+			count.moved++
+		}
+		ended := !s.End.IsZero() && !q.Now.Before(s.End)
+		if s.Name == d.Shift && !d.Held && ended {
+			t.Fatalf("%s moved a request after its end", s.Name)
+		}
+		if float64(count.moved) > s.Cap*float64(count.total) {
+			t.Fatalf("%s moved %d of %d over its cap %v", s.Name, count.moved, count.total, s.Cap)
+		}
+	}
+}
+
+func ask(s *config.Shift, block uint64, now time.Time) Question {
+	return Question{Shifts: []*config.Shift{s}, Region: s.From, Block: block, Now: now, Fresh: true}
+}
+
+// TestShareGrowsAndSticks follows a shift that grows by a hundredth each second.
+func TestShareGrowsAndSticks(t *testing.T) {
+	start := time.Unix(0, 0).UTC()
+	s := &config.Shift{Name: "s", From: "a", To: "b", Share: 0.2, Cap: 0.25, RatePerSecond: 0.01, Start: start}
+	m := NewMover()
+	rnd := rand.New(rand.NewPCG(1, 2))
+	movedBlocks := make(map[uint64]bool)
+	for second := range 40 {
+		moved := 0
+		const each = 2000
+		for range each {
+			block := uint64(rnd.IntN(500)) * 0x9E3779B97F4A7C15
+			if d := m.Decide(ask(s, block, start.Add(time.Duration(second)*time.Second))); d.Region == "b" {
+				moved++
+				movedBlocks[block] = true
+			}
+		}
+		if limit := min(0.2, 0.01*float64(second)); float64(moved) > limit*each+burst {
+			t.Fatalf("second %d: %d of %d moved, limit %v", second, moved, each, limit)
+		}
+	}
+	if n := len(movedBlocks); n < 80 || n > 120 {
+		t.Fatalf("%d of 500 blocks were moved for a share of 0.2", n)
+	}
+	if d := m.Decide(ask(s, 0, start.Add(-time.Second))); d.Region != "a" {
+		t.Fatal("moved before the start")
+	}
+}
+
+// TestNoCatchingUp holds requests back at first and expects no more than the
+// share and a bounded burst later, so that a cold region sees no wave.
+func TestNoCatchingUp(t *testing.T) {
+	s := &config.Shift{Name: "s", From: "a", To: "b", Share: 0.1, Cap: 0.1}
+	m := NewMover()
+	now := time.Unix(0, 0)
+	for range 10_000 {
+		m.Decide(ask(s, 1<<63, now)) // a block outside the share
+	}
+	moved := 0
+	for range 1000 {
+		if m.Decide(ask(s, 0, now)).Region == "b" {
+			moved++
+		}
+	}
+	if moved > 100+burst {
+		t.Fatalf("%d of 1000 moved", moved)
+	}
+}
+
+func TestStaleHostWidensNothing(t *testing.T) {
+	s := &config.Shift{Name: "s", From: "a", To: "b", Share: 1, Cap: 1, RatePerSecond: 0.1}
+	m := NewMover()
+	now := time.Unix(0, 0)
+	for i := range 1000 {
+		q := ask(s, 0, now.Add(time.Duration(i)*time.Second))
+		q.Fresh = false
+		if m.Decide(q).Region == "b" {
+			t.Fatal("a host that is not fresh began to move")
+		}
+	}
+}
+
+// TestShiftsBetweenTheSameRegionsDoNotAddUp gives two shifts with caps of a tenth
+// and a half; both caps hold for what goes from one region to the other.
+func TestShiftsBetweenTheSameRegionsDoNotAddUp(t *testing.T) {
+	shifts := []*config.Shift{
+		{Name: "large", From: "a", To: "b", Share: 0.5, Cap: 0.5},
+		{Name: "small", From: "a", To: "b", Share: 0.1, Cap: 0.1},
+	}
+	m := NewMover()
+	rnd := rand.New(rand.NewPCG(1, 2))
+	moved := 0
+	for n := 1; n <= 10_000; n++ {
+		if m.Decide(Question{Shifts: shifts, Region: "a", Block: rnd.Uint64(), Fresh: true}).Region == "b" {
+			moved++
+		}
+		if moved*10 > n {
+			t.Fatalf("%d of %d moved", moved, n)
+		}
+	}
+	if moved < 900 {
+		t.Fatalf("only %d of 10000 moved", moved)
+	}
+}
