--- a/request/forward/answer.go
+++ b/request/forward/answer.go
@@ -74,7 +74,7 @@
 	outcome.Verdict = verdict.Of(err)
 	if err != nil {
 		outcome.Failed = true
-		outcome.Cancelled = ctx.Err() != nil && r.Context().Err() != nil
+		outcome.Cancelled = errors.Is(ctx.Err(), context.Canceled)
 		rep.known(outcome)
 		h.noteFailure(ctx, info, choice, began, err)
 		return nil, err
@@ -201,3 +201,6 @@
 		header[name] = values
 	}
 }
+
+// drop ends an answer that nobody wants.
+func (a *answer) drop() { _ = a.resp.Body.Close() }
--- a/request/forward/forward.go
+++ b/request/forward/forward.go
@@ -1,9 +1,9 @@
 // Package forward carries a caller's request to a target and its answer back.
 //
-// forward.go reads the request, attempts.go runs the attempts, answer.go sends
-// one request and passes its answer on, status.go words the failures, keyed.go
-// runs requests with an idempotency key at most once, crash.go notes requests
-// that were in flight on a target that crashed.
+// forward.go reads the request, attempts.go runs the attempts, hedged.go runs two
+// beside each other, answer.go sends one request and passes its answer on, status.go
+// words the failures, keyed.go runs requests with an idempotency key at most once,
+// crash.go notes requests that were in flight on a target that crashed.
 package forward
 
 import (
@@ -70,6 +70,7 @@
 	log    zerolog.Logger
 	opts   Options
 	counts counts
+	extra  extra
 
 	inFlight atomic.Int64
 	suspects isolation
@@ -77,7 +78,7 @@
 
 // New returns a handler that routes by the configuration in force.
 func New(holder *state.Holder, admitter *admit.Admitter, pool *target.Pool, set *metrics.Set, log zerolog.Logger, opts Options) *Handler {
-	h := &Handler{config: holder, admit: admitter, pool: pool, log: log, opts: opts, counts: newCounts(set)}
+	h := &Handler{config: holder, admit: admitter, pool: pool, log: log, opts: opts, counts: newCounts(set), extra: newExtra(admitter.RunTimes(), set, log)}
 	set.Gauge("forward.in_flight_requests", h.InFlight)
 	return h
 }
--- a/request/forward/status.go
+++ b/request/forward/status.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"quetzalknot/connection/caller"
+	"quetzalknot/request/admit"
 	"quetzalknot/verdict"
 )
 
@@ -17,15 +20,28 @@
 
 // fail answers a request whose last attempt failed.
 func fail(w http.ResponseWriter, err error) verdict.Verdict {
+	return failWith(w, statusOf(err, http.StatusBadGateway), err)
+}
+
+// failWith answers a failed request with the verdict of its error.
+func failWith(w http.ResponseWriter, status int, err error) verdict.Verdict {
 	v := verdict.Of(err)
-	status := statusOf(err, http.StatusBadGateway)
 	if v == verdict.NotRun && status >= http.StatusInternalServerError {
-		w.Header().Set("Retry-After", retryAfterSeconds)
+		w.Header().Set("Retry-After", retryAfter(err))
 	}
 	writeFailure(w, status, v, err)
 	return v
 }
 
+// retryAfter returns the seconds after which a refused request may be sent again.
+func retryAfter(err error) string {
+	var refused *admit.RefusedError
+	if errors.As(err, &refused) && refused.RetryAfter > 0 {
+		return strconv.Itoa(int(refused.RetryAfter / time.Second))
+	}
+	return retryAfterSeconds
+}
+
 func writeFailure(w http.ResponseWriter, status int, v verdict.Verdict, err error) {
 	w.Header().Set(verdict.Header, v.String())
 	http.Error(w, err.Error(), status)
