--- a/node.go
+++ b/node.go
@@ -19,6 +19,7 @@
 	"quetzalknot/process/eventlog"
 	"quetzalknot/process/metrics"
 	"quetzalknot/process/settings"
+	"quetzalknot/process/share"
 	"quetzalknot/process/slots"
 	"quetzalknot/request/forward"
 	"quetzalknot/request/route"
@@ -59,6 +60,7 @@
 	addrs   Addrs
 	cancel  context.CancelFunc
 	loops   sync.WaitGroup
+	shares  *share.View
 }
 
 // Addrs are the addresses that a started node listens on.
@@ -112,6 +114,7 @@
 	}
 	n.startVersions(ctx)
 	n.startLookups(ctx)
+	n.loops.Go(func() { n.shareLoop(ctx) })
 	evStarted.Log(n.log).Str("api", n.addrs.API).Str("forward", n.addrs.Forward).Str("peer", n.addrs.Peer).Send()
 	return nil
 }
--- a/process/share/share.go
+++ b/process/share/share.go
@@ -35,9 +35,8 @@
 
 // View is one host's view of all hosts. It is safe for concurrent use.
 type View struct {
+	mu   sync.Mutex
 	self string
-
-	mu sync.Mutex
 	// at is when the newest list was read.
 	at time.Time
 	// listedSince is when this host began to be in every list.
@@ -48,12 +47,13 @@
 }
 
 // NewView returns the view of a host that has read no list yet.
-func NewView(self string) *View { return &View{self: self, lastSeen: make(map[Host]time.Time)} }
+func NewView() *View { return &View{lastSeen: make(map[Host]time.Time)} }
 
-// Observe takes in a list of live hosts that was read at now.
-func (v *View) Observe(now time.Time, live []Host) {
+// Observe takes in a list of live hosts that was read at now by the host self.
+func (v *View) Observe(now time.Time, self string, live []Host) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.self = self
 	if v.at.IsZero() || now.Sub(v.at) > ViewTerm {
 		v.listedSince = time.Time{}
 	}
--- a/process/share/share_test.go
+++ b/process/share/share_test.go
@@ -10,10 +10,9 @@
 
 // fakeHost is a process that reads the list now and then.
 type fakeHost struct {
-	name   string
-	view   *View
-	listed time.Time
-	alive  bool
+	name  string
+	view  *View
+	alive bool
 }
 
 // TestPartsNeverOverlap starts, pauses and stops hosts in any order. Hosts read the
@@ -30,7 +29,7 @@
 			switch rapid.IntRange(0, 9).Draw(t, "step") {
 			case 0:
 				name := fmt.Sprint("h", len(hosts))
-				hosts = append(hosts, &fakeHost{name: name, view: NewView(name), alive: true})
+				hosts = append(hosts, &fakeHost{name: name, view: NewView(), alive: true})
 			case 1:
 				if len(hosts) > 0 {
 					h := rapid.SampledFrom(hosts).Draw(t, "pause")
@@ -67,7 +66,7 @@
 				live = append(live, host)
 			}
 		}
-		h.view.Observe(now, live)
+		h.view.Observe(now, h.name, live)
 	}
 }
 
@@ -76,13 +75,13 @@
 	live := []Host{{"a", "x"}, {"b", "x"}, {"c", "y"}}
 	owned := 0
 	for _, h := range live {
-		v := NewView(h.Name)
-		v.Observe(now, live)
+		v := NewView()
+		v.Observe(now, h.Name, live)
 		if v.Usable(now.Add(ViewTerm)) {
 			t.Fatal("a host that was just listed uses its part")
 		}
-		v.Observe(now.Add(ViewTerm), live)
-		v.Observe(now.Add(Handover), live)
+		v.Observe(now.Add(ViewTerm), h.Name, live)
+		v.Observe(now.Add(Handover), h.Name, live)
 		if !v.Usable(now.Add(Handover)) || v.Usable(now.Add(Handover+ViewTerm+1)) {
 			t.Fatal("a part is usable from the handover on while the list is fresh")
 		}
--- a/request/admit/admit.go
+++ b/request/admit/admit.go
@@ -31,20 +31,32 @@
 	Changed(service string) <-chan struct{}
 }
 
+// Option changes an Admitter.
+type Option func(*Admitter)
+
+// WithRegions lets assign set the region of each request before its first attempt.
+func WithRegions(assign func(info *request.Info, snap *state.Snapshot)) Option {
+	return func(a *Admitter) { a.assign = assign }
+}
+
 // Admitter admits requests to targets. It is safe for concurrent use.
 type Admitter struct {
 	chooser Chooser
 	times   *latency.Tracker
 	log     zerolog.Logger
 	counts  counters
+	assign  func(info *request.Info, snap *state.Snapshot)
 
 	mu     sync.Mutex
 	queues map[string]*queue
 }
 
 // New returns an Admitter without waiting requests. It adds its figures to m.
-func New(chooser Chooser, times *latency.Tracker, m *metrics.Set, log zerolog.Logger) *Admitter {
+func New(chooser Chooser, times *latency.Tracker, m *metrics.Set, log zerolog.Logger, options ...Option) *Admitter {
 	a := &Admitter{chooser: chooser, times: times, log: log, counts: newCounters(m), queues: make(map[string]*queue)}
+	for _, option := range options {
+		option(a)
+	}
 	m.Gauge("admission.waiting_requests", a.waiting)
 	return a
 }
@@ -52,6 +64,13 @@
 // RunTimes returns the run times that the deadlines are checked with.
 func (a *Admitter) RunTimes() *latency.Tracker { return a.times }
 
+// Begin prepares a request before its first attempt.
+func (a *Admitter) Begin(info *request.Info, snap *state.Snapshot) {
+	if a.assign != nil {
+		a.assign(info, snap)
+	}
+}
+
 // Acquire waits until a target has room and returns it with a slot held. It ends
 // early when the request can no longer make its deadline, when ctx ends and when
 // the queue overflows; the error is then a RefusedError with the verdict not-run.
--- a/request/admit/dispatch.go
+++ b/request/admit/dispatch.go
@@ -1,10 +1,8 @@
 package admit
 
 import (
-	"sync"
 	"time"
 
-	"quetzalknot/process/health"
 	"quetzalknot/request/route"
 )
 
@@ -142,21 +140,9 @@
 	}
 	q.shortGrants = 0
 	q.longInFlight++
-	return onDone(choice, func() {
+	return choice.OnDone(func() {
 		q.mu.Lock()
 		defer q.mu.Unlock()
 		q.longInFlight--
 	})
 }
-
-// onDone returns a choice that calls f once before its slot is given back.
-func onDone(choice route.Choice, f func()) route.Choice {
-	done := choice.Done
-	once := sync.OnceFunc(f)
-	choice.Done = func(o health.Outcome) {
-		once()
-		done(o)
-	}
-	choice.Release = func() { choice.Done(health.Outcome{Cancelled: true}) }
-	return choice
-}
--- a/request/forward/attempts.go
+++ b/request/forward/attempts.go
@@ -48,6 +48,7 @@
 func (h *Handler) forward(ctx context.Context, w http.ResponseWriter, r *http.Request, info *request.Info, snap *state.Snapshot) verdict.Verdict {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	h.admit.Begin(info, snap)
 	h.extra.retry.Begin(info)
 	h.extra.hedge.Begin(info)
 	s := &series{Handler: h, r: r, info: info, snap: snap}
--- a/request/forward/hedged.go
+++ b/request/forward/hedged.go
@@ -80,17 +80,16 @@
 // watch makes a cancelled attempt tell how long its target took at least, so that
 // hedging does not hide slow targets.
 func (s *series) watch(r *racer, choice route.Choice) route.Choice {
-	done, start := choice.Done, time.Now()
-	choice.Done = func(o health.Outcome) {
-		if r.lost.Load() {
-			now := time.Now()
-			o = health.Outcome{Verdict: o.Verdict, RunTime: max(o.RunTime, now.Sub(start))}
-			s.extra.times.Observe(s.info, o.RunTime, now)
+	start := time.Now()
+	return choice.WithOutcome(func(o health.Outcome) health.Outcome {
+		if !r.lost.Load() {
+			return o
 		}
-		done(o)
-	}
-	choice.Release = func() { choice.Done(health.Outcome{Cancelled: true}) }
-	return choice
+		now := time.Now()
+		ran := max(o.RunTime, now.Sub(start))
+		s.extra.times.Observe(s.info, ran, now)
+		return health.Outcome{Verdict: o.Verdict, RunTime: ran}
+	})
 }
 
 // settle waits for the first answer and cancels the other attempt. When both
--- a/request/request.go
+++ b/request/request.go
@@ -41,6 +41,8 @@
 	Idempotent bool
 	// Region limits the request to targets of one region; empty means all.
 	Region string
+	// HomeRegion serves the request when no traffic shift moves it.
+	HomeRegion string
 }
 
 // FieldError reports a bad header of a request.
