--- a/node.go
+++ b/node.go
@@ -17,6 +17,7 @@
 	"quetzalknot/connection/target"
 	"quetzalknot/platform"
 	"quetzalknot/process/eventlog"
+	"quetzalknot/process/link"
 	"quetzalknot/process/metrics"
 	"quetzalknot/process/settings"
 	"quetzalknot/process/share"
@@ -61,6 +62,7 @@
 	cancel  context.CancelFunc
 	loops   sync.WaitGroup
 	shares  *share.View
+	links   *link.Links
 }
 
 // Addrs are the addresses that a started node listens on.
@@ -90,8 +92,8 @@
 	log := eventlog.New(recent, s.Host.Name)
 	n := &Node{
 		settings: s, platform: p, log: log, recent: recent, metrics: metrics.NewSet(),
-		pool: target.NewPool(target.Dial(opts.Dial)),
 	}
+	n.setUpLinks(opts)
 	n.setUpVersions(opts)
 	n.setUpLookups(n.clients)
 	router := route.NewRouter(slots.NewLocal(), n.metrics, log)
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -22,6 +22,7 @@
 	Topology Topology `toml:"topology"`
 	Peer     Peer     `toml:"peer"`
 	Lookup   Lookup   `toml:"lookup"`
+	Links    Links    `toml:"links"`
 }
 
 // Host says which host this is and where it stands.
@@ -78,7 +79,7 @@
 
 // sections lists the tables in the order in which they are checked.
 func (s *Settings) sections() []section {
-	return []section{&s.Host, &s.Listen, &s.Roles, &s.Platform, &s.Topology, &s.Peer, &s.Lookup}
+	return []section{&s.Host, &s.Listen, &s.Roles, &s.Platform, &s.Topology, &s.Peer, &s.Lookup, &s.Links}
 }
 
 // Load reads and checks a settings file. A bad file gives an *Error.
--- a/process/share/share.go
+++ b/process/share/share.go
@@ -109,6 +109,13 @@
 	return max(1, n)
 }
 
+// Hosts returns how many hosts are counted.
+func (v *View) Hosts() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return len(v.lastSeen)
+}
+
 // Generation changes whenever the counted hosts do.
 func (v *View) Generation() uint64 {
 	v.mu.Lock()
--- a/request/steer/spill.go
+++ b/request/steer/spill.go
@@ -47,7 +47,8 @@
 	}
 	allowed := s.regionsOf(info.Service, snap)
 	for _, region := range allowed.ranked(info.Service.Name + "@" + blockOf(info.Client)) {
-		if region == info.Region || region == info.HomeRegion {
+		far := region != s.opts.Region
+		if region == info.Region || region == info.HomeRegion || far && !s.opts.LinkRoom(region) {
 			continue
 		}
 		key := loan{service: info.Service.Name, region: region}
--- a/request/steer/steer.go
+++ b/request/steer/steer.go
@@ -55,6 +55,8 @@
 	Home func(netip.Addr) string
 	// Fresh reports whether this host knows the newest tickets.
 	Fresh func() bool
+	// LinkRoom reports whether the link to a region has room for more requests.
+	LinkRoom func(region string) bool
 	// View tells this host's part of what regions lend.
 	View    *share.View
 	Metrics *metrics.Set
@@ -97,13 +99,23 @@
 	block := blockOf(info.Client)
 	info.HomeRegion = allowed.home(s.homeOf(info), service, block)
 	d := s.mover.Decide(shift.Question{
-		Shifts: allowed.shifts, Region: info.HomeRegion, Now: time.Now(), Fresh: s.opts.Fresh(),
+		Shifts: s.open(allowed.shifts), Region: info.HomeRegion, Now: time.Now(), Fresh: s.opts.Fresh(),
 		Block: xxhash.Sum64String(service + "@" + block),
 	})
 	info.Region = d.Region
 	s.log(info, d, block)
 }
 
+// open returns the shifts whose link has room. A shift that is left out counts no
+// requests either, so that its cap holds.
+func (s *Steerer) open(shifts []*config.Shift) []*config.Shift {
+	full := func(sh *config.Shift) bool { return sh.To != s.opts.Region && !s.opts.LinkRoom(sh.To) }
+	if !slices.ContainsFunc(shifts, full) {
+		return shifts
+	}
+	return slices.DeleteFunc(slices.Clone(shifts), full)
+}
+
 // takeIn drops what was worked out for an earlier configuration version.
 func (s *Steerer) takeIn(snap *state.Snapshot) {
 	if s.seen.Swap(snap) == snap {
--- a/request/steer/steer_test.go
+++ b/request/steer/steer_test.go
@@ -66,7 +66,7 @@
 		}
 		steerers = append(steerers, New(Options{
 			Next: next, Region: live[i].Region, Home: func(netip.Addr) string { return "" }, Fresh: func() bool { return true },
-			View: view, Metrics: metrics.NewSet(), Log: zerolog.New(io.Discard),
+			LinkRoom: func(string) bool { return true }, View: view, Metrics: metrics.NewSet(), Log: zerolog.New(io.Discard),
 		}))
 	}
 	return steerers
@@ -163,6 +163,18 @@
 	}
 }
 
+func TestFullLinkStopsSpillAndShift(t *testing.T) {
+	svc, snap := newService(0.25)
+	snap.Shifts = map[string][]*config.Shift{svc.Name: {
+		{Name: "s", Service: svc.Name, From: "sudvestur", To: "nordur", Share: 1, Cap: 1},
+	}}
+	s := newSteerers(1, &regionChooser{free: map[string]int{"nordur": 24, "austur": 24}}, true)[0]
+	s.opts.LinkRoom = func(string) bool { return false }
+	if _, info, err := attempt(s, svc, snap, 1, false); err == nil || info.Region != "sudvestur" {
+		t.Fatalf("region = %s, error = %v over a full link", info.Region, err)
+	}
+}
+
 func TestServiceWithoutPlacementHasNoRegions(t *testing.T) {
 	svc, snap := newService(0)
 	snap.Placements = nil
