--- a/request/budget/budget.go
+++ b/request/budget/budget.go
@@ -3,19 +3,23 @@
 
 import "sync"
 
-// Burst is how many extra attempts a service may have beyond its share. With it,
-// attempts never exceed (1 + share) * requests + Burst.
+// Burst is how many extra attempts a service may save up. Attempts never exceed
+// (1 + share) * requests plus the extra attempts that a bucket starts with.
 const Burst = 10
 
 // Budget is a set of token buckets that fill with requests, not with time, so that
 // no extra attempts follow when no requests come. It is safe for concurrent use.
 type Budget struct {
+	start float64
+
 	mu     sync.Mutex
 	tokens map[string]float64
 }
 
-// New returns a Budget with full buckets.
-func New() *Budget { return &Budget{tokens: make(map[string]float64)} }
+// New returns a Budget whose buckets start with this many extra attempts, at most Burst.
+func New(start float64) *Budget {
+	return &Budget{start: min(Burst, start), tokens: make(map[string]float64)}
+}
 
 // Earn notes one first attempt, which earns share of an extra one.
 func (b *Budget) Earn(service string, share float64) {
@@ -47,5 +51,5 @@
 	if left, ok := b.tokens[service]; ok {
 		return left
 	}
-	return Burst
+	return b.start
 }
--- a/request/forward/hedged.go
+++ b/request/forward/hedged.go
@@ -77,18 +77,15 @@
 	return r
 }
 
-// watch makes a cancelled attempt tell how long its target took at least, so that
-// hedging does not hide slow targets.
+// watch makes an attempt that was cancelled in favour of the other count against
+// its target, so that hedging does not hide slow targets. How long the target would
+// have taken is not known, and a bound from below would pass for its run time.
 func (s *series) watch(r *racer, choice route.Choice) route.Choice {
-	start := time.Now()
 	return choice.WithOutcome(func(o health.Outcome) health.Outcome {
 		if !r.lost.Load() {
 			return o
 		}
-		now := time.Now()
-		ran := max(o.RunTime, now.Sub(start))
-		s.extra.times.Observe(s.info, ran, now)
-		return health.Outcome{Verdict: o.Verdict, RunTime: ran}
+		return health.Outcome{Verdict: o.Verdict, Failed: true}
 	})
 }
 
--- a/request/hedge/hedge.go
+++ b/request/hedge/hedge.go
@@ -25,7 +25,8 @@
 const (
 	// tailQuantile is the share of requests that are never hedged when all targets
 	// are alike.
-	tailQuantile = 0.95
+	tailQuantile   = 0.95
+	medianQuantile = 0.5
 	// medianFactor times the median is a late enough hedge when many targets are
 	// slow and the tail quantile is itself a slow one.
 	medianFactor = 3
@@ -44,10 +45,10 @@
 	skipped *expvar.Int
 }
 
-// New returns a Hedger with full budgets. It adds its figures to m.
+// New returns a Hedger with empty budgets. It adds its figures to m.
 func New(times *latency.Tracker, m *metrics.Set, log zerolog.Logger) *Hedger {
 	return &Hedger{
-		budget: budget.New(), times: times, log: log,
+		budget: budget.New(0), times: times, log: log,
 		sent: m.Counter("hedge.sent_attempts"), won: m.Counter("hedge.won_attempts"),
 		skipped: m.Counter("hedge.skipped_attempts"),
 	}
@@ -73,13 +74,10 @@
 	if !ok {
 		return 0, false
 	}
-	median, _ := h.times.Quantile(info, expectedMedian)
+	median, _ := h.times.Quantile(info, medianQuantile)
 	return max(minDelay, min(tail, medianFactor*median)), true
 }
 
-// expectedMedian is the quantile that stands for the usual run time.
-const expectedMedian = 0.5
-
 // Take spends one hedge. It returns false when the budget is used up.
 func (h *Hedger) Take(info *request.Info) bool {
 	if h.budget.Take(info.Service.Name) {
--- a/request/retry/retry.go
+++ b/request/retry/retry.go
@@ -68,7 +68,7 @@
 // New returns a Retrier with full budgets. It adds its figures to m.
 func New(times *latency.Tracker, m *metrics.Set, log zerolog.Logger) *Retrier {
 	return &Retrier{
-		budget: budget.New(), times: times, log: log,
+		budget: budget.New(budget.Burst), times: times, log: log,
 		retried: m.Counter("retry.retried_attempts"), starved: m.Counter("retry.refused_by_budget_attempts"),
 	}
 }
--- a/tools/lab/experiment/file.go
+++ b/tools/lab/experiment/file.go
@@ -46,6 +46,8 @@
 	Judged string  `toml:"judged"`
 	Bound  float64 `toml:"bound"`
 	Faults []Fault `toml:"fault"`
+	// HedgeShare bounds hedged attempts as a share of first ones; 0 means the default.
+	HedgeShare float64 `toml:"hedge_share"`
 }
 
 // Fault is something that goes wrong during a segment.
--- a/tools/lab/experiment/run.go
+++ b/tools/lab/experiment/run.go
@@ -92,6 +92,9 @@
 	if err != nil {
 		return nil, err
 	}
+	for i := range deployment.Services {
+		deployment.Services[i].HedgeShare = v.HedgeShare
+	}
 	fl, err := fleet.Start(ctx, deployment, policy, logs)
 	if err != nil {
 		return nil, err
--- a/tools/lab/fleet/deployment.go
+++ b/tools/lab/fleet/deployment.go
@@ -39,6 +39,8 @@
 	Targets int
 	Slots   int
 	Classes []config.Class
+	// HedgeShare bounds hedged attempts as a share of first ones; 0 means the default.
+	HedgeShare float64
 }
 
 const (
--- a/tools/lab/fleet/fleet.go
+++ b/tools/lab/fleet/fleet.go
@@ -109,7 +109,7 @@
 
 func (f *Fleet) startTargets(spec Service, policy string) error {
 	svc := &config.Service{
-		Name: spec.Name, Policy: policy, Classes: spec.Classes,
+		Name: spec.Name, Policy: policy, Classes: spec.Classes, HedgeShare: spec.HedgeShare,
 		Shed: config.ShedForm{Status: http.StatusServiceUnavailable, Header: targetd.HeaderShed},
 	}
 	for i := range spec.Targets {
