--- a/request/forward/attempts.go
+++ b/request/forward/attempts.go
@@ -57,7 +57,7 @@
 		if err != nil {
 			return s.fail(w, http.StatusServiceUnavailable, err)
 		}
-		answer, err := s.attempt(ctx, choice)
+		answer, err := s.tryTarget(ctx, choice)
 		if err == nil {
 			return answer.copyTo(w)
 		}
@@ -67,19 +67,19 @@
 	}
 }
 
-// attempt sends the request once, or twice where it is hedged.
-func (s *series) attempt(ctx context.Context, choice route.Choice) (*answer, error) {
+// tryTarget sends the request once, or twice where it is hedged.
+func (s *series) tryTarget(ctx context.Context, choice route.Choice) (*answer, error) {
 	s.tried = append(s.tried, choice.Target.Name)
 	if s.r.Body == nil || s.r.Body == http.NoBody {
 		if delay, ok := s.extra.hedge.Delay(s.info); ok {
 			return s.hedged(ctx, choice, delay)
 		}
 	}
-	return s.send(ctx, choice)
+	return s.timed(ctx, choice)
 }
 
-// send exchanges the request with one target and notes its run time.
-func (s *series) send(ctx context.Context, choice route.Choice) (*answer, error) {
+// timed exchanges the request with one target and notes its run time.
+func (s *series) timed(ctx context.Context, choice route.Choice) (*answer, error) {
 	start := time.Now()
 	answer, err := s.exchange(ctx, s.r, s.info, choice)
 	if err == nil {
--- a/request/forward/hedged.go
+++ b/request/forward/hedged.go
@@ -71,7 +71,7 @@
 	r := &racer{target: choice.Target.Name, second: second, cancel: cancel}
 	choice = s.watch(r, choice)
 	go func() {
-		answer, err := s.send(ctx, choice)
+		answer, err := s.timed(ctx, choice)
 		finishes <- finish{racer: r, answer: answer, err: err}
 	}()
 	return r
