--- a/request/admit/refusal.go
+++ b/request/admit/refusal.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"quetzalknot/process/eventlog"
@@ -56,6 +57,16 @@
 	return "service " + e.Service + ", class " + e.Class + ": " + string(e.Reason)
 }
 
+// RetryAfterOf returns when a caller should come back after a request that was not
+// run, in whole seconds; 0 when a new try cannot help.
+func RetryAfterOf(err error) time.Duration {
+	var refused *RefusedError
+	if errors.As(err, &refused) {
+		return refused.RetryAfter
+	}
+	return retryAfter(false, rand.Int64N)
+}
+
 // retryAfter draws when a refused caller should come back. Long work stays away longer.
 func retryAfter(long bool, draw func(n int64) int64) time.Duration {
 	limit := retryAfterShort
--- a/request/forward/attempts.go
+++ b/request/forward/attempts.go
@@ -6,7 +6,6 @@
 	"strconv"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"quetzalknot/process/metrics"
@@ -116,9 +115,8 @@
 	if s.mayHaveRun {
 		v = verdict.MayHaveRun
 	}
-	var refused *admit.RefusedError
-	if v == verdict.NotRun && errors.As(err, &refused) && refused.RetryAfter > 0 {
-		w.Header().Set("Retry-After", strconv.Itoa(int(refused.RetryAfter/time.Second)))
+	if after := admit.RetryAfterOf(err); v == verdict.NotRun && after > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(after/time.Second)))
 	}
 	w.Header().Set(verdict.Header, v.String())
 	http.Error(w, err.Error(), status)
