--- a/node.go
+++ b/node.go
@@ -17,8 +17,10 @@
 	"quetzalknot/connection/target"
 	"quetzalknot/platform"
 	"quetzalknot/process/eventlog"
+	"quetzalknot/process/link"
 	"quetzalknot/process/metrics"
 	"quetzalknot/process/settings"
+	"quetzalknot/process/share"
 	"quetzalknot/process/slots"
 	"quetzalknot/request/forward"
 	"quetzalknot/request/route"
@@ -61,6 +63,8 @@
 	addrs   Addrs
 	cancel  context.CancelFunc
 	loops   sync.WaitGroup
+	shares  *share.View
+	links   *link.Links
 }
 
 // Addrs are the addresses that a started node listens on.
@@ -90,8 +94,8 @@
 	log := eventlog.New(recent, s.Host.Name)
 	n := &Node{
 		settings: s, platform: p, log: log, recent: recent, metrics: metrics.NewSet(),
-		pool: target.NewPool(target.Dial(opts.Dial)),
 	}
+	n.setUpLinks(opts)
 	n.setUpVersions(opts)
 	n.setUpSites(opts.Dial)
 	n.setUpLookups(n.clients)
@@ -117,6 +121,7 @@
 	n.startSites(ctx)
 	n.startLookups(ctx)
 	n.startExchange(ctx)
+	n.loops.Go(func() { n.shareLoop(ctx) })
 	evStarted.Log(n.log).Str("api", n.addrs.API).Str("forward", n.addrs.Forward).Str("peer", n.addrs.Peer).Send()
 	return nil
 }
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -25,6 +25,7 @@
 	Stop     Stop     `toml:"stop"`
 	Peer     Peer     `toml:"peer"`
 	Lookup   Lookup   `toml:"lookup"`
+	Links    Links    `toml:"links"`
 }
 
 // Host says which host this is and where it stands.
@@ -83,7 +84,7 @@
 func (s *Settings) sections() []section {
 	return []section{
 		&s.Host, &s.Listen, &s.Roles, &s.Platform, &s.Topology, &s.Peer,
-		&s.Limits, &s.Claims, &s.Stop, &s.Lookup,
+		&s.Limits, &s.Claims, &s.Stop, &s.Lookup, &s.Links,
 	}
 }
 
--- a/request/forward/hedged.go
+++ b/request/forward/hedged.go
@@ -71,26 +71,22 @@
 	r := &racer{target: choice.Target.Name, second: second, cancel: cancel}
 	choice = s.watch(r, choice)
 	go func() {
-		answer, err := s.send(ctx, choice)
+		answer, err := s.timed(ctx, choice)
 		finishes <- finish{racer: r, answer: answer, err: err}
 	}()
 	return r
 }
 
-// watch makes a cancelled attempt tell how long its target took at least, so that
-// hedging does not hide slow targets.
+// watch makes an attempt that was cancelled in favour of the other count against
+// its target, so that hedging does not hide slow targets. How long the target would
+// have taken is not known, and a bound from below would pass for its run time.
 func (s *series) watch(r *racer, choice route.Choice) route.Choice {
-	done, start := choice.Done, time.Now()
-	choice.Done = func(o health.Outcome) {
-		if r.lost.Load() {
-			now := time.Now()
-			o = health.Outcome{Verdict: o.Verdict, RunTime: max(o.RunTime, now.Sub(start))}
-			s.extra.times.Observe(s.info, o.RunTime, now)
+	return choice.WithOutcome(func(o health.Outcome) health.Outcome {
+		if !r.lost.Load() {
+			return o
 		}
-		done(o)
-	}
-	choice.Release = func() { choice.Done(health.Outcome{Cancelled: true}) }
-	return choice
+		return health.Outcome{Verdict: o.Verdict, Failed: true}
+	})
 }
 
 // settle waits for the first answer and cancels the other attempt. When both
--- a/request/forward/status.go
+++ b/request/forward/status.go
@@ -35,9 +35,8 @@
 
 // retryAfter returns the seconds after which a refused request may be sent again.
 func retryAfter(err error) string {
-	var refused *admit.RefusedError
-	if errors.As(err, &refused) && refused.RetryAfter > 0 {
-		return strconv.Itoa(int(refused.RetryAfter / time.Second))
+	if after := admit.RetryAfterOf(err); after > 0 {
+		return strconv.Itoa(int(after / time.Second))
 	}
 	return retryAfterSeconds
 }
--- a/request/request.go
+++ b/request/request.go
@@ -41,6 +41,8 @@
 	Idempotent bool
 	// Region limits the request to targets of one region; empty means all.
 	Region string
+	// HomeRegion serves the request when no traffic shift moves it.
+	HomeRegion string
 	// Fingerprint tells whether two requests are the same one sent twice.
 	Fingerprint uint64
 }
