--- a/request/forward/forward.go
+++ b/request/forward/forward.go
@@ -219,8 +219,8 @@
 	evDone.Log(h.log).Str("request", info.ID).Str("service", info.Service.Name).Stringer("verdict", v).
 		Int("status", w.Status()).Int64("bytes", w.Bytes()).Int64("took_us", took.Microseconds()).Send()
 	h.counts.of(v).Add(1)
-	if h.opts.Recorder == nil {
-		return
+	if h.opts.Recorder == nil || r.Header.Get(headerPassedBy) != "" {
+		return // the host that passed the request on records it
 	}
 	h.opts.Recorder.Add(trace.Entry{
 		At: started, Service: info.Service.Name, Method: r.Method, Path: r.URL.RequestURI(), Key: info.Key,
--- a/tools/lab/fleet/fleet.go
+++ b/tools/lab/fleet/fleet.go
@@ -110,7 +110,8 @@
 func (f *Fleet) startTargets(spec Service, policy string) error {
 	svc := &config.Service{
 		Name: spec.Name, Policy: policy, Classes: spec.Classes,
-		Shed: config.ShedForm{Status: http.StatusServiceUnavailable, Header: targetd.HeaderShed},
+		EchoRequestID: true,
+		Shed:          config.ShedForm{Status: http.StatusServiceUnavailable, Header: targetd.HeaderShed},
 	}
 	for i := range spec.Targets {
 		name, at := targetName(spec.Name, i), f.Deployment.placeOf(i)
--- a/tools/lab/load/kind.go
+++ b/tools/lab/load/kind.go
@@ -6,6 +6,7 @@
 package load
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"net/http"
@@ -50,6 +51,17 @@
 	// region is where the caller stands; client is its address within the block.
 	region int
 	client int
+	// fixedID and fixedKey are set for planned requests.
+	fixedID  string
+	fixedKey string
+}
+
+// id returns the request id in a run.
+func (s *shot) id(runID string) string {
+	if s.fixedID != "" {
+		return s.fixedID
+	}
+	return fmt.Sprintf("%s-%s-%d", runID, s.kind.Name, s.seq)
 }
 
 // clientsPerRegion is how many caller addresses each region has.
--- /dev/null
+++ b/tools/lab/load/planned.go
@@ -0,0 +1,40 @@
+package load
+
+import "time"
+
+// Planned is one request at a fixed moment.
+type Planned struct {
+	// Kind's name groups the results.
+	Kind Kind
+	At   time.Duration
+	// RunMS is the run time that the request asks for, in milliseconds.
+	RunMS float64
+	// Region is an index into Options.Regions, Client a number within the region's block.
+	Region int
+	Client int
+	// ID is the request id. Requests with the same ID and Key are one request sent again.
+	ID  string
+	Key string
+}
+
+// Plan draws the requests of kinds as Run would.
+func Plan(kinds []Kind, regions []string, seed uint64, duration time.Duration, runID string) []Planned {
+	var planned []Planned
+	for i := range kinds {
+		for _, s := range schedule(&kinds[i], regions, seed, duration) {
+			p := Planned{Kind: kinds[i], At: s.at, RunMS: s.runMS, Region: s.region, Client: s.client, ID: s.id(runID)}
+			if kinds[i].Keyed {
+				p.Key = "key-" + p.ID
+			}
+			planned = append(planned, p)
+		}
+	}
+	return planned
+}
+
+// shotOf returns the scheduled form of a planned request.
+func shotOf(p *Planned) shot {
+	return shot{
+		kind: &p.Kind, at: p.At, runMS: p.RunMS, region: p.Region, client: p.Client, fixedID: p.ID, fixedKey: p.Key,
+	}
+}
--- a/tools/lab/load/run.go
+++ b/tools/lab/load/run.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
 	"net/netip"
@@ -37,6 +36,8 @@
 // Options describe one run.
 type Options struct {
 	Kinds []Kind
+	// Planned replaces the requests drawn from the kinds; each must be of one of them.
+	Planned []Planned
 	// Regions are the names of the callers' regions; Blocks are their client blocks.
 	Regions []string
 	Blocks  []string
@@ -78,8 +79,14 @@
 	for i := range opts.Kinds {
 		k := &opts.Kinds[i]
 		t.results[k.Name] = newResult(k.Name)
+		if opts.Planned != nil {
+			continue
+		}
 		shots = append(shots, schedule(k, opts.Regions, opts.Seed, opts.Duration)...)
 	}
+	for i := range opts.Planned {
+		shots = append(shots, shotOf(&opts.Planned[i]))
+	}
 	slices.SortFunc(shots, func(a, b shot) int { return int(a.at - b.at) })
 	r := &runner{opts: opts, blocks: blocks, tally: t, start: time.Now()}
 	var open sync.WaitGroup
@@ -113,8 +120,8 @@
 }
 
 func (r *runner) fire(ctx context.Context, s *shot) {
-	o := outcome{shot: s, id: fmt.Sprintf("%s-%s-%d", r.opts.RunID, s.kind.Name, s.seq)}
-	if s.kind.Keyed {
+	o := outcome{shot: s, id: s.id(r.opts.RunID), key: s.fixedKey}
+	if s.kind.Keyed && o.key == "" {
 		o.key = "key-" + o.id
 	}
 	ctx, cancel := context.WithTimeout(ctx, patience+time.Duration(s.kind.TimeoutMS)*time.Millisecond)
--- /dev/null
+++ b/tools/scenario/deploy_test.go
@@ -0,0 +1,319 @@
+package scenario
+
+import (
+	"context"
+	"io"
+	"math"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"quetzalknot/process/settings"
+	"quetzalknot/tools/lab/fleet"
+	"quetzalknot/tools/lab/load"
+	"quetzalknot/tools/standin/targetd"
+	"quetzalknot/version/ticket"
+)
+
+// world is the deployment of one script.
+type world struct {
+	fleet   *fleet.Fleet
+	running chan *load.Report
+	sender  *load.ClientSender
+	loads   int
+}
+
+type worldKey struct{}
+
+func worldOf(ts *testscript.TestScript) *world { return ts.Value(worldKey{}).(*world) }
+
+// cmdDeploy starts hosts and services in three regions: deploy HOSTS SERVICE:TARGETS:SLOTS...
+func cmdDeploy(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 2 {
+		ts.Fatalf("usage: deploy HOSTS SERVICE:TARGETS:SLOTS...")
+	}
+	d := fleet.Skiptidagur()
+	d.Hosts = number(ts, args[0])
+	d.Services = nil
+	d.OneWay = 5 * time.Millisecond
+	d.Adjust = func(s *settings.Settings) { s.Limits.StallMS = 3000 }
+	for _, arg := range args[1:] {
+		parts := strings.Split(arg, ":")
+		d.Services = append(d.Services, fleet.Service{Name: parts[0], Targets: number(ts, parts[1]), Slots: number(ts, parts[2])})
+	}
+	f, err := fleet.Start(context.Background(), d, "", io.Discard)
+	ts.Check(err)
+	ts.Defer(f.Close)
+	w := worldOf(ts)
+	w.fleet = f
+	w.sender = load.NewClientSender(f.APIAddrs(), 4)
+	ts.Defer(w.sender.Close)
+}
+
+func number(ts *testscript.TestScript, text string) int {
+	n, err := strconv.Atoi(text)
+	ts.Check(err)
+	return n
+}
+
+// cmdLoad sends load in the background: load DURATION SERVICE,METHOD,PATH,RATE[,name=value]...
+// with the names run (ms), body, answer (bytes) and keyed.
+func cmdLoad(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 2 {
+		ts.Fatalf("usage: load DURATION SERVICE,METHOD,PATH,RATE[,name=value]...")
+	}
+	w := worldOf(ts)
+	length, err := time.ParseDuration(args[0])
+	ts.Check(err)
+	var kinds []load.Kind
+	for i, arg := range args[1:] {
+		kinds = append(kinds, parseKind(ts, strconv.Itoa(i), arg))
+	}
+	w.loads++
+	regions, blocks := w.fleet.Deployment.Callers()
+	w.running = make(chan *load.Report, 1)
+	go func(done chan<- *load.Report, runID string) {
+		rep, _ := load.Run(context.Background(), load.Options{
+			Kinds: kinds, Regions: regions, Blocks: blocks, Seed: 3, Duration: length, RunID: runID, Sender: w.sender,
+		})
+		done <- rep
+	}(w.running, "load"+strconv.Itoa(w.loads))
+}
+
+func parseKind(ts *testscript.TestScript, name, text string) load.Kind {
+	parts := strings.Split(text, ",")
+	if len(parts) < 4 {
+		ts.Fatalf("load %q: give SERVICE,METHOD,PATH,RATE", text)
+	}
+	rate, err := strconv.ParseFloat(parts[3], 64)
+	ts.Check(err)
+	k := load.Kind{Name: parts[1] + parts[2] + name, Service: parts[0], Method: parts[1], Path: parts[2], RatePerSecond: rate, RunMS: 10}
+	for _, option := range parts[4:] {
+		key, value, _ := strings.Cut(option, "=")
+		switch key {
+		case "run":
+			k.RunMS = float64(number(ts, value))
+		case "body":
+			k.BodyBytes = number(ts, value)
+		case "answer":
+			k.AnswerBytes = number(ts, value)
+		case "keyed":
+			k.Keyed = true
+		default:
+			ts.Fatalf("load %q: unknown option %q", text, key)
+		}
+	}
+	return k
+}
+
+// cmdFault begins or ends a fault: fault on|off KIND [service=S] [share=F] [factor=F] [delay=MS] [region=R]
+// The kind no-measurements makes the targets' load reports hang.
+func cmdFault(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 2 || (args[0] != "on" && args[0] != "off") {
+		ts.Fatalf("usage: fault on|off KIND [name=value]...")
+	}
+	w, on := worldOf(ts), args[0] == "on"
+	ft := fleet.Fault{Kind: args[1]}
+	for _, arg := range args[2:] {
+		name, value, _ := strings.Cut(arg, "=")
+		f, _ := strconv.ParseFloat(value, 64)
+		switch name {
+		case "service":
+			ft.Service = value
+		case "share":
+			ft.Share = f
+		case "factor":
+			ft.Factor = f
+		case "delay":
+			ft.DelayMS = int(f)
+		case "region":
+			ft.Region = value
+		default:
+			ts.Fatalf("fault: unknown option %q", arg)
+		}
+	}
+	if ft.Kind == "no-measurements" {
+		hangLoadReports(w.fleet.Targets[ft.Service], on)
+		return
+	}
+	ts.Check(ft.Check())
+	ts.Check(w.fleet.Apply(context.Background(), ft, on))
+}
+
+func hangLoadReports(servers []*targetd.Server, on bool) {
+	for _, s := range servers {
+		faults := s.Faults()
+		faults.LoadLagMS = 0
+		if on {
+			faults.LoadLagMS = int(time.Hour / time.Millisecond)
+		}
+		s.SetFaults(faults)
+	}
+}
+
+// cmdHost acts on a host by its number from 1: host kill|stop|start|restart N
+func cmdHost(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 2 {
+		ts.Fatalf("usage: host kill|stop|start|restart N")
+	}
+	f, i := worldOf(ts).fleet, number(ts, args[1])-1
+	switch args[0] {
+	case "kill":
+		f.KillHost(i)
+	case "stop":
+		ts.Check(f.StopHost(context.Background(), i))
+	case "start":
+		ts.Check(f.StartHost(context.Background(), i))
+	case "restart":
+		ts.Check(f.StopHost(context.Background(), i))
+		ts.Check(f.StartHost(context.Background(), i))
+	default:
+		ts.Fatalf("host: unknown action %q", args[0])
+	}
+}
+
+// cmdTicket submits a ticket through a host: ticket FILE [HOST]. With ! it must be refused.
+func cmdTicket(ts *testscript.TestScript, neg bool, args []string) {
+	if len(args) < 1 {
+		ts.Fatalf("usage: ticket FILE [HOST]")
+	}
+	data, err := os.ReadFile(ts.MkAbs(args[0]))
+	ts.Check(err)
+	t, err := ticket.Parse(data, ticket.FormatTOML)
+	ts.Check(err)
+	hosts := worldOf(ts).fleet.Hosts()
+	at := 0
+	if len(args) > 1 {
+		at = number(ts, args[1]) - 1
+	}
+	_, err = hosts[at].Node.Submit(context.Background(), t)
+	ts.Logf("ticket %d: %v", t.Number, err)
+	if (err != nil) != neg {
+		ts.Fatalf("ticket %d: got %v, negated: %v", t.Number, err, neg)
+	}
+}
+
+// cmdPause waits: pause DURATION
+func cmdPause(ts *testscript.TestScript, _ bool, args []string) {
+	length, err := time.ParseDuration(args[0])
+	ts.Check(err)
+	time.Sleep(length)
+}
+
+// cmdExpect waits for the end of the load, prints the counts and compares them:
+// expect NAME=N NAME>=N NAME<=N ... No request may be lost, doubled, crossed, cut
+// or falsely told not-run in any case.
+func cmdExpect(ts *testscript.TestScript, neg bool, args []string) {
+	w := worldOf(ts)
+	if neg || w.running == nil {
+		ts.Fatalf("expect: no load was sent")
+	}
+	rep := <-w.running
+	w.running = nil
+	var targets []*targetd.Server
+	for _, servers := range w.fleet.Targets {
+		targets = append(targets, servers...)
+	}
+	rep.Reconcile(targets)
+	sum := load.Result{}
+	for i, r := range rep.Results {
+		if i == 0 {
+			sum = *r
+			continue
+		}
+		sum.Add(r)
+	}
+	counts := map[string]int{
+		"sent": sum.Sent, "ran": sum.Ran, "not-run": sum.NotRun, "may-have-run": sum.MayHaveRun, "lost": sum.Lost, "doubled": sum.Doubled,
+		"crossed": sum.Crossed, "cut": sum.Cut, "unanswered": sum.Unanswered, "false-not-run": sum.FalseNotRun,
+	}
+	ts.Logf("sent=%d ran=%d not-run=%d may-have-run=%d lost=%d doubled=%d crossed=%d cut=%d unanswered=%d false-not-run=%d",
+		sum.Sent, sum.Ran, sum.NotRun, sum.MayHaveRun, sum.Lost, sum.Doubled, sum.Crossed, sum.Cut, sum.Unanswered, sum.FalseNotRun)
+	for _, arg := range append(args, "lost=0", "doubled=0", "crossed=0", "cut=0", "false-not-run=0") {
+		if !holds(ts, counts, arg) {
+			ts.Fatalf("expect %s: got %v", arg, counts)
+		}
+	}
+}
+
+// holds compares one count. A number that ends in % is a share of what was sent.
+func holds(ts *testscript.TestScript, counts map[string]int, text string) bool {
+	at := strings.IndexAny(text, "=<>")
+	if at < 0 {
+		ts.Fatalf("expect %q: give NAME=N, NAME>=N or NAME<=N", text)
+	}
+	name, op := text[:at], strings.TrimRight(text[at:], "0123456789%")
+	got, known := counts[name]
+	if !known {
+		ts.Fatalf("expect: unknown count %q", name)
+	}
+	limit, percent := strings.CutSuffix(text[at+len(op):], "%")
+	want := number(ts, limit)
+	if percent {
+		want = int(math.Ceil(float64(want*counts["sent"]) / 100))
+	}
+	switch op {
+	case "=":
+		return got == want
+	case ">=":
+		return got >= want
+	case "<=":
+		return got <= want
+	}
+	ts.Fatalf("expect: unknown comparison %q", op)
+	return false
+}
+
+// cmdSend sends one request through each host in turn and compares the last answer:
+// send METHOD PATH TIMES STATUS VERDICT [Name:Value]...
+func cmdSend(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 5 {
+		ts.Fatalf("usage: send METHOD PATH TIMES STATUS VERDICT [Name:Value]...")
+	}
+	hosts := worldOf(ts).fleet.Hosts()
+	status, verdict := "", ""
+	for i := range number(ts, args[2]) {
+		addr := hosts[i%len(hosts)].Node.Addrs().Forward
+		req, err := http.NewRequest(args[0], "http://"+addr+args[1], strings.NewReader("body"))
+		ts.Check(err)
+		req.Host = "bokun"
+		for _, header := range args[5:] {
+			name, value, _ := strings.Cut(header, ":")
+			req.Header.Set(name, value)
+		}
+		resp, err := http.DefaultClient.Do(req)
+		ts.Check(err)
+		body, _ := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		status, verdict = strconv.Itoa(resp.StatusCode), resp.Header.Get("Quetzal-Verdict")
+		ts.Logf("host %d: %s %s %s", i%len(hosts)+1, status, verdict, body)
+	}
+	if status != args[3] || verdict != args[4] {
+		ts.Fatalf("got %s %s, want %s %s", status, verdict, args[3], args[4])
+	}
+}
+
+// cmdCrashes compares the number of crashes of all targets: crashes N
+func cmdCrashes(ts *testscript.TestScript, _ bool, args []string) {
+	n := 0
+	for _, servers := range worldOf(ts).fleet.Targets {
+		for _, s := range servers {
+			n += s.Record().Crashes
+		}
+	}
+	if n != number(ts, args[0]) {
+		ts.Fatalf("%d targets crashed, want %s", n, args[0])
+	}
+}
+
+// cmdSignal sends TERM, STOP or CONT to a background process by its position among
+// those that still run, from 1: signal TERM N
+func cmdSignal(ts *testscript.TestScript, _ bool, args []string) {
+	signals := map[string]os.Signal{"TERM": syscall.SIGTERM, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT}
+	ts.Check(ts.BackgroundCmds()[number(ts, args[1])-1].Process.Signal(signals[args[0]]))
+}
--- a/tools/scenario/scenario_test.go
+++ b/tools/scenario/scenario_test.go
@@ -29,6 +29,7 @@
 		Dir: "testdata",
 		Setup: func(env *testscript.Env) error {
 			pid := os.Getpid()
+			env.Values[worldKey{}] = &world{}
 			env.Setenv("NET", fmt.Sprintf("127.%d.%d", 1+scripts.Add(1), 1+pid%250))
 			return nil
 		},
@@ -36,6 +37,17 @@
 			"subst": cmdSubst,
 			"fetch": cmdFetch,
 
+			"deploy":  cmdDeploy,
+			"load":    cmdLoad,
+			"fault":   cmdFault,
+			"host":    cmdHost,
+			"ticket":  cmdTicket,
+			"pause":   cmdPause,
+			"send":    cmdSend,
+			"crashes": cmdCrashes,
+			"expect":  cmdExpect,
+			"signal":  cmdSignal,
+
 			"post":       cmdPost,
 			"eventually": cmdEventually,
 		},
--- a/tools/standin/targetd/requests.go
+++ b/tools/standin/targetd/requests.go
@@ -51,12 +51,13 @@
 
 func (s *Server) handleRequest(w http.ResponseWriter, r *http.Request) {
 	f := s.Faults()
+	id := r.Header.Get(headerRequestID)
+	w.Header().Set(headerRequestID, id)
 	if f.ShedAll || f.BareShed || f.Draining {
 		s.ledger.shed()
 		s.refuse(w, !f.BareShed)
 		return
 	}
-	id := r.Header.Get(headerRequestID)
 	long := r.Header.Get(HeaderLong) != ""
 	life, ok := s.ledger.begin(id, r.Header.Get(headerKey), s.opts.Slots, long)
 	if !ok {
