--- a/node_exchange.go
+++ b/node_exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -11,16 +12,19 @@
 	"quetzalknot/connection/caller"
 	"quetzalknot/process/drain"
 	"quetzalknot/process/eventlog"
-	"quetzalknot/process/membership"
 	"quetzalknot/process/quarantine"
 	"quetzalknot/request/admit"
 	"quetzalknot/request/claim"
 	"quetzalknot/request/forward"
 	"quetzalknot/request/trace"
+	"quetzalknot/version/lookup"
 )
 
 var evManyCallers = eventlog.Define(4006, zerolog.WarnLevel, "connection refused over the limit")
 
+// keyPeriods is how many periods there are in the time for which a key is known.
+const keyPeriods = 4
+
 // headerSlack is how much larger a header the server reads than the limit, so that
 // one over the limit gets an answer with a verdict.
 const headerSlack = 4
@@ -84,12 +88,21 @@
 	return l.Addr().String(), nil
 }
 
-// keyPrefix returns the beginning of the idempotency keys that a member runs.
-func keyPrefix(m membership.Member, now time.Time) string {
-	if m.Incarnation == 0 {
+// keyPrefix returns the beginning of the idempotency keys that an entry host's
+// process runs.
+func (n *Node) keyPrefix(h lookup.Host) string {
+	if h.Incarnation == 0 {
 		return ""
 	}
-	return claim.Prefix(claim.Owner{Host: m.Host, Incarnation: m.Incarnation}, now)
+	return claim.Prefix(claim.Owner{Host: h.Name, Incarnation: h.Incarnation}, time.Now())
+}
+
+// keyPeriod names the time in which a cached look-up answer may be used for new keys.
+// It changes a few times while a key is known, so that no caller makes keys that are
+// too old from the start.
+func (n *Node) keyPeriod() string {
+	length := max(1, int64(n.settings.Claims.Keep()/keyPeriods/time.Second))
+	return strconv.FormatInt(time.Now().Unix()/length, 36)
 }
 
 // ForwardAddr implements forward.Owners. It knows hosts that are about to stop too.
--- a/process/settings/limits.go
+++ b/process/settings/limits.go
@@ -12,7 +12,7 @@
 	defaultKeepKeysMS     = 3_600_000
 	defaultKeyCount       = 100_000
 	defaultAnswerBytes    = 32 << 20
-	defaultLookupWaitMS   = 2500
+	defaultLookupWaitMS   = 6000
 	defaultStopLimitMS    = 120_000
 )
 
@@ -84,7 +84,7 @@
 // Stop sets the times of a planned stop.
 type Stop struct {
 	// LookupWaitMS is how long in milliseconds requests are still taken after the
-	// host has left the look-ups. Default 2500.
+	// host has left the look-ups. Default 6000: the longest time for which a look-up answer may be cached, and a second.
 	LookupWaitMS int `toml:"lookup_wait_ms"`
 	// LimitMS is the time in milliseconds after which the requests still in flight are cut. Default 120000.
 	LimitMS int `toml:"limit_ms"`
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -24,6 +24,7 @@
 	Claims   Claims   `toml:"claims"`
 	Stop     Stop     `toml:"stop"`
 	Peer     Peer     `toml:"peer"`
+	Lookup   Lookup   `toml:"lookup"`
 }
 
 // Host says which host this is and where it stands.
@@ -82,7 +83,7 @@
 func (s *Settings) sections() []section {
 	return []section{
 		&s.Host, &s.Listen, &s.Roles, &s.Platform, &s.Topology, &s.Peer,
-		&s.Limits, &s.Claims, &s.Stop,
+		&s.Limits, &s.Claims, &s.Stop, &s.Lookup,
 	}
 }
 
--- a/request/request.go
+++ b/request/request.go
@@ -41,6 +41,8 @@
 	Idempotent bool
 	// Fingerprint tells whether two requests are the same one sent twice.
 	Fingerprint uint64
+	// Region limits the request to targets of one region; empty means all.
+	Region string
 }
 
 // AtMostOnce reports whether the request must not run twice under its key.
