--- /dev/null
+++ b/path_bench_test.go
@@ -0,0 +1,120 @@
+package quetzalknot_test
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"syscall"
+	"testing"
+	"time"
+
+	"quetzalknot/process/settings"
+)
+
+// path is one way from a caller to the target, with what its requests cost.
+type path struct {
+	addr   string
+	took   time.Duration
+	cpu    time.Duration
+	allocs uint64
+	heap   uint64
+}
+
+// BenchmarkPath sends requests directly to a target and through a host, in turns
+// within one run, and reports the cost of each and what the host adds.
+func BenchmarkPath(b *testing.B) {
+	for _, size := range []struct {
+		name  string
+		bytes int
+	}{{"small", 0}, {"upload10MB", 10 << 20}} {
+		b.Run(size.name, func(b *testing.B) { benchmarkPath(b, size.bytes) })
+	}
+}
+
+// turn is how many requests follow each other on one path.
+const turn = 20
+
+func benchmarkPath(b *testing.B, size int) {
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("Content-Length", "2")
+		_, _ = io.WriteString(w, "ok")
+	})
+	forwarded := &path{addr: startNode(b, handler, settings.Limits{})}
+	direct := &path{addr: startTarget(b, handler)}
+	client := &http.Client{Transport: &http.Transport{}}
+	body := make([]byte, size)
+	paths := []*path{direct, forwarded}
+	for _, p := range paths {
+		p.send(b, client, body)
+		*p = path{addr: p.addr}
+	}
+	requests := 0
+	for b.Loop() {
+		for _, p := range paths {
+			p.measure(func() {
+				for range turn {
+					p.send(b, client, body)
+				}
+			})
+		}
+		requests += turn
+	}
+	n := float64(requests)
+	micros := func(d time.Duration) float64 { return float64(d.Nanoseconds()) / 1000 / n }
+	b.ReportMetric(micros(direct.took), "direct-us")
+	b.ReportMetric(micros(forwarded.took), "forwarded-us")
+	b.ReportMetric(micros(forwarded.took-direct.took), "added-us")
+	b.ReportMetric(micros(forwarded.cpu-direct.cpu), "added-cpu-us")
+	b.ReportMetric(float64(forwarded.allocs-direct.allocs)/n, "added-allocs")
+	b.ReportMetric(float64(forwarded.heap-direct.heap)/n, "added-heap-B")
+}
+
+func startTarget(b *testing.B, handler http.Handler) string {
+	b.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	server := &http.Server{Handler: handler}
+	go func() { _ = server.Serve(l) }()
+	b.Cleanup(func() { _ = server.Close() })
+	return l.Addr().String()
+}
+
+func (p *path) send(b *testing.B, client *http.Client, body []byte) {
+	method, reader := "GET", io.Reader(nil)
+	if len(body) > 0 {
+		method, reader = "POST", bytes.NewReader(body)
+	}
+	resp, err := client.Do(newRequest(method, p.addr, "/slots", reader))
+	if err != nil {
+		b.Fatal(err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		b.Fatal(resp.Status)
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+}
+
+func (p *path) measure(run func()) {
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	cpu, start := processorTime(), time.Now()
+	run()
+	p.took += time.Since(start)
+	p.cpu += processorTime() - cpu
+	runtime.ReadMemStats(&after)
+	p.allocs += after.Mallocs - before.Mallocs
+	p.heap += after.TotalAlloc - before.TotalAlloc
+}
+
+// processorTime returns the processor time that the process has used.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
