An answer to a part of a request is never passed on

Change: an answer that comes after the request's body broke counts as may-have-run. Regression test: TestBreakPoints/target_answers_to_a_part_of_the_body. Scenarios can require that a leaving target gets no new work (idle).

--- a/connection/target/end.go
+++ b/connection/target/end.go
@@ -42,6 +42,9 @@
 func (b *answerBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	switch {
+	case err == io.EOF && b.x.body.broken():
+		b.err = ErrCallerBody
+		err = verdict.Wrap(verdict.MayHaveRun, "read answer body", b.x.cause(ErrCallerBody))
 	case err == io.EOF:
 		b.whole = true
 	case err != nil:
--- a/connection/target/exchange.go
+++ b/connection/target/exchange.go
@@ -121,6 +121,9 @@
 func (x *exchange) run() (*http.Response, error) {
 	x.send()
 	resp, err := x.readHeader()
+	if err == nil && x.body.broken() {
+		err = ErrCallerBody // an answer to a part of a request is not passed on
+	}
 	if err == nil {
 		x.resp = resp
 		resp.Body = &answerBody{ReadCloser: resp.Body, x: x}
--- a/connection/target/exchange_test.go
+++ b/connection/target/exchange_test.go
@@ -136,6 +136,7 @@
 		{name: "deadline while waiting", script: silent, timeout: brief, want: verdict.MayHaveRun, cause: context.DeadlineExceeded},
 		{name: "deadline before dialling", script: silent, timeout: -1, want: verdict.NotRun, cause: context.DeadlineExceeded},
 		{name: "caller's body breaks", script: silent, body: "half", broken: true, want: verdict.MayHaveRun, cause: ErrCallerBody},
+		{name: "target answers to a part of the body", script: reply(okAnswer), body: "half", broken: true, want: verdict.MayHaveRun, cause: ErrCallerBody},
 		{name: "reset while the body is sent", script: func(c *net.TCPConn, in *bufio.Reader) {
 			_, _ = in.ReadByte()
 			_ = c.SetLinger(0)
--- a/tools/scenario/deploy_test.go
+++ b/tools/scenario/deploy_test.go
@@ -311,6 +311,38 @@
 	}
 }
 
+// cmdIdle requires that a target gets no new request for a time: idle TARGET DURATION
+func cmdIdle(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 2 {
+		ts.Fatalf("usage: idle TARGET DURATION")
+	}
+	length, err := time.ParseDuration(args[1])
+	ts.Check(err)
+	for _, servers := range worldOf(ts).fleet.Targets {
+		for _, s := range servers {
+			if s.Name() != args[0] {
+				continue
+			}
+			before := begun(s)
+			time.Sleep(length)
+			if n := begun(s) - before; n > 0 {
+				ts.Fatalf("%s got %d new requests", args[0], n)
+			}
+			return
+		}
+	}
+	ts.Fatalf("idle: no target %q", args[0])
+}
+
+// begun counts the requests that a target has begun to run.
+func begun(s *targetd.Server) int {
+	n := 0
+	for _, runs := range s.Record().Runs {
+		n += runs
+	}
+	return n
+}
+
 // cmdSignal sends TERM, STOP or CONT to a background process by its position among
 // those that still run, from 1: signal TERM N
 func cmdSignal(ts *testscript.TestScript, _ bool, args []string) {
--- a/tools/scenario/scenario_test.go
+++ b/tools/scenario/scenario_test.go
@@ -46,6 +46,7 @@
 			"send":    cmdSend,
 			"crashes": cmdCrashes,
 			"expect":  cmdExpect,
+			"idle":    cmdIdle,
 			"signal":  cmdSignal,
 
 			"post":       cmdPost,
