--- a/api_lookup.go
+++ b/api_lookup.go
@@ -84,7 +84,7 @@
 		writeError(w, bad.status, bad.err)
 		return
 	}
-	tag := `"` + view.TagText() + `"`
+	tag := `"` + view.TagText() + "." + n.keyPeriod() + `"`
 	w.Header().Set("ETag", tag)
 	w.Header().Set("Cache-Control", fmt.Sprintf("private, max-age=%d", answer.TTLMS/time.Second.Milliseconds()))
 	if strings.Contains(r.Header.Get("If-None-Match"), tag) {
--- a/client/send.go
+++ b/client/send.go
@@ -1,6 +1,7 @@
 package client
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -54,9 +55,10 @@
 	if len(entries) == 0 {
 		return nil, verdict.NotRun, s.fail(ErrNoEntry)
 	}
-	s.key = s.chooseKey(answer.KeyPrefix)
+	s.key = s.chooseKey(cmp.Or(entries[0].KeyPrefix, answer.KeyPrefix))
 	for {
 		entry := entries[s.sent%len(entries)]
+		s.renewKey(entry)
 		resp, err := s.attempt(ctx, entry)
 		s.sent++
 		next := s.next(resp, err)
@@ -79,6 +81,15 @@
 	return newKey(prefix)
 }
 
+// renewKey makes the next entry host the owner of a key that no earlier attempt can
+// have run, so that a dead host does not keep the request from running.
+func (s *sending) renewKey(entry lookup.Host) {
+	made := s.key != "" && s.req.Header.Get(HeaderKey) == ""
+	if made && s.sent > 0 && !s.ran && entry.KeyPrefix != "" {
+		s.key = newKey(entry.KeyPrefix)
+	}
+}
+
 func (s *sending) attempt(ctx context.Context, entry lookup.Host) (*http.Response, error) {
 	out, err := s.outbound(ctx, entry)
 	if err != nil {
--- a/node_lookup.go
+++ b/node_lookup.go
@@ -178,6 +178,3 @@
 func shiftShareAt(now time.Time) func(*config.Shift) float64 {
 	return func(s *config.Shift) float64 { return lookup.ShareAt(s, now) }
 }
-
-// keyPrefix returns how idempotency keys begin that a host's process accepts.
-func (n *Node) keyPrefix(h lookup.Host) string { return keyPrefix(h.Name, h.Incarnation, time.Now()) }
--- a/request/request.go
+++ b/request/request.go
@@ -39,12 +39,12 @@
 	Deadline time.Time
 	// Idempotent is true when running the request twice is as good as once.
 	Idempotent bool
+	// Fingerprint tells whether two requests are the same one sent twice.
+	Fingerprint uint64
 	// Region limits the request to targets of one region; empty means all.
 	Region string
 	// HomeRegion serves the request when no traffic shift moves it.
 	HomeRegion string
-	// Fingerprint tells whether two requests are the same one sent twice.
-	Fingerprint uint64
 }
 
 // AtMostOnce reports whether the request must not run twice under its key.
