quetzalctl lab capacity and table; look-up decision by buckets

Nothing measured what a host spends at 910 hosts. lab capacity measures 21 series at several sizes each, fits a line weighted by size, and writes tables and plots; table build, delta and put make stored block tables.

Its first run gave 1585 ns for a look-up decision at 910 hosts, over the bound of 1000: two regions' hosts were hashed for each. Each region now keeps the outcome for 16384 buckets of the key space, taken over from view to view while its hosts stay: 934 ns at 3.1 million blocks, and 784 with pages of 256 blocks. The price is a view of other hosts at 50 ms instead of 1, off the request path.

Pushes of site reports no longer shorten the time between exchanges of the spread (topic mark Quiet, a small edit in version/spread): they come all the time, and would have kept every host at four exchanges a second.

--- a/node_lookup.go
+++ b/node_lookup.go
@@ -144,6 +144,7 @@
 		Weights:    n.regionWeights(from.config, from.members),
 		Latency:    lookup.Latencies{Settings: n.lookups.latencies}.Between,
 		ShiftShare: shiftShareAt(now),
+		Previous:   n.lookups.view.Load(),
 	}
 	for name := range from.config.Services {
 		in.Services = append(in.Services, name)
--- a/process/digest/digest.go
+++ b/process/digest/digest.go
@@ -24,9 +24,9 @@
 
 const (
 	// MaxAge is how old a report may be and still count.
-	MaxAge = 12 * time.Minute
+	MaxAge = 25 * time.Minute
 	// expireAfter is when a report is forgotten.
-	expireAfter = 20 * time.Minute
+	expireAfter = 40 * time.Minute
 	// maxReporters bounds the reports about one site, and maxSites the sites.
 	maxReporters = 8
 	maxSites     = 1024
@@ -99,6 +99,10 @@
 	return &Reports{now: now, sites: make(map[ID][]held)}
 }
 
+// Quiet implements the mark of topics that need no fast repair: a report that is
+// lost on its way is repeated or found by the next exchange.
+func (r *Reports) Quiet() {}
+
 // Sum returns a hash of the content.
 func (r *Reports) Sum() uint64 {
 	r.mu.Lock()
--- a/process/digest/reporter.go
+++ b/process/digest/reporter.go
@@ -12,7 +12,7 @@
 	// fallEvery is the least time between two falls by one step of a site that is up.
 	fallEvery = 5 * time.Second
 	// RepeatEvery is when an unchanged report is published again.
-	RepeatEvery = 5 * time.Minute
+	RepeatEvery = 10 * time.Minute
 	// ownRoom is the free share of the slots below which own callers are turned away,
 	// and otherRoom the one below which others are.
 	ownRoom   = 0.05
--- /dev/null
+++ b/tools/capacity/page.go
@@ -0,0 +1,132 @@
+package capacity
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/olekukonko/tablewriter"
+	"github.com/olekukonko/tablewriter/renderer"
+	"github.com/olekukonko/tablewriter/tw"
+)
+
+// Section is a measured part of the page, between two markers.
+type Section struct {
+	Name  string
+	Title string
+	Body  string
+}
+
+// Sections returns the measured parts of the page.
+func (r *Result) Sections() []Section {
+	var all []Section
+	if len(r.Slopes) > 0 {
+		all = append(all, Section{"slopes", "Slopes", r.slopeTable()})
+	}
+	if r.Swap != nil {
+		all = append(all, Section{"swap", "Full rebuild", r.Swap.table()})
+	}
+	if r.Structures != nil {
+		all = append(all, Section{"structures", "Structures for the block table", structureTable(r.Structures)})
+	}
+	if m, err := newModel(r); err == nil {
+		all = append(all, Section{"control", "Control of one host", m.controlTable()})
+		all = append(all, Section{"work", "Work for callers", m.workTable()})
+		all = append(all, Section{"day", "The day of faults", m.dayTable()})
+	}
+	return all
+}
+
+// WritePage replaces the text between the markers of each measured section.
+func (r *Result) WritePage(path string) error {
+	page, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	for _, s := range r.Sections() {
+		if page, err = replaceSection(page, s); err != nil {
+			return errors.Wrap(err, path)
+		}
+	}
+	return os.WriteFile(path, page, 0o644)
+}
+
+func replaceSection(page []byte, s Section) ([]byte, error) {
+	begin := []byte("<!-- begin " + s.Name + " -->\n")
+	end := []byte("<!-- end " + s.Name + " -->")
+	from, to := bytes.Index(page, begin), bytes.Index(page, end)
+	if from < 0 || to < from {
+		return nil, errors.Newf("the markers of section %q are missing", s.Name)
+	}
+	var out bytes.Buffer
+	out.Write(page[:from+len(begin)])
+	out.WriteString("\n" + s.Body + "\n")
+	out.Write(page[to:])
+	return out.Bytes(), nil
+}
+
+// markdown returns a table. Its cells are texts.
+func markdown(header []string, rows [][]string) string {
+	var out strings.Builder
+	t := tablewriter.NewTable(&out, tablewriter.WithRenderer(renderer.NewMarkdown()), tablewriter.WithHeaderAutoFormat(tw.Off), tablewriter.WithRowAutoWrap(tw.WrapNone))
+	t.Header(header)
+	for _, row := range rows {
+		if err := t.Append(row); err != nil {
+			return err.Error()
+		}
+	}
+	if err := t.Render(); err != nil {
+		return err.Error()
+	}
+	return out.String()
+}
+
+func (r *Result) slopeTable() string {
+	var rows [][]string
+	for _, s := range r.Slopes {
+		last := len(s.X) - 1
+		rows = append(rows, []string{
+			fmt.Sprintf("[%s](plots/%s.svg)", s.Title, s.Key), s.XUnit,
+			fmt.Sprintf("%.0f to %.0f", s.X[0], s.X[last]),
+			fmt.Sprintf("%.4g %s", s.PerUnit, s.YUnit), fmt.Sprintf("%.4g %s", s.Base, s.YUnit),
+			fmt.Sprintf("%.4g %s", s.Y[last], s.YUnit),
+			fmt.Sprintf("%.1f %%", s.Worst*100), fmt.Sprintf("%.4f", s.R2),
+		})
+	}
+	return markdown([]string{"what", "per", "sizes", "slope", "base", "at the largest", "worst residual", "R²"}, rows)
+}
+
+func (s *Swap) table() string {
+	return markdown([]string{"figure", "value"}, [][]string{
+		{"blocks", fmt.Sprint(s.Blocks)},
+		{"memory of the Go runtime with one table in force", megabytes(s.Before)},
+		{"peak while a second table is loaded and put in its place", megabytes(s.Peak)},
+		{"memory afterwards", megabytes(s.After)},
+		{"wall time of the rebuild", s.Load.Round(time.Millisecond).String()},
+		{"look-ups without rebuild: count, p99.99, longest, over 1 ms", s.Idle.String()},
+		{"look-ups during the rebuild: count, p99.99, longest, over 1 ms", s.During.String()},
+	})
+}
+
+// String returns the figures of a stall in one line.
+func (s Stall) String() string {
+	return fmt.Sprintf("%d, %v, %v, %d", s.Lookups, s.P9999, s.Max, s.OverLimit)
+}
+
+func megabytes(n int64) string { return fmt.Sprintf("%.1f MB", float64(n)/1e6) }
+
+func structureTable(all []StructureFigures) string {
+	var rows [][]string
+	for _, f := range all {
+		update := "no copy beside readers"
+		if f.Update > 0 {
+			update = f.Update.Round(100 * time.Nanosecond).String()
+		}
+		rows = append(rows, []string{f.Name, fmt.Sprint(f.Blocks), fmt.Sprintf("%.1f", f.BytesPerBlock),
+			f.Build.Round(time.Millisecond).String(), f.Lookup.String(), update})
+	}
+	return markdown([]string{"structure", "blocks", "bytes per block", "build", "look-up", "update beside readers"}, rows)
+}
--- /dev/null
+++ b/tools/capacity/peak.go
@@ -0,0 +1,156 @@
+package capacity
+
+import (
+	"context"
+	"crypto/sha256"
+	"net/netip"
+	"runtime"
+	"runtime/debug"
+	"runtime/metrics"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"quetzalknot/version/lookup"
+)
+
+// Swap is what a full rebuild of the table costs a host that answers look-ups.
+type Swap struct {
+	Blocks int
+	// Before, Peak and After are the memory of the Go runtime in bytes, without
+	// the stored form, which a host reads in parts.
+	Before, Peak, After int64
+	// Load is the wall time of the rebuild.
+	Load time.Duration
+	// Idle and During are the times of look-ups without and with the rebuild.
+	Idle, During Stall
+}
+
+// Stall are times of single look-ups.
+type Stall struct {
+	Lookups   int64
+	P9999     time.Duration
+	Max       time.Duration
+	OverLimit int64
+}
+
+const (
+	// stallLimit is the longest stall that the rebuild may cause.
+	stallLimit = time.Millisecond
+	// longestStall is the largest time that the histogram holds.
+	longestStall = 10 * time.Second
+	// lookupPause is the time between two bursts of look-ups.
+	lookupPause = 200 * time.Microsecond
+	// lookupBurst is how many look-ups follow one another.
+	lookupBurst = 20
+)
+
+// MeasureSwap builds a table of the full size, then a second one beside it while
+// look-ups go on, and puts the second in place of the first.
+func MeasureSwap(ctx context.Context, full int) (*Swap, error) {
+	blocks := Blocks(full, 1)
+	clients := Clients(blocks, clientsAsked, 1)
+	table, err := buildTable(blocks)
+	if err != nil {
+		return nil, err
+	}
+	data, err := lookup.Encode(table)
+	if err != nil {
+		return nil, err
+	}
+	blocks, table = nil, nil
+	sum := lookup.Sum(sha256.Sum256(data))
+	out := &Swap{Blocks: full}
+	debug.FreeOSMemory()
+	fixed := runtimeMemory()
+	var inForce atomic.Pointer[lookup.View]
+	first, err := loadView(ctx, data, sum, 1)
+	if err != nil {
+		return nil, err
+	}
+	inForce.Store(first)
+	first = nil
+	debug.FreeOSMemory()
+	out.Before = runtimeMemory() - fixed
+	idle := time.Now()
+	out.Idle = stalls(&inForce, clients, func() bool { return time.Since(idle) < 500*time.Millisecond })
+	done := make(chan struct{})
+	var peak atomic.Int64
+	go func() {
+		defer close(done)
+		start := time.Now()
+		var next *lookup.View
+		if next, err = loadView(ctx, data, sum, 2); err == nil {
+			inForce.Store(next)
+		}
+		runtime.GC()
+		out.Load = time.Since(start)
+	}()
+	go samplePeak(done, &peak)
+	out.During = stalls(&inForce, clients, func() bool {
+		select {
+		case <-done:
+			return false
+		default:
+			return true
+		}
+	})
+	out.Peak = peak.Load() - fixed
+	debug.FreeOSMemory()
+	out.After = runtimeMemory() - fixed
+	runtime.KeepAlive(data)
+	return out, err
+}
+
+func loadView(ctx context.Context, data []byte, sum lookup.Sum, version uint64) (*lookup.View, error) {
+	snap, err := lookup.NewLoading(sum).Read(ctx, bytesObject(data))
+	if err != nil {
+		return nil, err
+	}
+	in := inputsOf(snap.Table, 910)
+	in.Version = version
+	return lookup.NewView(in), nil
+}
+
+// samplePeak keeps the largest memory until done is closed.
+func samplePeak(done <-chan struct{}, peak *atomic.Int64) {
+	for {
+		peak.Store(max(peak.Load(), runtimeMemory()))
+		select {
+		case <-done:
+			return
+		case <-time.After(2 * time.Millisecond):
+		}
+	}
+}
+
+// runtimeMemory returns the bytes that the Go runtime holds and has not given back.
+func runtimeMemory() int64 {
+	samples := []metrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}}
+	metrics.Read(samples)
+	return int64(samples[0].Value.Uint64() - samples[1].Value.Uint64())
+}
+
+func stalls(inForce *atomic.Pointer[lookup.View], clients []netip.Addr, more func() bool) Stall {
+	h := hdrhistogram.New(1, longestStall.Nanoseconds(), 3)
+	var out Stall
+	for i := 0; more(); {
+		for range lookupBurst {
+			client := clients[i%len(clients)]
+			start := time.Now()
+			inForce.Load().Decide("bokun", client, lookup.Key(client, ""))
+			took := time.Since(start)
+			_ = h.RecordValue(took.Nanoseconds()) // larger values do not occur
+			if took > stallLimit {
+				out.OverLimit++
+			}
+			i++
+		}
+		time.Sleep(lookupPause)
+	}
+	out.Lookups = h.TotalCount()
+	out.P9999 = time.Duration(h.ValueAtQuantile(99.99))
+	out.Max = time.Duration(h.Max())
+	return out
+}
--- /dev/null
+++ b/tools/capacity/series_digest.go
@@ -0,0 +1,83 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"quetzalknot/process/digest"
+)
+
+// digestSeries measures the reports about sites.
+func digestSeries() []series {
+	sizes := []int{10, 25, 50, 100, 200}
+	return []series{
+		{"digest_merge", "Processor time to take in one report about each site", "sites", "ns", sizes, digestMerge},
+		{"digest_bytes", "Length of a delta with three reports about each site", "sites", "bytes", sizes, digestBytes},
+		{"digest_settle", "Processor time to settle all sites", "sites", "ns", sizes, digestSettle},
+		{"digest_watchers", "Processor time to find the watchers of all sites among 910 hosts", "sites", "ns", sizes, digestWatchers},
+	}
+}
+
+func siteReports(sites int, stamp uint64) []digest.Report {
+	var all []digest.Report
+	for i := range sites {
+		for w := range digest.Watchers {
+			all = append(all, digest.Report{
+				Site: digest.IDOf(fmt.Sprint("site-", i)), Reporter: digest.IDOf(fmt.Sprint("h", w)),
+				Stamp: uint64(time.Now().UnixMilli()) + stamp, Own: digest.Full, Other: 128, AgeMS: 1000,
+			})
+		}
+	}
+	return all
+}
+
+func digestMerge(_ context.Context, size int) (float64, error) {
+	reports := digest.New(time.Now)
+	stamp := uint64(0)
+	var err error
+	cost := least(3, func() float64 {
+		return cpuPer(func() {
+			stamp++
+			for _, r := range siteReports(size, stamp)[:size] {
+				if _, mergeErr := reports.Merge(digest.Encode([]digest.Report{r})); mergeErr != nil {
+					err = mergeErr
+				}
+			}
+		})
+	})
+	return cost, err
+}
+
+func digestBytes(_ context.Context, size int) (float64, error) {
+	return float64(len(digest.Encode(siteReports(size, 0)))), nil
+}
+
+func digestSettle(_ context.Context, size int) (float64, error) {
+	reports := digest.New(time.Now)
+	if _, err := reports.Merge(digest.Encode(siteReports(size, 0))); err != nil {
+		return 0, err
+	}
+	watchers := []string{"h0", "h1", "h2"}
+	return least(3, func() float64 {
+		return cpuPer(func() {
+			for i := range size {
+				digest.Settle(reports.About(fmt.Sprint("site-", i)), watchers)
+			}
+		})
+	}), nil
+}
+
+func digestWatchers(_ context.Context, size int) (float64, error) {
+	var hosts []digest.Host
+	for _, h := range Hosts(910) {
+		hosts = append(hosts, digest.Host{Name: h.Name, Region: h.Region, FailureDomain: h.FailureDomain})
+	}
+	return least(2, func() float64 {
+		return cpuPer(func() {
+			for i := range size {
+				digest.WatchersOf(digest.Site{Region: regionName(i % regions), FailureDomain: fmt.Sprint(i)}, hosts)
+			}
+		})
+	}), nil
+}
--- a/tools/cli/cli.go
+++ b/tools/cli/cli.go
@@ -29,6 +29,7 @@
 	Status  statusCommand    `cmd:"" help:"Show the state of a host."`
 	Explain explainCommand   `cmd:"" help:"Tell the story of a request: candidates, choice, attempts, verdict."`
 	Config  configCommands   `cmd:"" help:"Check settings files."`
+	Table   tableCommands    `cmd:"" help:"Make stored block tables."`
 	Lab     labCommands      `cmd:"" help:"Stand-ins, demo, load and experiments."`
 	Version kong.VersionFlag `help:"Print the version and exit."`
 }
--- a/tools/cli/lab.go
+++ b/tools/cli/lab.go
@@ -22,6 +22,8 @@
 	Target     labTarget     `cmd:"" help:"Run a stand-in for a target."`
 	Demo       labDemo       `cmd:"" help:"Show a whole deployment at work in one process."`
 	Experiment labExperiment `cmd:"" help:"Compare policies under load and faults, and write a report."`
+	Table      labTable      `cmd:"" help:"Make a stored block table of generated blocks."`
+	Capacity   labCapacity   `cmd:"" help:"Measure what a host spends at the design size, and write docs/CAPACITY.md."`
 }
 
 type labExperiment struct {
--- a/tools/scenario/scenario_test.go
+++ b/tools/scenario/scenario_test.go
@@ -35,6 +35,7 @@
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
 			"subst": cmdSubst,
 			"fetch": cmdFetch,
+			"sumof": cmdSumOf,
 
 			"post":       cmdPost,
 			"eventually": cmdEventually,
--- a/version/lookup/decide.go
+++ b/version/lookup/decide.go
@@ -143,8 +143,8 @@
 // another failure domain (of the same region when it has one), and one in
 // another region.
 func (v *View) fill(c *Choice, overrides []hostView, first, second uint8, key uint64) {
-	near, nearOther := best(v.regions[first].hosts, key)
-	far, farOther := best(v.regions[second].hosts, key)
+	near, nearOther := v.regions[first].pick(key)
+	far, farOther := v.regions[second].pick(key)
 	computed := [...]hostView{near, nearOther, far, farOther}
 	if len(overrides) > 0 {
 		c.add(overrides[0])
@@ -177,29 +177,6 @@
 	return false
 }
 
-// noHost is the index of no host.
-const noHost = 0xffff
-
-// best returns the hosts with the highest and the next rendezvous score, the
-// latter in another failure domain, or hosts with index noHost.
-func best(hosts []hostView, key uint64) (top, other hostView) {
-	top.index, other.index = noHost, noHost
-	var topScore, otherScore uint64
-	for _, h := range hosts {
-		score := mix(h.seed ^ key)
-		switch {
-		case top.index == noHost || score > topScore:
-			if top.index != noHost && h.domain != top.domain {
-				other, otherScore = top, topScore
-			}
-			top, topScore = h, score
-		case h.domain != top.domain && (other.index == noHost || score > otherScore):
-			other, otherScore = h, score
-		}
-	}
-	return top, other
-}
-
 // add appends a host that is not yet there while there is room.
 func (c *Choice) add(h hostView) {
 	if h.index == noHost || c.count == maxEntries {
--- a/version/lookup/decide_test.go
+++ b/version/lookup/decide_test.go
@@ -170,7 +170,14 @@
 	before := lookup.NewView(in)
 	lost := in.Hosts[3].Name
 	in.Hosts = append(in.Hosts[:3:3], in.Hosts[4:]...)
+	in.Previous = before
 	after := lookup.NewView(in)
+	in.Previous = nil
+	for i, fresh := 0, lookup.NewView(in); i < 2000; i++ {
+		if !reflect.DeepEqual(decide(after, client(i), ""), decide(fresh, client(i), "")) {
+			t.Fatalf("caller %d: the answer depends on the view before", i)
+		}
+	}
 	for i := range 2000 {
 		old, now := decide(before, client(i), "")[0].Name, decide(after, client(i), "")[0].Name
 		if old != lost && now != old {
--- a/version/lookup/tree.go
+++ b/version/lookup/tree.go
@@ -10,7 +10,7 @@
 
 const (
 	// pageSize is how many blocks a full page holds.
-	pageSize = 1024
+	pageSize = 256
 	// noParent marks a block that no other block encloses.
 	noParent = 0xff
 	// anyLength is larger than the length of every block.
--- a/version/lookup/view.go
+++ b/version/lookup/view.go
@@ -43,6 +43,9 @@
 	Latency func(from, to string) time.Duration
 	// ShiftShare returns the share that a shift moves now. Nil means Share.
 	ShiftShare func(*config.Shift) float64
+	// Previous is the view before this one, or nil. What is the same in both is
+	// taken over; answers do not depend on it.
+	Previous *View
 }
 
 // View is one whole version of everything that look-ups need. It is immutable.
@@ -63,6 +66,8 @@
 	seed   uint64
 	weight Weight
 	hosts  []hostView
+	// buckets hold the outcome of the rendezvous hash for each part of the key space.
+	buckets []bucket
 	// nearest are all regions by latency from this one, itself first.
 	nearest []uint8
 }
@@ -102,6 +107,9 @@
 		v.table = &Table{}
 	}
 	v.addHosts(in)
+	for i := range v.regions {
+		v.fillBuckets(&v.regions[i], in.Previous)
+	}
 	v.sortNearest(in)
 	v.addPlans()
 	for _, name := range in.Services {
--- a/version/spread/engine.go
+++ b/version/spread/engine.go
@@ -115,7 +115,9 @@
 
 // push sends a delta to all partners but the host that it came from.
 func (e *Engine) push(topic string, delta []byte, from string) {
-	e.noteChange()
+	if _, ok := e.topic(topic).(Quiet); !ok {
+		e.noteChange()
+	}
 	for _, p := range e.currentPartners() {
 		if p.Host == from {
 			continue
--- a/version/spread/topic.go
+++ b/version/spread/topic.go
@@ -38,3 +38,9 @@
 	// A malformed delta is an error and changes nothing.
 	Merge(delta []byte) (changed bool, err error)
 }
+
+// Quiet marks a topic that changes all the time and needs no fast repair: its
+// changes do not shorten the time between exchanges.
+type Quiet interface {
+	Quiet()
+}
