--- a/tools/cli/lab.go
+++ b/tools/cli/lab.go
@@ -24,6 +24,8 @@
 	Experiment labExperiment `cmd:"" help:"Compare policies under load and faults, and write a report."`
 	Table      labTable      `cmd:"" help:"Make a stored block table of generated blocks."`
 	Capacity   labCapacity   `cmd:"" help:"Measure what a host spends at the design size, and write docs/CAPACITY.md."`
+	Spread     labSpread     `cmd:"" help:"Measure the spread of tickets and members between hosts."`
+	Identity   labIdentity   `cmd:"" help:"Write a CA, certificate and key for trials on one machine."`
 }
 
 type labExperiment struct {
