Look-ups: the entity tag covers the table itself

A table may be loaded after its ticket is in force. With the same number of blocks the tag stayed, so that a caller which asked again with it was told that nothing had changed. The tag now follows from the stored table and every change since; the regression test failed with equal tags before.

--- a/version/lookup/decide.go
+++ b/version/lookup/decide.go
@@ -210,8 +210,7 @@
 	return hosts
 }
 
-// computeTag hashes what answers depend on, apart from the table's blocks, whose
-// change always comes with a new version.
+// computeTag hashes what answers depend on.
 func (v *View) computeTag() uint64 {
 	d := xxhash.New()
 	var number [8]byte
@@ -220,7 +219,7 @@
 		_, _ = d.Write(number[:]) // a hash never fails to write
 	}
 	put(v.version)
-	put(uint64(v.table.Len()))
+	put(v.table.tag)
 	for _, r := range v.regions {
 		put(r.seed)
 		put(uint64(r.weight.Own)<<8 | uint64(r.weight.Other))
--- a/version/lookup/decide_test.go
+++ b/version/lookup/decide_test.go
@@ -194,3 +194,19 @@
 		t.Errorf("%v allocations", n)
 	}
 }
+
+// TestTagTellsTablesApart puts another table of the same size in force under the
+// same version, as happens when a table is loaded after its ticket: callers that
+// hold the old tag must not be told that nothing changed.
+func TestTagTellsTablesApart(t *testing.T) {
+	in := inputs(t)
+	before := lookup.NewView(in)
+	table, err := in.Table.Apply([]lookup.Change{{Prefix: netip.MustParsePrefix("10.0.0.0/8"), Assignment: lookup.Assignment{Regions: []string{"r2"}}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	in.Table = table
+	if after := lookup.NewView(in); after.Tag() == before.Tag() || callersIn(after, 10)["r2"] != 10 {
+		t.Errorf("tags %x and %x, callers enter at %v", before.Tag(), after.Tag(), callersIn(after, 10))
+	}
+}
--- a/version/lookup/load.go
+++ b/version/lookup/load.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"encoding/binary"
 	"hash"
 
 	"github.com/cespare/xxhash/v2"
@@ -69,7 +70,9 @@
 		*l = *NewLoading(l.want)
 		return nil, formatError("its SHA-256 does not match")
 	}
-	return &Snapshot{Table: l.builder.Table(), Sum: l.want, prelude: l.prelude, header: l.header}, nil
+	table := l.builder.Table()
+	table.tag = binary.BigEndian.Uint64(l.want[:])
+	return &Snapshot{Table: table, Sum: l.want, prelude: l.prelude, header: l.header}, nil
 }
 
 func (l *Loading) readHeader(ctx context.Context, o Object) error {
--- a/version/lookup/table.go
+++ b/version/lookup/table.go
@@ -5,7 +5,9 @@
 	"iter"
 	"net/netip"
 	"slices"
+	"strconv"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/gaissmai/bart"
 )
 
@@ -21,6 +23,8 @@
 	// long holds IPv6 blocks longer than maxWordLength. It is nil when there is none.
 	long        *bart.Table[uint16]
 	assignments []Assignment
+	// tag follows from the stored table and the changes since.
+	tag uint64
 }
 
 // BlockError reports a block that a table can't take in.
@@ -170,7 +174,8 @@
 	out := &Table{long: t.long}
 	var v4 []change[uint32]
 	var v6 []change[uint64]
-	for _, c := range sortedChanges(changes) {
+	changes = sortedChanges(changes)
+	for _, c := range changes {
 		value, err := t.check(c, interned)
 		if err != nil {
 			return nil, err
@@ -195,9 +200,24 @@
 	}
 	out.v4, out.v6 = *t.v4.apply(v4), *t.v6.apply(v6)
 	out.assignments = interned.list
+	out.tag = t.tagAfter(changes)
 	return out, nil
 }
 
+// tagAfter returns the tag of the table with changes, which are in order.
+func (t *Table) tagAfter(changes []Change) uint64 {
+	d := xxhash.New()
+	var number [8]byte
+	binary.BigEndian.PutUint64(number[:], t.tag)
+	_, _ = d.Write(number[:]) // a hash never fails to write
+	for _, c := range changes {
+		raw := c.Prefix.Addr().As16()
+		_, _ = d.Write(append(raw[:], byte(c.Prefix.Bits()), byte(c.Prefix.Addr().BitLen())))
+		_, _ = d.WriteString(strconv.FormatBool(c.Remove) + c.Assignment.key() + "\x02")
+	}
+	return d.Sum64()
+}
+
 func sortedChanges(changes []Change) []Change {
 	slices.SortFunc(changes, func(a, b Change) int { return a.Prefix.Compare(b.Prefix) })
 	return changes
