--- a/tools/capacity/peak.go
+++ b/tools/capacity/peak.go
@@ -100,6 +100,7 @@
 	debug.FreeOSMemory()
 	out.After = runtimeMemory() - fixed
 	runtime.KeepAlive(data)
+	runtime.KeepAlive(inForce.Load())
 	return out, err
 }
 
--- a/version/lookup/change.go
+++ b/version/lookup/change.go
@@ -83,15 +83,19 @@
 // add appends one block.
 func (w *writer[K]) add(key K, length uint8, value uint16) {
 	if w.open == nil {
-		w.open = newPage[K](w.limit)
+		w.open = new(page[K])
 	}
-	p := w.open
-	p.keys = append(p.keys, key)
-	p.lengths = append(p.lengths, length)
-	p.parents = append(p.parents, w.parentOf(key))
-	p.values = append(p.values, value)
+	p, i := w.open, w.open.count
+	if i%sampleEvery == 0 {
+		p.samples[i/sampleEvery] = key
+	}
+	p.keys[i] = key
+	p.lengths[i] = length
+	p.parents[i] = w.parentOf(key)
+	p.values[i] = value
+	p.count++
 	w.enclosing = append(w.enclosing, frame[K]{key: key, length: length})
-	if len(p.keys) == w.limit {
+	if p.count == w.limit {
 		w.flush()
 	}
 }
@@ -108,10 +112,6 @@
 	return noParent
 }
 
-func newPage[K word](n int) *page[K] {
-	return &page[K]{keys: make([]K, 0, n), lengths: make([]uint8, 0, n), parents: make([]uint8, 0, n), values: make([]uint16, 0, n)}
-}
-
 func (w *writer[K]) flush() {
 	if w.open != nil {
 		w.append(w.open)
@@ -123,7 +123,7 @@
 	w.done.pages = append(w.done.pages, p)
 	w.done.first = append(w.done.first, p.keys[0])
 	w.done.firstLength = append(w.done.firstLength, p.lengths[0])
-	w.done.size += len(p.keys)
+	w.done.size += p.count
 }
 
 // share takes over pages of another tree as they are.
@@ -137,13 +137,13 @@
 func (w *writer[K]) rewrite(t *tree[K], from, to int, changes []change[K]) {
 	most := len(changes)
 	for _, p := range t.pages[from:to] {
-		most += len(p.keys)
+		most += p.count
 	}
 	pages := (most + pageSize - 1) / pageSize
 	w.limit = (most + pages - 1) / pages
 	w.enclosing = t.ancestors(from)
 	for _, p := range t.pages[from:to] {
-		for i := range p.keys {
+		for i := range p.count {
 			changes = w.upTo(p.keys[i], p.lengths[i], changes)
 			if len(changes) > 0 && changes[0].key == p.keys[i] && changes[0].length == p.lengths[i] {
 				continue
--- a/version/lookup/tree.go
+++ b/version/lookup/tree.go
@@ -9,8 +9,11 @@
 type word interface{ ~uint32 | ~uint64 }
 
 const (
-	// pageSize is how many blocks a full page holds.
-	pageSize = 256
+	// pageSize is how many blocks a full page holds. A page with 32-bit keys then
+	// takes 1988 bytes and one with 64-bit keys 3008, just under sizes of the allocator.
+	pageSize = 240
+	// sampleEvery is how many keys share one sample.
+	sampleEvery = 16
 	// noParent marks a block that no other block encloses.
 	noParent = 0xff
 	// anyLength is larger than the length of every block.
@@ -27,13 +30,17 @@
 	size        int
 }
 
-// page is a run of blocks, one slice for each field.
+// page is a run of blocks, one array for each field, so that a search touches
+// few cache lines. Only the first count blocks are in use.
 type page[K word] struct {
-	keys    []K
-	lengths []uint8
+	count int
+	// samples are the keys at each multiple of sampleEvery.
+	samples [pageSize / sampleEvery]K
+	keys    [pageSize]K
+	lengths [pageSize]uint8
 	// parents are the lengths of the closest enclosing blocks, or noParent.
-	parents []uint8
-	values  []uint16
+	parents [pageSize]uint8
+	values  [pageSize]uint16
 }
 
 func width[K word]() int { return int(unsafe.Sizeof(K(0))) * 8 }
@@ -67,19 +74,20 @@
 
 // indexOf returns the last block of a page that precedes or is the given one, or -1.
 func (p *page[K]) indexOf(key K, length uint8) int {
-	low, high := 0, len(p.keys)
-	for low < high {
-		middle := int(uint(low+high) >> 1)
-		if p.keys[middle] <= key {
-			low = middle + 1
-		} else {
-			high = middle
-		}
+	group := 0
+	for group*sampleEvery < p.count && p.samples[group] <= key {
+		group++
+	}
+	if group == 0 {
+		return -1
+	}
+	at := (group - 1) * sampleEvery
+	for end := min(at+sampleEvery, p.count); at < end && p.keys[at] <= key; at++ {
 	}
-	for low > 0 && p.keys[low-1] == key && p.lengths[low-1] > length {
-		low--
+	for at > 0 && p.keys[at-1] == key && p.lengths[at-1] > length {
+		at--
 	}
-	return low - 1
+	return at - 1
 }
 
 // lookup returns the value of the longest block that holds an address.
@@ -131,11 +139,11 @@
 // from is each without the first skip blocks.
 func (t *tree[K]) from(skip int, f func(key K, length uint8, value uint16) bool) bool {
 	for _, p := range t.pages {
-		if skip >= len(p.keys) {
-			skip -= len(p.keys)
+		if skip >= p.count {
+			skip -= p.count
 			continue
 		}
-		for i := skip; i < len(p.keys); i++ {
+		for i := skip; i < p.count; i++ {
 			if !f(p.keys[i], p.lengths[i], p.values[i]) {
 				return false
 			}
