--- a/client/cache.go
+++ b/client/cache.go
@@ -127,7 +127,7 @@
 func (c *cache) ask(ctx context.Context, addr, service string) (lookup.Answer, *LookupError) {
 	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
 	defer cancel()
-	query := url.Values{"service": {service}}
+	query := url.Values{"service": {service}, "caller": {c.options.Caller}}
 	if c.options.Address.IsValid() {
 		query.Set("client", c.options.Address.String())
 	}
--- a/client/client.go
+++ b/client/client.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/oklog/ulid/v2"
 
 	"quetzalknot/verdict"
 )
@@ -42,6 +43,9 @@
 	// Address is the client address that is looked up. Without one, the entry
 	// host uses the address it sees.
 	Address netip.Addr
+	// Caller is the name of this caller. Callers that share an address spread over
+	// the entry hosts by it. Default: a random name.
+	Caller string
 	// Timeout is the deadline of a request whose context has none. Default 10 s.
 	Timeout time.Duration
 	// Attempts bounds how often one request is sent. Default 3.
@@ -105,6 +109,9 @@
 	if o.Stale <= 0 {
 		o.Stale = DefaultStale
 	}
+	if o.Caller == "" {
+		o.Caller = ulid.Make().String()
+	}
 	if o.Now == nil {
 		o.Now = time.Now
 	}
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -11,6 +11,7 @@
 	"sync"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"quetzalknot/client"
 	"quetzalknot/verdict"
@@ -211,3 +212,39 @@
 		}
 	})
 }
+
+// hanging answers look-ups, and never a request to its dead host.
+type hanging struct{ *network }
+
+func (h hanging) RoundTrip(r *http.Request) (*http.Response, error) {
+	if r.URL.Path == "/v1/lookup" || r.URL.Host == "127.0.0.1:2" {
+		return h.network.RoundTrip(r)
+	}
+	<-r.Context().Done()
+	return nil, r.Context().Err()
+}
+
+// TestHungEntryIsLeft has a first entry that took the request and then vanished,
+// so that nothing listens there any more: an idempotent request goes on to the
+// second entry long before its deadline, an unkeyed write must not.
+func TestHungEntryIsLeft(t *testing.T) {
+	for method, want := range map[string]verdict.Verdict{"GET": verdict.Ran, "POST": verdict.MayHaveRun} {
+		t.Run(method, func(t *testing.T) {
+			t.Parallel()
+			n := newNetwork(nil, answers(ran))
+			c, err := client.New(client.Options{API: []string{"127.0.0.1:9"}, Transport: hanging{n}, Unkeyed: true, Timeout: time.Minute})
+			if err != nil {
+				t.Fatal(err)
+			}
+			req, _ := http.NewRequest(method, "/slots", nil)
+			resp, v, err := c.Do(t.Context(), "bokun", req)
+			if resp != nil {
+				_ = resp.Body.Close()
+			}
+			var failure *client.Error
+			if v != want || errors.As(err, &failure) == (want == verdict.Ran) {
+				t.Errorf("got %v, %v, want %v", v, err, want)
+			}
+		})
+	}
+}
