Latency between regions: measured by three hosts each, settled, aged

Look-ups knew latencies from settings only. Three hosts of each region now time calls to the others; two fresh reports that agree replace the settings, and old ones fall back to them. Single slow round trips and single wrong reports change nothing; a doubled latency is published once.

--- a/node.go
+++ b/node.go
@@ -52,6 +52,7 @@
 	config  state.Holder
 	lookups lookups
 	sites   sites
+	links   links
 	versions
 	pool    *target.Pool
 	forward *forward.Handler
--- a/node_digest.go
+++ b/node_digest.go
@@ -54,6 +54,7 @@
 	n.sites.reports = digest.New(time.Now)
 	n.sites.transport = &http.Transport{DialContext: dial, MaxIdleConnsPerHost: siteIdleConns, DisableCompression: true}
 	n.sites.reporters = make(map[digest.Site]*digest.Reporter)
+	n.links.reporters = make(map[digest.Link]*digest.LinkReporter)
 	n.engine.Register(digest.Topic, n.sites.reports)
 }
 
@@ -65,6 +66,7 @@
 	n.loops.Go(func() {
 		for sleepFor(ctx, siteInterval*3/4+rand.N(siteInterval/2)) {
 			n.watchSites(ctx)
+			n.watchLinks(ctx)
 		}
 		n.sites.transport.CloseIdleConnections()
 	})
--- a/node_lookup.go
+++ b/node_lookup.go
@@ -142,7 +142,7 @@
 		Version: from.config.Version, Table: from.table,
 		Placements: from.config.Placements, Shifts: from.config.Shifts,
 		Weights:    n.regionWeights(from.config, from.members),
-		Latency:    lookup.Latencies{Settings: n.lookups.latencies}.Between,
+		Latency:    lookup.Latencies{Settings: n.lookups.latencies, Measured: n.measuredLatencies(from.members)}.Between,
 		ShiftShare: shiftShareAt(now),
 		Previous:   n.lookups.view.Load(),
 	}
--- /dev/null
+++ b/process/digest/latency_test.go
@@ -0,0 +1,68 @@
+package digest_test
+
+import (
+	"testing"
+	"time"
+
+	"quetzalknot/process/digest"
+)
+
+// TestLatencyLevels goes there and back within a step.
+func TestLatencyLevels(t *testing.T) {
+	for _, d := range []time.Duration{100 * time.Microsecond, time.Millisecond, 35 * time.Millisecond, 300 * time.Millisecond} {
+		got := digest.LatencyOf(digest.LatencyLevel(d))
+		if ratio := float64(got) / float64(d); ratio < 0.95 || ratio > 1.05 {
+			t.Errorf("%v became %v", d, got)
+		}
+	}
+	if digest.LatencyLevel(0) != 0 || digest.LatencyLevel(time.Hour) < 200 {
+		t.Error("the ends of the scale are off")
+	}
+}
+
+// TestLinkReports publishes the first latency and real changes, not single slow
+// round trips; one lying, foreign or lagging report settles nothing.
+func TestLinkReports(t *testing.T) {
+	var r digest.LinkReporter
+	now := fixed()
+	step := func(rtt time.Duration) (uint8, bool) {
+		now = now.Add(5 * time.Second)
+		return r.Next(rtt, now)
+	}
+	first, publish := step(70 * time.Millisecond)
+	if !publish || first != digest.LatencyLevel(35*time.Millisecond) {
+		t.Fatalf("first: level %d, published %v", first, publish)
+	}
+	if _, publish = step(900 * time.Millisecond); publish {
+		t.Error("a single slow round trip was published")
+	}
+	published := 0
+	for range 30 {
+		if _, publish = step(140 * time.Millisecond); publish {
+			published++
+		}
+	}
+	if published != 1 {
+		t.Errorf("a doubled latency was published %d times, want once", published)
+	}
+	watchers := []string{"a", "b", "c"}
+	report := func(name string, ms int, age time.Duration) digest.Report {
+		level := digest.LatencyLevel(time.Duration(ms) * time.Millisecond)
+		return digest.Report{Reporter: digest.IDOf(name), Own: level, AgeMS: uint32(age.Milliseconds())}
+	}
+	for name, tc := range map[string]struct {
+		reports []digest.Report
+		wantMS  int
+	}{
+		"one":          {[]digest.Report{report("a", 1, 0)}, 0},
+		"one of three": {[]digest.Report{report("a", 1, 0), report("b", 35, 0), report("c", 36, 0)}, 35},
+		"two differ":   {[]digest.Report{report("a", 1, 0), report("b", 35, 0)}, 35},
+		"old":          {[]digest.Report{report("a", 1, 0), report("b", 1, time.Hour)}, 0},
+		"foreign":      {[]digest.Report{report("a", 1, 0), report("x", 1, 0)}, 0},
+	} {
+		got, ok := digest.SettleLink(tc.reports, watchers)
+		if ok != (tc.wantMS > 0) || ok && (got < time.Duration(tc.wantMS)*time.Millisecond*9/10 || got > time.Duration(tc.wantMS)*time.Millisecond*11/10) {
+			t.Errorf("%s: got %v, %v, want %d ms", name, got, ok, tc.wantMS)
+		}
+	}
+}
--- a/tools/capacity/model.go
+++ b/tools/capacity/model.go
@@ -75,9 +75,11 @@
 	basis  string
 }
 
-// reportsPerSecond is how many reports about sites all hosts publish together.
+// reportsPerSecond is how many reports about sites and links between regions all
+// hosts publish together.
 func reportsPerSecond() float64 {
-	return siteCount * digest.Watchers / digest.RepeatEvery.Seconds()
+	links := regions * (regions - 1)
+	return float64((siteCount+links)*digest.Watchers) / digest.RepeatEvery.Seconds()
 }
 
 // share returns the share of a core of a cost in nanoseconds, paid so often a second.
@@ -103,7 +105,7 @@
 			share(m.per("ticket_push_cpu"), tickets*degree), ticketsKept * ticketBytes, "push measured; 2,000 kept tickets of 3 kB calculated"},
 		{"all", "restarts and failures of an ordinary day", "push to 6 partners", churn * degree, m.per("report_push_bytes") * churn * degree,
 			share(m.per("report_push_cpu")+m.at("digest_watchers", siteCount), churn*degree), 0, "calculated from the push of a report"},
-		{"watch", "reports about sites", "process/digest: 3 watchers each, repeated every 10 min", reportsPerSecond() * degree, m.per("report_push_bytes") * reportsPerSecond() * degree,
+		{"watch", "reports about sites and links", "process/digest: 3 watchers each, repeated every 10 min", reportsPerSecond() * degree, m.per("report_push_bytes") * reportsPerSecond() * degree,
 			share(m.per("report_push_cpu"), reportsPerSecond()*degree), siteCount * digest.Watchers * 100, "push measured, memory calculated"},
 	}
 }
--- a/version/tables/service.go
+++ b/version/tables/service.go
@@ -43,6 +43,15 @@
 	Data []byte
 }
 
+// PingArgs ask for nothing.
+type PingArgs struct{}
+
+// PingReply says nothing.
+type PingReply struct{}
+
+// Ping answers at once, so that a caller can time the way.
+func (s *Service) Ping(*PingArgs, *PingReply) error { return nil }
+
 // served is what a host can pass on.
 type served struct {
 	mu     sync.Mutex
