A starting host refuses look-ups instead of calling a service unknown

A host without the state answered 404, on which a caller gives up, and one without its block table sent callers to any region. It now answers 503 with Retry-After until both are there (the table for 30 s at most, since later no other host may be better off), and callers go on to another host.

The scenarios' fetch took a refused connection to .../readyz for the wanted text "ready", since the error holds the URL; it now leaves the URL out. That let a ticket go to a host that was not up yet: the sites scenario failed so once.

--- a/api_lookup.go
+++ b/api_lookup.go
@@ -72,6 +72,9 @@
 	if !n.allowLookups(w, remote, 1) {
 		return
 	}
+	if !n.readyForLookups(w) {
+		return
+	}
 	form := r.URL.Query()
 	q := LookupQuery{Service: form.Get("service"), Client: form.Get("client"), Caller: form.Get("caller")}
 	if !form.Has("client") {
@@ -150,6 +153,9 @@
 	if !n.allowLookups(w, remoteAddr(r), len(batch.Lookups)) {
 		return
 	}
+	if !n.readyForLookups(w) {
+		return
+	}
 	view := n.lookups.view.Load()
 	answers := BatchAnswers{Version: view.Version(), Answers: make([]BatchAnswer, len(batch.Lookups))}
 	for i, q := range batch.Lookups {
@@ -173,6 +179,19 @@
 	return false
 }
 
+// readyForLookups answers 503, so that the caller asks another host, and returns
+// false while this host can't answer.
+func (n *Node) readyForLookups(w http.ResponseWriter) bool {
+	reason := n.lookups.unready()
+	if reason == "" {
+		return true
+	}
+	n.metrics.Counter("lookup.unready_calls").Add(1)
+	w.Header().Set("Retry-After", "1")
+	writeError(w, http.StatusServiceUnavailable, errors.New(reason))
+	return false
+}
+
 func remoteAddr(r *http.Request) netip.Addr {
 	ap, err := netip.ParseAddrPort(r.RemoteAddr)
 	if err != nil {
--- a/api_lookup_test.go
+++ b/api_lookup_test.go
@@ -21,6 +21,7 @@
 	s := &settings.Settings{Host: settings.Host{Name: "h1", Region: "a", FailureDomain: "a-1"}, Lookup: settings.Lookup{PerCaller: perCaller}}
 	n := New(s, Options{Platform: memory.New(), Logs: io.Discard})
 	n.lookups.view.Store(versionView(t, 1))
+	n.lookups.unready = func() string { return "" }
 	return n
 }
 
@@ -157,3 +158,21 @@
 		t.Errorf("only version %v was seen: nothing was swapped", seen)
 	}
 }
+
+// TestStartingHostRefusesInsteadOfNotFound asks a host that has no state yet: a
+// caller that is told of an unknown service gives up, one that gets 503 goes on to
+// another host.
+func TestStartingHostRefusesInsteadOfNotFound(t *testing.T) {
+	n := newLookupNode(t, 1000)
+	n.lookups.unready = n.lookupsUnready
+	n.lookups.view.Store(lookup.NewView(lookup.Inputs{}))
+	for url, body := range map[string]string{"/v1/lookup?service=bokun&client=10.0.0.1": "", "/v1/lookups": `{"lookups":[{"service":"bokun","client":"10.0.0.1"}]}`} {
+		method := "GET"
+		if body != "" {
+			method = "POST"
+		}
+		if w := ask(n, method, url, body); w.Code != http.StatusServiceUnavailable || w.Header().Get("Retry-After") == "" {
+			t.Errorf("%s %s: got %d %s", method, url, w.Code, w.Body)
+		}
+	}
+}
--- a/node_lookup.go
+++ b/node_lookup.go
@@ -36,7 +36,10 @@
 	view      atomic.Pointer[lookup.View]
 	limits    *callerLimits
 	latencies map[lookup.Pair]time.Duration
-	last      viewInputs
+	// unready returns why look-ups can't be answered yet, or "".
+	unready func() string
+	started time.Time
+	last    viewInputs
 }
 
 // viewInputs are what the last view was made from.
@@ -57,6 +60,7 @@
 		Objects: n.platform.Objects, Caller: caller, Peers: n.tablePeers, Metrics: n.metrics, Log: n.log,
 	})
 	n.lookups.view.Store(lookup.NewView(lookup.Inputs{}))
+	n.lookups.unready = n.lookupsUnready
 	n.lookups.limits = newCallerLimits(n.settings.Lookup.PerCaller)
 	n.lookups.latencies = configuredLatencies(n.settings.Lookup)
 	n.metrics.Gauge("lookup.entry_hosts", func() int64 { return int64(n.lookups.view.Load().Size()) })
@@ -93,8 +97,29 @@
 	return 1
 }
 
+// tableGrace is how long after its start a host refuses look-ups for want of the
+// block table. Later it answers without, since no other host may be better off.
+const tableGrace = 30 * time.Second
+
+// lookupsUnready returns why this host can't answer look-ups yet, or "". A host
+// that does not have the state yet must not say that a service is unknown, nor
+// send callers to far regions while its block table is on its way.
+func (n *Node) lookupsUnready() string {
+	switch {
+	case n.lookups.view.Load().Version() > 0 && n.lookups.tables.Loaded():
+		return ""
+	case !n.engine.Whole():
+		return "the state is not loaded yet"
+	case n.Version() > 0 && time.Since(n.lookups.started) < tableGrace:
+		return "the block table is not loaded yet"
+	default:
+		return ""
+	}
+}
+
 // startLookups begins to load tables and to renew the view.
 func (n *Node) startLookups(ctx context.Context) {
+	n.lookups.started = time.Now()
 	n.loops.Go(func() { n.lookups.tables.Run(ctx) })
 	n.loops.Go(func() { n.viewLoop(ctx) })
 }
--- a/tools/scenario/commands_test.go
+++ b/tools/scenario/commands_test.go
@@ -1,9 +1,11 @@
 package scenario
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"os"
 	"strings"
 	"time"
@@ -58,15 +60,16 @@
 	}
 }
 
-func get(url string, header http.Header) string {
-	req, err := http.NewRequest(http.MethodGet, url, nil)
+func get(from string, header http.Header) string {
+	req, err := http.NewRequest(http.MethodGet, from, nil)
 	if err != nil {
 		return err.Error()
 	}
 	req.Header = header.Clone()
 	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return err.Error()
+	var failed *url.Error
+	if errors.As(err, &failed) {
+		return failed.Err.Error() // without the URL, which may hold the wanted text
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
--- a/version/tables/keeper.go
+++ b/version/tables/keeper.go
@@ -66,6 +66,7 @@
 	opts   Options
 	wake   chan struct{}
 	table  atomic.Pointer[lookup.Table]
+	loaded atomic.Bool
 	served served
 
 	mu     sync.Mutex
@@ -90,6 +91,10 @@
 // Table returns the table in force.
 func (k *Keeper) Table() *lookup.Table { return k.table.Load() }
 
+// Loaded reports whether a table that tickets wanted has entered force, be it an
+// empty one.
+func (k *Keeper) Loaded() bool { return k.loaded.Load() }
+
 // Want replaces what tickets say. Run brings it into force.
 func (k *Keeper) Want(w Wanted) {
 	k.mu.Lock()
@@ -154,6 +159,9 @@
 		return err
 	}
 	before := k.table.Swap(table)
+	if w.Version > 0 {
+		k.loaded.Store(true)
+	}
 	evInForce.Log(k.opts.Log).Uint64("version", w.Version).Int("blocks", table.Len()).Send()
 	if before.Len() > gcAbove && before != table {
 		runtime.GC() // the replaced table would count twice until the next cycle
