--- a/node.go
+++ b/node.go
@@ -51,9 +51,10 @@
 	recent   *eventlog.Recent
 	metrics  *metrics.Set
 
-	config  state.Holder
-	lookups lookups
-	sites   sites
+	config      state.Holder
+	lookups     lookups
+	sites       sites
+	linkReports linkReports
 	versions
 	pool     *target.Pool
 	forward  *forward.Handler
--- a/tools/scenario/commands_test.go
+++ b/tools/scenario/commands_test.go
@@ -1,9 +1,11 @@
 package scenario
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"os"
 	"strings"
 	"time"
--- a/tools/scenario/scenario_test.go
+++ b/tools/scenario/scenario_test.go
@@ -36,6 +36,7 @@
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
 			"subst": cmdSubst,
 			"fetch": cmdFetch,
+			"sumof": cmdSumOf,
 
 			"deploy":  cmdDeploy,
 			"load":    cmdLoad,
