--- a/version/store/store.go
+++ b/version/store/store.go
@@ -111,6 +111,10 @@
 		return state.Record{}, err
 	}
 	rows, err := s.objectRows(ctx, r)
+	var refused *RefusedError
+	if errors.As(err, &refused) {
+		return s.confirmRefusal(ctx, r, refused)
+	}
 	if err != nil {
 		return state.Record{}, err
 	}
@@ -133,6 +137,21 @@
 	return r, nil
 }
 
+// confirmRefusal reads the ticket once more: it may have been accepted since it was
+// looked for, by another submission or by an earlier write of this one that took
+// effect late. With a larger ticket in force that can no longer happen.
+func (s *Store) confirmRefusal(ctx context.Context, r state.Record, refused *RefusedError) (state.Record, error) {
+	known, err := s.Ticket(ctx, r.Number)
+	switch {
+	case err == nil:
+		return sameContent(known, r)
+	case !errors.Is(err, platform.ErrNotFound):
+		return state.Record{}, err
+	default:
+		return state.Record{}, refused
+	}
+}
+
 // commitError marks every error of a commit that does not say that nothing was written.
 func commitError(err error) error {
 	refused := errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrUnavailable)
--- a/version/store/store_test.go
+++ b/version/store/store_test.go
@@ -130,6 +130,36 @@
 	}
 }
 
+// Regression: a resubmission that looked for the ticket just before the first
+// submission was accepted took the ticket itself for a winner against it.
+func TestResubmissionDuringAcceptanceIsNotRefused(t *testing.T) {
+	table := &memory.Table{}
+	r := record(t, 1, "anna", "h1")
+	f := &faultyGet{Table: table}
+	f.beforeObject = func() {
+		f.beforeObject = func() {}
+		if _, err := New(table).Submit(t.Context(), r); err != nil {
+			t.Error(err)
+		}
+	}
+	if _, err := New(f).Submit(t.Context(), r); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// faultyGet runs a function before an object's row is read.
+type faultyGet struct {
+	platform.Table
+	beforeObject func()
+}
+
+func (f *faultyGet) Get(ctx context.Context, key string) (platform.Row, error) {
+	if strings.HasPrefix(key, objectPrefix) {
+		f.beforeObject()
+	}
+	return f.Table.Get(ctx, key)
+}
+
 // A smaller ticket that commits first is overtaken, not an obstacle.
 func TestRaceIsRetriedAfterSmallerTicket(t *testing.T) {
 	table := &memory.Table{}
