--- a/node.go
+++ b/node.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,11 +20,10 @@
 	"quetzalknot/process/metrics"
 	"quetzalknot/process/settings"
 	"quetzalknot/process/slots"
-	"quetzalknot/request/admit"
 	"quetzalknot/request/forward"
 	"quetzalknot/request/route"
-	"quetzalknot/version/lookup"
 	"quetzalknot/version/state"
+	"quetzalknot/version/tables"
 )
 
 var (
@@ -34,7 +32,6 @@
 	evAccepted = eventlog.Define(2001, zerolog.InfoLevel, "ticket accepted")
 	evInForce  = eventlog.Define(2002, zerolog.InfoLevel, "configuration version in force")
 	evBadState = eventlog.Define(2003, zerolog.ErrorLevel, "configuration version refused")
-	evLookup   = eventlog.Define(2201, zerolog.InfoLevel, "look-up answered")
 )
 
 const (
@@ -52,8 +49,8 @@
 	recent   *eventlog.Recent
 	metrics  *metrics.Set
 
-	config      state.Holder
-	lookupTable atomic.Pointer[lookup.Table]
+	config  state.Holder
+	lookups lookups
 	versions
 	pool    *target.Pool
 	forward *forward.Handler
@@ -94,9 +91,9 @@
 		pool: target.NewPool(target.Dial(opts.Dial)),
 	}
 	n.setUpVersions(opts)
-	n.lookupTable.Store(&lookup.Table{})
+	n.setUpLookups(n.clients)
 	router := route.NewRouter(slots.NewLocal(), n.metrics, log)
-	n.forward = forward.New(&n.config, admit.New(router, n.metrics, log), n.pool, n.metrics, log)
+	n.forward = forward.New(&n.config, n.newAdmitter(router), n.pool, n.metrics, log)
 	return n
 }
 
@@ -114,11 +111,15 @@
 		return err
 	}
 	n.startVersions(ctx)
+	n.startLookups(ctx)
 	evStarted.Log(n.log).Str("api", n.addrs.API).Str("forward", n.addrs.Forward).Str("peer", n.addrs.Peer).Send()
 	return nil
 }
 
 func (n *Node) listen() error {
+	if err := n.peers.Register(tables.ServiceName, n.lookups.tables.Service()); err != nil {
+		return err
+	}
 	if err := n.listenPeers(); err != nil {
 		return err
 	}
@@ -148,12 +149,8 @@
 	if err != nil {
 		return err
 	}
-	table, err := lookup.Build(snap.Blocks)
-	if err != nil {
-		return err
-	}
-	n.lookupTable.Store(table)
 	n.config.Store(snap)
+	n.lookups.tables.Want(tables.Wanted{Version: snap.Version, Tables: snap.BlockTables, Blocks: snap.Blocks})
 	n.inForceAt = time.Now()
 	evInForce.Log(n.log).Uint64("version", snap.Version).Int("services", len(snap.Services)).Send()
 	return nil
--- a/request/route/router.go
+++ b/request/route/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -82,6 +83,8 @@
 
 // scratch is the memory of one decision.
 type scratch struct {
+	// region limits the candidates; empty means all.
+	region     string
 	rnd        *rand.Rand
 	spots      []slots.Spot
 	views      []health.View
@@ -110,6 +113,7 @@
 	room := r.roomOf(info.Service)
 	s := r.pool.Get().(*scratch)
 	defer r.pool.Put(s)
+	s.region = info.Region
 	for range maxDraws {
 		now := time.Now()
 		at, probe := r.decide(now, p.policy, class, room, tried, s)
@@ -168,7 +172,7 @@
 	room.Survey(class.asks, s.spots)
 	r.health.Survey(now, class.ids, s.views)
 	if len(tried) == 0 {
-		if at := probeOf(s); at != None {
+		if at := probeOf(class, s); at != None {
 			return at, true
 		}
 	}
@@ -182,9 +186,9 @@
 }
 
 // probeOf returns a target that is set aside and may get one request, or None.
-func probeOf(s *scratch) int {
+func probeOf(class *classPlan, s *scratch) int {
 	for i := range s.views {
-		if s.views[i].Probe && s.spots[i].Free > 0 {
+		if s.views[i].Probe && s.spots[i].Free > 0 && inRegion(class.targets[i], s.region) {
 			return i
 		}
 	}
@@ -194,6 +198,7 @@
 // The levels of preference, best first.
 const (
 	levelFresh = iota
+	levelTriedDomain
 	levelOtherRegion
 	levelTried
 	levels
@@ -203,7 +208,7 @@
 func (r *Router) collect(class *classPlan, tried []string, level int, s *scratch) {
 	s.candidates = s.candidates[:0]
 	for i, t := range class.targets {
-		if r.levelOf(t, tried) != level {
+		if !inRegion(t, s.region) || r.levelOf(class, t, tried) != level {
 			continue
 		}
 		v := &s.views[i]
@@ -214,18 +219,32 @@
 	}
 }
 
-func (r *Router) levelOf(t *config.Target, tried []string) int {
-	for _, name := range tried {
-		if name == t.Name {
-			return levelTried
-		}
+// inRegion reports whether a target may get a request that is limited to a region.
+func inRegion(t *config.Target, region string) bool { return region == "" || t.Region == region }
+
+func (r *Router) levelOf(class *classPlan, t *config.Target, tried []string) int {
+	if slices.Contains(tried, t.Name) {
+		return levelTried
 	}
 	if r.region != "" && t.Region != r.region {
 		return levelOtherRegion
 	}
+	if len(tried) > 0 && class.domainTried(t.FailureDomain, tried) {
+		return levelTriedDomain
+	}
 	return levelFresh
 }
 
+// domainTried reports whether an earlier attempt went to a target of the failure domain.
+func (c *classPlan) domainTried(domain string, tried []string) bool {
+	for _, t := range c.targets {
+		if t.FailureDomain == domain && slices.Contains(tried, t.Name) {
+			return true
+		}
+	}
+	return false
+}
+
 // Changed returns a channel that is closed when room for the service may have appeared.
 func (r *Router) Changed(service string) <-chan struct{} {
 	plans := *r.plans.Load()
--- a/version/ticket/check_service.go
+++ b/version/ticket/check_service.go
@@ -124,11 +124,21 @@
 	}
 }
 
+// blockTableName is the one name of a block table, so that there are never two.
+const blockTableName = "clients"
+
 func (c *checker) blockTable(field string, b *config.BlockTable) {
-	c.name(field+".name", b.Name)
-	usable := len(b.Object) <= maxObjectKey && objectPattern.MatchString(b.Object) && !strings.Contains(b.Object, "..")
-	c.require(usable, field+".object", b.Object, "a key of the object store")
-	c.require(sha256Pattern.MatchString(b.SHA256), field+".sha256", b.SHA256, "64 hexadecimal digits in lower case")
+	c.require(b.Name == blockTableName, field+".name", b.Name, `"`+blockTableName+`", since there is one table`)
+	c.storedObject(field, b.Object, b.SHA256)
+	for i, d := range b.Deltas {
+		c.storedObject(at(field+".delta", i), d.Object, d.SHA256)
+	}
+}
+
+func (c *checker) storedObject(field, object, sum string) {
+	usable := len(object) <= maxObjectKey && objectPattern.MatchString(object) && !strings.Contains(object, "..")
+	c.require(usable, field+".object", object, "a key of the object store")
+	c.require(sha256Pattern.MatchString(sum), field+".sha256", sum, "64 hexadecimal digits in lower case")
 }
 
 func (c *checker) remove(field string, k state.Key) {
