--- /dev/null
+++ b/version/spread/tickets_test.go
@@ -0,0 +1,197 @@
+package spread
+
+import (
+	"context"
+	"reflect"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"quetzalknot/platform"
+	"quetzalknot/version/state"
+)
+
+// Two hosts with any tickets level each other by digests and deltas, whatever the
+// limit of a delta.
+func TestTicketsLevel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := NewTickets(state.New(), func() {}), NewTickets(state.New(), func() {})
+		for _, topic := range []*Tickets{a, b} {
+			for _, n := range rapid.SliceOfN(rapid.Uint64Range(1, 40), 0, 20).Draw(t, "tickets") {
+				topic.Add(ticketOf(n))
+			}
+		}
+		limit := rapid.IntRange(0, 2000).Draw(t, "limit")
+		for range 50 {
+			deliver(t, a, b, limit)
+			deliver(t, b, a, limit)
+		}
+		if a.Sum() != b.Sum() || !reflect.DeepEqual(a.state.Numbers(), b.state.Numbers()) {
+			t.Fatalf("%v and %v", a.state.Numbers(), b.state.Numbers())
+		}
+	})
+}
+
+func deliver(t *rapid.T, from, to *Tickets, limit int) {
+	if delta := from.Delta(to.Digest(), limit); delta != nil {
+		if _, err := to.Merge(delta); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// With many tickets in force a digest stays small and covers them all in turn.
+func TestDigestIsBounded(t *testing.T) {
+	const tickets = 20_000
+	a, b := NewTickets(state.New(), func() {}), NewTickets(state.New(), func() {})
+	for n := uint64(1); n <= tickets; n++ {
+		a.state.Merge(ticketOf(n * 1_000_003))
+	}
+	for n := uint64(1); n < tickets; n++ {
+		b.state.Merge(ticketOf(n * 1_000_003))
+	}
+	for range 1000 {
+		digest := b.Digest()
+		if len(digest) > MaxDigestBytes {
+			t.Fatalf("digest of %d bytes", len(digest))
+		}
+		if delta := a.Delta(digest, MaxDeltaBytes); delta != nil {
+			if _, err := b.Merge(delta); err != nil {
+				t.Fatal(err)
+			}
+			break
+		}
+	}
+	if a.Sum() != b.Sum() {
+		t.Fatal("the missing ticket was never found")
+	}
+}
+
+func FuzzMerge(f *testing.F) {
+	delta, err := EncodeRecords(ticketOf(1))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(delta, []byte{1, 0, 1})
+	f.Add([]byte{0x81, 0xa0}, []byte{0, 0})
+	f.Fuzz(func(t *testing.T, delta, digest []byte) {
+		topic := NewTickets(state.New(), func() {})
+		changed, err := topic.Merge(delta)
+		if err != nil && (changed || topic.Sum() != 0) {
+			t.Fatal("a refused delta changed the state")
+		}
+		topic.Delta(digest, 100)
+	})
+}
+
+// A start reads the snapshot and only the tickets after it.
+func TestStartFromSnapshotReadsFewRows(t *testing.T) {
+	run(t, func(t *testing.T) {
+		f := newFleet()
+		first := f.start(t.Context(), 0)
+		for n := uint64(1); n <= 1000; n++ {
+			f.accept(t, n)
+		}
+		eventually(t, time.Minute, "the first host has all", func() bool { return first.state.Newest() == 1000 })
+		eventually(t, 3*snapshotInterval, "a snapshot is written", func() bool {
+			keys, _ := f.platform.Objects.List(t.Context(), "state/")
+			return len(keys) > 0
+		})
+		first.stop()
+		f.hosts = nil
+		f.accept(t, 1001)
+		counted := &countedRows{Table: f.table.Table}
+		f.table.mu.Lock()
+		f.table.Table = counted
+		f.table.mu.Unlock()
+		late := f.start(t.Context(), 1)
+		defer f.stopAll()
+		eventually(t, 10*time.Second, "the late host has all", func() bool { return late.state.Newest() == 1001 && len(late.state.Numbers()) == 1001 })
+		if rows := counted.rows.Load(); rows > 10 {
+			t.Fatalf("%d rows were read", rows)
+		}
+	})
+}
+
+// countedRows counts the rows that Changes returns.
+type countedRows struct {
+	platform.Table
+	rows atomic.Int64
+}
+
+func (c *countedRows) Changes(ctx context.Context, prefix string, after int64, limit int) (platform.Changes, error) {
+	changes, err := c.Table.Changes(ctx, prefix, after, limit)
+	c.rows.Add(int64(len(changes.Rows)))
+	return changes, err
+}
+
+// A second process of the same host ends the first one's lease for good.
+func TestOneProcessPerHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		f.startAll(t.Context(), 4)
+		defer f.stopAll()
+		f.settle(t)
+		first := f.hosts[1]
+		time.Sleep(time.Millisecond)
+		second := f.start(t.Context(), 1)
+		eventually(t, 10*time.Second, "the first process knows", func() bool { return first.members.Lease().Revoked() })
+		eventually(t, 10*time.Second, "the second holds a lease", func() bool { return second.members.Lease().Valid(time.Now()) })
+		for _, i := range []int{0, 2, 3} {
+			eventually(t, 10*time.Second, "the others know the second", func() bool {
+				e, _ := f.hosts[i].members.Entry("h1")
+				return e.Member.Incarnation == second.members.Self().Incarnation
+			})
+		}
+	})
+}
+
+// While the table service is down for long, hosts call it rarely; when it is back
+// they stay within the share that is stated in docs/operations/outages.md.
+func TestNoHerdAfterAnOutage(t *testing.T) {
+	run(t, func(t *testing.T) {
+		f := newFleet()
+		f.startAll(t.Context(), 40)
+		defer f.stopAll()
+		f.settle(t)
+		f.table.set(true)
+		time.Sleep(8 * time.Minute)
+		f.table.set(false)
+		worst := 0
+		for range 60 {
+			before := f.count()
+			time.Sleep(time.Second)
+			worst = max(worst, f.count()-before)
+		}
+		t.Logf("at most %d store operations in a second for 40 hosts", worst)
+		if worst > 40 {
+			t.Fatalf("%d store operations in one second", worst)
+		}
+	})
+}
+
+func (f *fleet) count() int {
+	f.table.mu.Lock()
+	defer f.table.mu.Unlock()
+	return f.table.calls
+}
+
+// The largest state per object wins when peers hold states of different age.
+func TestOldPeerDoesNotTakeBack(t *testing.T) {
+	fresh, old := NewTickets(state.New(), func() {}), NewTickets(state.New(), func() {})
+	r1, r2 := ticketOf(1), ticketOf(2)
+	r2.Objects[0].Key = r1.Objects[0].Key
+	old.Add(r1)
+	fresh.Add(r2)
+	if delta := old.Delta(fresh.Digest(), MaxDeltaBytes); delta != nil {
+		if changed, err := fresh.Merge(delta); changed || err != nil {
+			t.Fatalf("changed %v, %v", changed, err)
+		}
+	}
+	if got := fresh.state.Ticket(r1.Objects[0].Key); got != 2 {
+		t.Fatalf("ticket %d is in force, want 2", got)
+	}
+}
