--- a/version/spread/engine_test.go
+++ b/version/spread/engine_test.go
@@ -116,6 +116,8 @@
 	platform *platform.Platform
 	table    *switchable
 	hosts    []*host
+	// prepare runs before a host starts. May be nil.
+	prepare func(i int, h *host)
 }
 
 // switchable is a table service that can be down.
@@ -176,6 +178,9 @@
 	h.tickets = NewTickets(h.state, func() {})
 	h.engine = New(Config{Members: h.members, Caller: callerOf{f.net, h.name}, Metrics: metrics.NewSet(), Log: zerolog.New(io.Discard)})
 	h.engine.Register(TicketsTopic, h.tickets)
+	if f.prepare != nil {
+		f.prepare(i, h)
+	}
 	rows := membership.NewRows(f.table)
 	h.poller = NewPoller(h.engine, h.tickets, h.state, Sources{
 		Store: store.New(f.table), Rows: rows, Snapshots: store.NewSnapshots(f.platform.Objects), Seeds: seeds,
