--- a/version/store/store.go
+++ b/version/store/store.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 
 	"quetzalknot/platform"
 	"quetzalknot/version/state"
@@ -24,6 +25,10 @@
 	pageRows = 200
 	// maxAttempts bounds the transactions of one submission.
 	maxAttempts = 8
+	// objectReadsPerSecond and objectReadsBurst bound the reads of a host's submissions,
+	// so that a ticket of many objects leaves room for other readers.
+	objectReadsPerSecond = 400
+	objectReadsBurst     = 100
 	// readsAtOnce bounds the concurrent reads of one submission.
 	readsAtOnce = 8
 	// retryPause is the mean pause before the second attempt; it doubles each time.
@@ -50,10 +55,13 @@
 // Store reads and writes accepted tickets.
 type Store struct {
 	table platform.Table
+	reads *rate.Limiter
 }
 
 // New returns a store over the table service.
-func New(table platform.Table) *Store { return &Store{table: table} }
+func New(table platform.Table) *Store {
+	return &Store{table: table, reads: rate.NewLimiter(objectReadsPerSecond, objectReadsBurst)}
+}
 
 // Submit accepts the ticket in one transaction, or returns a RefusedError that
 // names the ticket and object that stand against it. A lost race is tried again,
@@ -197,6 +205,9 @@
 }
 
 func (s *Store) objectRow(ctx context.Context, k state.Key) (objectRow, error) {
+	if err := s.reads.Wait(ctx); err != nil {
+		return objectRow{}, err
+	}
 	row, err := s.table.Get(ctx, objectKey(k))
 	if errors.Is(err, platform.ErrNotFound) {
 		return objectRow{}, nil
