Partners stay for a second while members change

Cause: a trial with 910 hosts that started at once in one process ran out of open files: each join moved some partners, and each move opened a connection that stays for a minute. Change: a full set of partners is kept for at least a second. Conclusion: the tests of spread, death and leaving hold as before.

--- a/version/spread/engine.go
+++ b/version/spread/engine.go
@@ -29,6 +29,9 @@
 	// maxPushBytes is the largest delta that is pushed; larger ones go by exchange,
 	// which sends them only to hosts that lack them.
 	maxPushBytes = 16 << 10
+	// partnersKept is for how long a full set of partners stays while members change,
+	// so that many starts at once do not open and leave a connection for each.
+	partnersKept = time.Second
 	// deadEvery is after how many exchanges a dead member is tried.
 	deadEvery = 8
 )
@@ -64,6 +67,7 @@
 	suspecting map[string]bool
 	partnerSum uint64
 	partners   []membership.Member
+	partnersAt time.Time
 	next       int
 
 	whole       atomic.Bool
@@ -169,13 +173,15 @@
 	e.lastChange = time.Now()
 }
 
-// currentPartners returns the partners for the members as they are now.
+// currentPartners returns the partners for the members as they were at most partnersKept ago.
 func (e *Engine) currentPartners() []membership.Member {
 	sum := e.Members.Sum()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if sum != e.partnerSum || e.partners == nil {
+	due := len(e.partners) < membership.Degree || time.Since(e.partnersAt) >= partnersKept
+	if sum != e.partnerSum && due || e.partners == nil {
 		e.partnerSum = sum
+		e.partnersAt = time.Now()
 		e.partners = membership.Partners(e.Members.Self(), e.Members.Reachable())
 	}
 	return e.partners
