Refused rows and a failing object store no longer keep a host from reading the head

With writes refused no host was ever ready; with the object store down none could start. Conclusion: TestRefusedWritesAndObjectsDoNotStopReads fails before and holds now.

--- a/version/spread/engine_test.go
+++ b/version/spread/engine_test.go
@@ -126,6 +126,8 @@
 	mu    sync.Mutex
 	down  bool
 	calls int
+	// readOnly refuses writes only.
+	readOnly bool
 }
 
 func (s *switchable) set(down bool) {
@@ -162,6 +164,12 @@
 	if err := s.check(); err != nil {
 		return 0, err
 	}
+	s.mu.Lock()
+	readOnly := s.readOnly
+	s.mu.Unlock()
+	if readOnly {
+		return 0, platform.ErrUnavailable
+	}
 	return s.Table.Commit(ctx, c, w)
 }
 
@@ -229,7 +237,7 @@
 // accept writes a ticket to the table service without any host's help.
 func (f *fleet) accept(t *testing.T, number uint64) state.Record {
 	t.Helper()
-	r, err := store.New(f.platform.Table).Submit(t.Context(), ticketOf(number))
+	r, err := store.New(f.table.Table).Submit(t.Context(), ticketOf(number))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -502,6 +510,43 @@
 	})
 }
 
+// Regression: a refused row or an object store that is down kept hosts from
+// reading the head.
+func TestRefusedWritesAndObjectsDoNotStopReads(t *testing.T) {
+	run(t, func(t *testing.T) {
+		f := newFleet()
+		f.table.readOnly = true
+		f.platform.Objects = downObjects{}
+		f.startAll(t.Context(), 7)
+		defer f.stopAll()
+		eventually(t, 5*time.Second, "all are whole", func() bool {
+			for _, h := range f.hosts {
+				if !h.engine.Whole() {
+					return false
+				}
+			}
+			return true
+		})
+		f.accept(t, 1)
+		eventually(t, 5*time.Second, "the ticket", func() bool { return f.allHave(1) })
+		time.Sleep(time.Hour)
+		for _, h := range f.hosts {
+			if !h.engine.Fresh() {
+				t.Fatalf("%s is not fresh", h.name)
+			}
+		}
+	})
+}
+
+// downObjects is an object store that answers nothing.
+type downObjects struct{ platform.Objects }
+
+func (downObjects) Put(context.Context, string, []byte) error   { return platform.ErrUnavailable }
+func (downObjects) Get(context.Context, string) ([]byte, error) { return nil, platform.ErrUnavailable }
+func (downObjects) List(context.Context, string) ([]string, error) {
+	return nil, platform.ErrUnavailable
+}
+
 // Only a few hosts of each failure domain read the head.
 func TestFewHostsReadTheStore(t *testing.T) {
 	run(t, func(t *testing.T) {
--- a/version/spread/events.go
+++ b/version/spread/events.go
@@ -17,7 +17,9 @@
 	evUnreadable = eventlog.Define(2014, zerolog.ErrorLevel, "ticket row cannot be decoded")
 	evSnapshot   = eventlog.Define(2015, zerolog.InfoLevel, "state snapshot written")
 	evDamaged    = eventlog.Define(2016, zerolog.ErrorLevel, "state snapshot refused")
-	evStarted    = eventlog.Define(2017, zerolog.InfoLevel, "state loaded")
+	// evSnapshotFailed is no fault of the table service, which goes on to be read.
+	evSnapshotFailed = eventlog.Define(2018, zerolog.WarnLevel, "object store not used for the state snapshot")
+	evStarted        = eventlog.Define(2017, zerolog.InfoLevel, "state loaded")
 )
 
 func (e *Engine) publishMetrics() {
--- a/version/spread/poller.go
+++ b/version/spread/poller.go
@@ -58,13 +58,14 @@
 	pauses  *backoff.ExponentialBackOff
 
 	// The rest belongs to Run.
-	rows         int64
-	polls        int
-	down         bool
-	renewAt      time.Time
-	snapshotAt   time.Time
-	snapshotSum  uint64
-	leavingKnown bool
+	rows          int64
+	polls         int
+	down          bool
+	renewAt       time.Time
+	renewFailedAt time.Time
+	snapshotAt    time.Time
+	snapshotSum   uint64
+	leavingKnown  bool
 }
 
 // NewPoller returns a poller that feeds the engine's tickets and members.
@@ -107,16 +108,16 @@
 	p.down = err != nil
 }
 
+// step does what is due. Only a failed read of the table service is an error: the
+// other services and writes are tried again in their own time.
 func (p *Poller) step(ctx context.Context) error {
+	defer p.renew(ctx)
 	if !p.engine.Whole() {
 		if err := p.start(ctx); err != nil {
 			p.callSeeds(ctx)
 			return err
 		}
 	}
-	if err := p.renew(ctx); err != nil {
-		return err
-	}
 	if !p.onDuty() {
 		return nil
 	}
@@ -129,7 +130,8 @@
 			return err
 		}
 	}
-	return p.snapshot(ctx)
+	p.snapshot(ctx)
+	return nil
 }
 
 // onDuty reports whether this host is one of the pollers of its failure domain.
@@ -151,7 +153,7 @@
 		return err
 	}
 	if err := p.loadSnapshot(ctx); err != nil && !errors.Is(err, platform.ErrNotFound) {
-		return err
+		evSnapshotFailed.Log(p.engine.Log).Err(err).Send()
 	}
 	if err := p.poll(ctx); err != nil {
 		return err
@@ -244,38 +246,41 @@
 }
 
 // renew writes the row of this process when it is due, or when it begins to leave.
-func (p *Poller) renew(ctx context.Context) error {
+func (p *Poller) renew(ctx context.Context) {
 	self := p.engine.Members.Self()
-	if time.Now().Before(p.renewAt) && self.Leaving == p.leavingKnown {
-		return nil
+	due := time.Now().After(p.renewAt) || self.Leaving != p.leavingKnown && time.Now().After(p.renewFailedAt.Add(maxStorePause))
+	if !due || ctx.Err() != nil {
+		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	p.engine.Metrics.Counter("spread.store_writes_total").Add(1)
 	err := p.Rows.Announce(ctx, self, time.Now())
-	if errors.Is(err, membership.ErrSuperseded) {
+	switch {
+	case errors.Is(err, membership.ErrSuperseded):
 		p.engine.Members.Lease().Revoke()
 		evSuperseded.Log(p.engine.Log).Err(err).Send()
-		err = nil
-	}
-	if err != nil {
+	case err != nil:
 		evRowFailed.Log(p.engine.Log).Err(err).Send()
-		return err
+		p.renewFailedAt = time.Now()
+		p.renewAt = p.renewFailedAt.Add(maxStorePause/2 + rand.N(maxStorePause))
+		return
 	}
 	p.leavingKnown = self.Leaving
 	p.renewAt = time.Now().Add(membership.RenewInterval*3/4 + rand.N(membership.RenewInterval/2))
-	return nil
 }
 
 // snapshot writes the state to the object store, on one host, when it has changed.
-func (p *Poller) snapshot(ctx context.Context) error {
+func (p *Poller) snapshot(ctx context.Context) {
 	self := p.engine.Members.Self()
 	due := time.Now().After(p.snapshotAt) && p.state.Sum() != p.snapshotSum
 	if !due || membership.Rank("snapshot", self.Host, p.engine.Members.Live()) > 0 {
-		return nil
+		return
 	}
 	p.snapshotAt = time.Now().Add(snapshotInterval)
-	return p.writeSnapshot(ctx)
+	if err := p.writeSnapshot(ctx); err != nil {
+		evSnapshotFailed.Log(p.engine.Log).Err(err).Send()
+	}
 }
 
 func (p *Poller) writeSnapshot(ctx context.Context) error {
