--- a/version/spread/poller.go
+++ b/version/spread/poller.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -315,13 +316,17 @@
 			}
 		}
 	}
+	var calls sync.WaitGroup
 	for _, addr := range seeds {
 		if addr == p.engine.Members.Self().PeerAddr {
 			continue
 		}
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		// A seed that does not answer is tried again with the next step.
-		_ = p.engine.Exchange(callCtx, addr)
-		cancel()
+		calls.Go(func() {
+			callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+			defer cancel()
+			// A seed that does not answer is tried again with the next step.
+			_ = p.engine.Exchange(callCtx, addr)
+		})
 	}
+	calls.Wait()
 }
