--- a/version/store/store.go
+++ b/version/store/store.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 
 	"quetzalknot/platform"
 	"quetzalknot/version/state"
@@ -24,6 +25,10 @@
 	pageRows = 200
 	// maxAttempts bounds the transactions of one submission.
 	maxAttempts = 8
+	// objectReadsPerSecond and objectReadsBurst bound the reads of a host's submissions,
+	// so that a ticket of many objects leaves room for other readers.
+	objectReadsPerSecond = 400
+	objectReadsBurst     = 100
 	// readsAtOnce bounds the concurrent reads of one submission.
 	readsAtOnce = 8
 	// retryPause is the mean pause before the second attempt; it doubles each time.
@@ -50,10 +55,13 @@
 // Store reads and writes accepted tickets.
 type Store struct {
 	table platform.Table
+	reads *rate.Limiter
 }
 
 // New returns a store over the table service.
-func New(table platform.Table) *Store { return &Store{table: table} }
+func New(table platform.Table) *Store {
+	return &Store{table: table, reads: rate.NewLimiter(objectReadsPerSecond, objectReadsBurst)}
+}
 
 // Submit accepts the ticket in one transaction, or returns a RefusedError that
 // names the ticket and object that stand against it. A lost race is tried again,
@@ -111,6 +119,10 @@
 		return state.Record{}, err
 	}
 	rows, err := s.objectRows(ctx, r)
+	var refused *RefusedError
+	if errors.As(err, &refused) {
+		return s.confirmRefusal(ctx, r, refused)
+	}
 	if err != nil {
 		return state.Record{}, err
 	}
@@ -133,6 +145,21 @@
 	return r, nil
 }
 
+// confirmRefusal reads the ticket once more: it may have been accepted since it was
+// looked for, by another submission or by an earlier write of this one that took
+// effect late. With a larger ticket in force that can no longer happen.
+func (s *Store) confirmRefusal(ctx context.Context, r state.Record, refused *RefusedError) (state.Record, error) {
+	known, err := s.Ticket(ctx, r.Number)
+	switch {
+	case err == nil:
+		return sameContent(known, r)
+	case !errors.Is(err, platform.ErrNotFound):
+		return state.Record{}, err
+	default:
+		return state.Record{}, refused
+	}
+}
+
 // commitError marks every error of a commit that does not say that nothing was written.
 func commitError(err error) error {
 	refused := errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrUnavailable)
@@ -178,6 +205,9 @@
 }
 
 func (s *Store) objectRow(ctx context.Context, k state.Key) (objectRow, error) {
+	if err := s.reads.Wait(ctx); err != nil {
+		return objectRow{}, err
+	}
 	row, err := s.table.Get(ctx, objectKey(k))
 	if errors.Is(err, platform.ErrNotFound) {
 		return objectRow{}, nil
