--- a/process/credit/elector.go
+++ b/process/credit/elector.go
@@ -7,8 +7,9 @@
 
 // Elector promises the owners of partitions that it supports no later epoch for
 // PromiseTerm. It keeps nothing on disk: a fresh process stays silent until the
-// promises of its predecessor have ended and it has read the rows itself. It is
-// not safe for concurrent use.
+// promises of its predecessor have ended and it has read the rows itself; only
+// an epoch that follows a released one, or none, needs no silence. It is not
+// safe for concurrent use.
 type Elector struct {
 	started  time.Time
 	informed bool
@@ -38,7 +39,11 @@
 // Promise answers one pledge. A promise also consents to the epoch: no owner of
 // an earlier epoch gets another one.
 func (e *Elector) Promise(now time.Time, p Pledge) bool {
-	if !e.informed || now.Sub(e.started) < withDrift(PromiseTerm) {
+	if !e.informed {
+		return false
+	}
+	superseding := p.Epoch != p.Released+1
+	if superseding && now.Sub(e.started) < withDrift(PromiseTerm) {
 		return false
 	}
 	if p.Epoch < e.newest[p.Partition] {
--- a/process/credit/holder.go
+++ b/process/credit/holder.go
@@ -312,6 +312,16 @@
 	return l
 }
 
+// Abandon lets every unused loan lapse, so that the next messages give them back.
+func (h *Holder) Abandon() {
+	clear(h.demands)
+	for _, l := range h.lines {
+		for _, c := range l.loans {
+			c.expires = time.Time{}
+		}
+	}
+}
+
 // Granters returns the granting processes whose loans are kept.
 func (h *Holder) Granters() []Process {
 	var granters []Process
--- /dev/null
+++ b/process/credit/service.go
@@ -0,0 +1,191 @@
+package credit
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"quetzalknot/platform"
+	"quetzalknot/process/eventlog"
+	"quetzalknot/process/metrics"
+	"quetzalknot/process/peer"
+	"quetzalknot/process/slots"
+)
+
+var (
+	evClaimed     = eventlog.Define(1201, zerolog.InfoLevel, "partition claimed")
+	evEstablished = eventlog.Define(1202, zerolog.InfoLevel, "right to grant established")
+	evReleased    = eventlog.Define(1203, zerolog.InfoLevel, "partition released")
+	evLost        = eventlog.Define(1204, zerolog.WarnLevel, "right to grant lost")
+	evRows        = eventlog.Define(1205, zerolog.WarnLevel, "partitions are not read or written")
+	evElectors    = eventlog.Define(1206, zerolog.InfoLevel, "electors changed")
+)
+
+// serviceName is the name of the net/rpc service.
+const serviceName = "Credit"
+
+// Options are what a Service needs from its process.
+type Options struct {
+	Self   func() Host
+	Table  platform.Table
+	Caller peer.Caller
+	// Hosts returns the live entry hosts, this one included.
+	Hosts func() []Host
+	// Targets returns the targets whose slots are lent.
+	Targets func() []TargetInfo
+	Metrics *metrics.Set
+	Log     zerolog.Logger
+}
+
+// Service lends and borrows slots for one process. It is a slots.Room.
+type Service struct {
+	opts     Options
+	self     Process
+	counters *counters
+	triggers chan struct{}
+
+	mu        sync.Mutex
+	granter   *Granter
+	holder    *Holder
+	elector   *Elector
+	tenures   map[string]*Tenure
+	rows      map[string]rowAt
+	readTo    int64
+	homes     map[slots.Target]string
+	regions   map[slots.Target]string
+	infos     []TargetInfo
+	adopted   map[slots.Target]bool
+	backoff   map[Process]backoff
+	directory *directory
+	// leaving is true once the process claims no more partitions.
+	leaving   bool
+	wakers    map[string]chan struct{}
+	lists     map[DemandKey][]slots.Ask
+	nameLists map[DemandKey]nameList
+	// liveSince is since when the set of live hosts has not changed.
+	liveSince time.Time
+	liveNames string
+}
+
+// rowAt is a row with the revision at which it was read.
+type rowAt struct {
+	Row
+	revision int64
+}
+
+// nameList is the list of names made for a list of asks.
+type nameList struct {
+	first *slots.Ask
+	names []string
+}
+
+// NewService returns a service of a process that starts now.
+func NewService(self Process, opts Options) *Service {
+	s := &Service{
+		opts: opts, self: self, counters: newCounters(opts.Metrics), triggers: make(chan struct{}, 1),
+		granter: NewGranter(self), holder: NewHolder(self), elector: NewElector(time.Now()),
+		tenures: make(map[string]*Tenure), rows: make(map[string]rowAt),
+		homes: make(map[slots.Target]string), regions: make(map[slots.Target]string), adopted: make(map[slots.Target]bool),
+		backoff: make(map[Process]backoff), wakers: make(map[string]chan struct{}),
+		lists: make(map[DemandKey][]slots.Ask), nameLists: make(map[DemandKey]nameList),
+	}
+	s.counters.gauges(opts.Metrics, s)
+	return s
+}
+
+// Register adds the service's calls to a peer server.
+func (s *Service) Register(server *peer.Server) error {
+	return server.Register(serviceName, &calls{service: s})
+}
+
+// Run lends and borrows until ctx ends.
+func (s *Service) Run(ctx context.Context) {
+	var loops sync.WaitGroup
+	loops.Go(func() { s.every(ctx, claimInterval, s.keepPartitions) })
+	loops.Go(func() { s.every(ctx, pledgeInterval, s.pledge) })
+	loops.Go(func() { s.borrowLoop(ctx) })
+	loops.Wait()
+}
+
+// Leave releases every partition, so that other hosts grant at once, and claims
+// no more.
+func (s *Service) Leave(ctx context.Context) {
+	s.mu.Lock()
+	s.leaving = true
+	s.mu.Unlock()
+	for _, name := range s.owned() {
+		s.releasePartition(ctx, name)
+	}
+}
+
+// GiveBack returns every unused loan. It is called after Run has ended.
+func (s *Service) GiveBack(ctx context.Context) {
+	s.mu.Lock()
+	messages := s.last(time.Now())
+	s.mu.Unlock()
+	var calls sync.WaitGroup
+	for _, m := range messages {
+		calls.Go(func() { s.call(ctx, m) })
+	}
+	calls.Wait()
+}
+
+func (s *Service) every(ctx context.Context, interval time.Duration, do func(context.Context)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		do(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// calls is the net/rpc form of the service.
+type calls struct{ service *Service }
+
+// Borrow lends slots to a holder.
+func (c *calls) Borrow(args *BorrowArgs, reply *BorrowReply) error {
+	*reply = c.service.lend(args)
+	return nil
+}
+
+// Promise answers an owner of partitions.
+func (c *calls) Promise(args *PromiseArgs, reply *PromiseReply) error {
+	*reply = c.service.promise(args)
+	return nil
+}
+
+func (s *Service) lend(args *BorrowArgs) BorrowReply {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	reply := s.granter.Borrow(now, args, func(t slots.Target) bool { return s.allowed(now, t) })
+	s.counters.lent.Add(int64(len(reply.Loans)))
+	s.counters.served.Add(1)
+	return reply
+}
+
+// allowed reports whether this process may grant slots of a target now.
+func (s *Service) allowed(now time.Time, t slots.Target) bool {
+	tenure := s.tenures[s.homes[t]]
+	return tenure != nil && tenure.Allowed(now)
+}
+
+func (s *Service) promise(args *PromiseArgs) PromiseReply {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	granted := make([]bool, len(args.Pledges))
+	for i, p := range args.Pledges {
+		granted[i] = s.elector.Promise(now, p)
+		if tenure := s.tenures[p.Partition]; tenure != nil && tenure.Epoch < p.Epoch {
+			s.lose(p.Partition)
+		}
+	}
+	return PromiseReply{Granted: granted}
+}
--- a/process/credit/tenure.go
+++ b/process/credit/tenure.go
@@ -143,7 +143,11 @@
 }
 
 // Electing begins to need the promises of a new list of electors as well.
-func (t *Tenure) Electing(electors []string) { t.electorates = append(t.electorates, electors) }
+func (t *Tenure) Electing(electors []string) {
+	if !slices.Equal(t.electorates[len(t.electorates)-1], electors) {
+		t.electorates = append(t.electorates, electors)
+	}
+}
 
 // Elected ends a change of electors; only those of the row count.
 func (t *Tenure) Elected(electors []string) { t.electorates = [][]string{electors} }
--- a/process/slots/slots.go
+++ b/process/slots/slots.go
@@ -58,6 +58,8 @@
 	// Acquire takes one slot. It returns false when none is free. The caller calls
 	// release once, when the target is known to have ended the request.
 	Acquire(a Ask) (release func(), ok bool)
+	// Hold returns how long a request of the lane may occupy a slot; 0 means any time.
+	Hold(lane Lane) time.Duration
 	// Changed returns a channel that is closed when room at a target of the service
 	// may have appeared since the call.
 	Changed(service string) <-chan struct{}
@@ -162,6 +164,9 @@
 	}
 }
 
+// Hold implements Room. Local room sets no bound.
+func (l *Local) Hold(Lane) time.Duration { return 0 }
+
 // Changed implements Room.
 func (l *Local) Changed(service string) <-chan struct{} {
 	l.mu.Lock()
--- a/request/route/router.go
+++ b/request/route/router.go
@@ -35,6 +35,9 @@
 // Choice is a target with a slot held for one attempt.
 type Choice struct {
 	Target *config.Target
+	// Until is when the attempt must have ended: the request's deadline, or earlier
+	// where the slot is lent for a shorter time.
+	Until time.Time
 	// Done gives the slot back and tells what the attempt showed. The holder calls
 	// it once, when the target is known to have ended the request.
 	Done func(health.Outcome)
@@ -117,7 +120,7 @@
 			break
 		}
 		ask := class.asks[at]
-		ask.Until = info.Deadline
+		ask.Until = until(now, info, room, ask.Lane)
 		release, ok := room.Acquire(ask)
 		if !ok {
 			continue
@@ -131,6 +134,15 @@
 	return Choice{}, verdict.Wrap(verdict.NotRun, "route", ErrNoRoom)
 }
 
+// until returns when an attempt that begins now must have ended.
+func until(now time.Time, info *request.Info, room slots.Room, lane slots.Lane) time.Time {
+	hold := room.Hold(lane)
+	if hold == 0 || info.Deadline.Sub(now) < hold {
+		return info.Deadline
+	}
+	return now.Add(hold)
+}
+
 func (r *Router) roomOf(svc *config.Service) slots.Room {
 	if r.credits != nil && svc.Policy == config.PolicyCredits {
 		return r.credits
@@ -148,7 +160,7 @@
 			r.observeClass(info, o)
 		})
 	}
-	return Choice{Target: t, Done: done, Release: func() { done(health.Outcome{Cancelled: true}) }}
+	return Choice{Target: t, Until: ask.Until, Done: done, Release: func() { done(health.Outcome{Cancelled: true}) }}
 }
 
 func (r *Router) logChoice(info *request.Info, snap *state.Snapshot, t *config.Target, candidates int, probe bool) {
