Borrow only what can be used; comparison of all policies on a fake clock

Cause: with credits, requests waited up to their deadline. Three causes were found in the comparison: slots were asked for at targets that this host's own limit or weight forbids; slots wanted ahead of need counted as waiting, so that every holder gave its idle slots back at once; a waiter that came before the first choice of a service waited on the wrong room. Change: Room.Want names only targets that could take one more request and says whether a request waits; the granter lends ahead of need only when nobody waits; Changed of a service without a plan wakes at once.

--- a/process/credit/borrow.go
+++ b/process/credit/borrow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"quetzalknot/process/slots"
@@ -17,7 +18,7 @@
 	borrowTimeout = Term / 2
 	// firstBackoff and lastBackoff bound the pause after a granter had nothing to lend.
 	firstBackoff = 4 * time.Millisecond
-	lastBackoff  = 64 * time.Millisecond
+	lastBackoff  = 32 * time.Millisecond
 	// directoryLife is how long the list of granters is used before it is made anew.
 	directoryLife = 200 * time.Millisecond
 )
@@ -29,10 +30,12 @@
 }
 
 func (s *Service) borrowLoop(ctx context.Context) {
+	var calls sync.WaitGroup
+	defer calls.Wait()
 	ticker := time.NewTicker(borrowInterval)
 	defer ticker.Stop()
 	for {
-		s.borrow(ctx)
+		s.borrow(ctx, &calls)
 		select {
 		case <-ctx.Done():
 			return
@@ -49,7 +52,7 @@
 }
 
 // borrow sends what is to be said to each granter.
-func (s *Service) borrow(ctx context.Context) {
+func (s *Service) borrow(ctx context.Context, calls *sync.WaitGroup) {
 	s.mu.Lock()
 	now := time.Now()
 	for _, service := range s.holder.Lapsed(now) {
@@ -64,7 +67,7 @@
 			s.deliver(m, &reply)
 			continue
 		}
-		go s.call(ctx, m)
+		calls.Go(func() { s.call(ctx, m) })
 	}
 }
 
@@ -91,7 +94,7 @@
 	for _, service := range services {
 		s.wake(service)
 	}
-	if len(m.args.Wants) == 0 {
+	if !m.args.waits() {
 		return
 	}
 	if len(services) > 0 {
@@ -104,6 +107,16 @@
 	}
 }
 
+// waits reports whether requests wait for an answer.
+func (a *BorrowArgs) waits() bool {
+	for _, w := range a.Wants {
+		if w.Count > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // pause lets a granter rest that had nothing to lend. The pause grows, with jitter.
 func (s *Service) pause(now time.Time, granter Process) {
 	b := s.backoff[granter]
--- a/process/credit/granter.go
+++ b/process/credit/granter.go
@@ -9,7 +9,7 @@
 )
 
 // hungerLife is how long a holder that got less than it wanted keeps its place in line.
-const hungerLife = 300 * time.Millisecond
+const hungerLife = 100 * time.Millisecond
 
 // bookLife is how long a silent holder without loans is remembered.
 const bookLife = time.Minute
@@ -20,8 +20,9 @@
 	self    Process
 	pools   map[slots.Target]*pool
 	holders map[Process]*book
-	hungry  map[string]map[Process]hunger
-	nextID  LoanID
+	// hungry holds, by service, when each holder last got nothing.
+	hungry map[string]map[Process]time.Time
+	nextID LoanID
 }
 
 // pool counts the loans of one target.
@@ -60,17 +61,11 @@
 	until time.Time
 }
 
-// hunger is a holder's place in line.
-type hunger struct {
-	since time.Time
-	last  time.Time
-}
-
 // NewGranter returns a granter without targets.
 func NewGranter(self Process) *Granter {
 	return &Granter{
 		self: self, pools: make(map[slots.Target]*pool),
-		holders: make(map[Process]*book), hungry: make(map[string]map[Process]hunger),
+		holders: make(map[Process]*book), hungry: make(map[string]map[Process]time.Time),
 	}
 }
 
@@ -181,10 +176,10 @@
 		loans := g.lend(now, args.Holder, b, want, allowed)
 		g.note(now, want, args.Holder, len(loans))
 		reply.Loans = append(reply.Loans, loans...)
-		reply.Scarce = reply.Scarce || g.othersHungry(now, want.Service, args.Holder)
+		reply.Scarce = reply.Scarce || g.waiting(now, want.Service, args.Holder) > 0
 	}
 	for service := range b.services() {
-		reply.Scarce = reply.Scarce || g.othersHungry(now, service, args.Holder)
+		reply.Scarce = reply.Scarce || g.waiting(now, service, args.Holder) > 0
 	}
 	return reply
 }
@@ -262,7 +257,7 @@
 	if p.total > p.slots {
 		return false
 	}
-	if !g.othersHungry(now, l.Target.Service, holder) {
+	if g.waiting(now, l.Target.Service, holder) == 0 {
 		return true
 	}
 	return count <= g.fairShare(now, l.Target.Service) && now.Sub(l.lentAt) < Term
@@ -283,24 +278,32 @@
 			holders[holder] = true
 		}
 	}
-	for holder, h := range g.hungry[service] {
-		if now.Sub(h.last) < hungerLife {
+	for holder, last := range g.hungry[service] {
+		if now.Sub(last) < hungerLife {
 			holders[holder] = true
 		}
 	}
 	return max(1, capacity/max(1, len(holders)))
 }
 
-// lend gives out at most want.Count slots, at the least lent targets first. It
-// leaves a slot for each holder that waited longer.
+// lend gives out what is wanted, at the least lent targets first. A holder that
+// has its fair share leaves a slot for each holder that waits.
 func (g *Granter) lend(now time.Time, holder Process, b *book, want Want, allowed func(slots.Target) bool) []Loan {
 	room := g.roomOf(now, want, allowed)
-	free := -g.ahead(now, want.Service, holder)
+	free := 0
 	for _, r := range room {
 		free += r.free
 	}
+	count := want.Count
+	waiting := g.waiting(now, want.Service, holder)
+	if waiting == 0 {
+		count += want.Spare
+	}
+	if waiting > 0 && b.services()[want.Service] >= g.fairShare(now, want.Service) {
+		free -= waiting
+	}
 	var loans []Loan
-	for len(loans) < want.Count && free > 0 {
+	for len(loans) < count && free > 0 {
 		best := slices.MaxFunc(room, func(a, b targetRoom) int { return cmp.Compare(a.share(), b.share()) })
 		if best.free <= 0 {
 			break
@@ -371,44 +374,25 @@
 // occupied is how long a slot lent or renewed now may stay occupied.
 func occupied(lane slots.Lane) time.Duration { return withDrift(Term + Hold(lane)) }
 
-// note keeps a holder's place in line when it got nothing.
+// note keeps a holder's place in line while it got nothing of what it waits for.
 func (g *Granter) note(now time.Time, want Want, holder Process, got int) {
 	line := g.hungry[want.Service]
 	if line == nil {
-		line = make(map[Process]hunger)
+		line = make(map[Process]time.Time)
 		g.hungry[want.Service] = line
 	}
 	if got > 0 || want.Count == 0 {
 		delete(line, holder)
 		return
 	}
-	h, waiting := line[holder]
-	if !waiting || now.Sub(h.last) >= hungerLife {
-		h.since = now
-	}
-	h.last = now
-	line[holder] = h
+	line[holder] = now
 }
 
-func (g *Granter) othersHungry(now time.Time, service string, holder Process) bool {
-	for other, h := range g.hungry[service] {
-		if other != holder && now.Sub(h.last) < hungerLife {
-			return true
-		}
-	}
-	return false
-}
-
-// ahead counts the holders that have waited longer than this one.
-func (g *Granter) ahead(now time.Time, service string, holder Process) int {
-	line := g.hungry[service]
-	own, waiting := line[holder]
+// waiting counts the other holders that wait for slots of a service.
+func (g *Granter) waiting(now time.Time, service string, holder Process) int {
 	n := 0
-	for other, h := range line {
-		if other == holder || now.Sub(h.last) >= hungerLife {
-			continue
-		}
-		if !waiting || h.since.Before(own.since) {
+	for other, last := range g.hungry[service] {
+		if other != holder && now.Sub(last) < hungerLife {
 			n++
 		}
 	}
--- a/process/credit/holder.go
+++ b/process/credit/holder.go
@@ -62,6 +62,7 @@
 type demand struct {
 	targets []string
 	count   int
+	spare   bool
 	since   time.Time
 }
 
@@ -126,21 +127,41 @@
 
 // Want notes that a request found no room at any of the targets.
 func (h *Holder) Want(now time.Time, key DemandKey, targets []string) {
+	d := h.demand(now, key, targets)
+	d.count = min(d.count+1, maxDemand)
+}
+
+// Spare notes that the last unused loan was taken, so that the next request
+// would find no room.
+func (h *Holder) Spare(now time.Time, key DemandKey, targets []string) {
+	h.demand(now, key, targets).spare = true
+}
+
+func (h *Holder) demand(now time.Time, key DemandKey, targets []string) *demand {
 	d := h.demands[key]
 	if d == nil {
 		d = &demand{since: now}
 		h.demands[key] = d
 	}
 	d.targets = targets
-	d.count = min(d.count+1, maxDemand)
+	return d
+}
+
+// waiting reports whether requests wait for a kind of slot.
+func (h *Holder) waiting(key DemandKey) bool {
+	d := h.demands[key]
+	return d != nil && d.count > 0
 }
 
 // Lapsed forgets the demands that were not met in demandLife and returns their services.
 func (h *Holder) Lapsed(now time.Time) []string {
 	var services []string
 	for key, d := range h.demands {
-		if now.Sub(d.since) >= demandLife {
-			delete(h.demands, key)
+		if now.Sub(d.since) < demandLife {
+			continue
+		}
+		delete(h.demands, key)
+		if d.count > 0 {
 			services = append(services, key.Service)
 		}
 	}
@@ -178,6 +199,9 @@
 	l.offered = args.Have
 	for key, d := range h.demands {
 		want := Want{Service: key.Service, Lane: key.Lane, Count: d.count}
+		if d.spare {
+			want.Spare = 1
+		}
 		for _, name := range d.targets {
 			if owned(slots.Target{Service: key.Service, Name: name}) {
 				want.Targets = append(want.Targets, name)
@@ -194,7 +218,7 @@
 	if !now.Before(c.expires) {
 		return true
 	}
-	if h.demands[DemandKey{Service: c.Target.Service, Lane: c.Lane}] != nil {
+	if h.waiting(DemandKey{Service: c.Target.Service, Lane: c.Lane}) {
 		return false
 	}
 	return l.scarce || now.Sub(c.usedAt) >= idleReturn
@@ -266,8 +290,12 @@
 	if d == nil {
 		return
 	}
-	d.count--
-	if d.count <= 0 {
+	if d.count > 0 {
+		d.count--
+	} else {
+		d.spare = false
+	}
+	if d.count == 0 && !d.spare {
 		delete(h.demands, key)
 	}
 }
--- a/process/credit/messages.go
+++ b/process/credit/messages.go
@@ -63,7 +63,10 @@
 	Service string
 	Targets []string
 	Lane    slots.Lane
-	Count   int
+	// Count is how many requests wait for a slot.
+	Count int
+	// Spare is how many slots are wanted ahead of need, if nobody waits for them.
+	Spare int
 }
 
 // BorrowArgs is what a holder tells one granter: all that it holds, and what it wants.
--- a/process/credit/room.go
+++ b/process/credit/room.go
@@ -31,39 +31,26 @@
 	for i := range asks {
 		spots[i] = s.holder.Spot(now, asks[i].Target, asks[i].Lane)
 	}
-	if len(asks) > 0 {
-		s.lists[DemandKey{Service: asks[0].Target.Service, Lane: asks[0].Lane}] = asks
-	}
 }
 
 // Want implements slots.Room.
-func (s *Service) Want(asks []slots.Ask) {
+func (s *Service) Want(asks []slots.Ask, waiting bool) {
 	if len(asks) == 0 {
 		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.want(time.Now(), asks)
-}
-
-func (s *Service) want(now time.Time, asks []slots.Ask) {
-	key := DemandKey{Service: asks[0].Target.Service, Lane: asks[0].Lane}
-	s.holder.Want(now, key, s.names(key, asks))
-	s.trigger()
-}
-
-// names returns the targets of asks, made once for each list of asks.
-func (s *Service) names(key DemandKey, asks []slots.Ask) []string {
-	known := s.nameLists[key]
-	if len(known.names) == len(asks) && known.first == &asks[0] {
-		return known.names
-	}
 	names := make([]string, len(asks))
 	for i := range asks {
 		names[i] = asks[i].Target.Name
 	}
-	s.nameLists[key] = nameList{first: &asks[0], names: names}
-	return names
+	key := DemandKey{Service: asks[0].Target.Service, Lane: asks[0].Lane}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if waiting {
+		s.holder.Want(time.Now(), key, names)
+	} else {
+		s.holder.Spare(time.Now(), key, names)
+	}
+	s.trigger()
 }
 
 // Acquire implements slots.Room. The term of the loan is checked here. It
@@ -79,24 +66,10 @@
 	if !ok {
 		return nil, false
 	}
-	s.prefetch(now, DemandKey{Service: a.Target.Service, Lane: a.Lane})
 	var once sync.Once
 	return func() { once.Do(func() { s.release(c) }) }, true
 }
 
-// prefetch asks for one more slot when the last unused one was taken.
-func (s *Service) prefetch(now time.Time, key DemandKey) {
-	asks := s.lists[key]
-	for i := range asks {
-		if s.holder.Spot(now, asks[i].Target, key.Lane).Free > 0 {
-			return
-		}
-	}
-	if len(asks) > 0 {
-		s.want(now, asks)
-	}
-}
-
 func (s *Service) release(c *credit) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/process/credit/service.go
+++ b/process/credit/service.go
@@ -60,10 +60,8 @@
 	backoff   map[Process]backoff
 	directory *directory
 	// leaving is true once the process claims no more partitions.
-	leaving   bool
-	wakers    map[string]chan struct{}
-	lists     map[DemandKey][]slots.Ask
-	nameLists map[DemandKey]nameList
+	leaving bool
+	wakers  map[string]chan struct{}
 	// liveSince is since when the set of live hosts has not changed.
 	liveSince time.Time
 	liveNames string
@@ -75,12 +73,6 @@
 	revision int64
 }
 
-// nameList is the list of names made for a list of asks.
-type nameList struct {
-	first *slots.Ask
-	names []string
-}
-
 // NewService returns a service of a process that starts now.
 func NewService(self Process, opts Options) *Service {
 	s := &Service{
@@ -89,7 +81,6 @@
 		tenures: make(map[string]*Tenure), rows: make(map[string]rowAt),
 		homes: make(map[slots.Target]string), regions: make(map[slots.Target]string), adopted: make(map[slots.Target]bool),
 		backoff: make(map[Process]backoff), wakers: make(map[string]chan struct{}),
-		lists: make(map[DemandKey][]slots.Ask), nameLists: make(map[DemandKey]nameList),
 	}
 	s.counters.gauges(opts.Metrics, s)
 	return s
@@ -189,3 +180,13 @@
 	}
 	return PromiseReply{Granted: granted}
 }
+
+// Serve answers one call, as net/rpc does. Tests use it in place of a connection.
+func (s *Service) Serve(method string, args, reply any) {
+	switch method {
+	case "Borrow":
+		*reply.(*BorrowReply) = s.lend(args.(*BorrowArgs))
+	case "Promise":
+		*reply.(*PromiseReply) = s.promise(args.(*PromiseArgs))
+	}
+}
--- a/process/slots/slots.go
+++ b/process/slots/slots.go
@@ -52,9 +52,10 @@
 	// Survey fills spots with what Free and InFlight return for each ask. All asks
 	// name targets of one service; both slices have the same length.
 	Survey(asks []Ask, spots []Spot)
-	// Want states that a request found no room at any of the targets of asks. A
-	// Room that borrows its slots then tries to borrow one.
-	Want(asks []Ask)
+	// Want asks for a slot at one of the targets of asks, which it keeps no
+	// reference to: for a request that found no room, or else ahead of need. A Room
+	// that borrows its slots then tries to borrow one.
+	Want(asks []Ask, waiting bool)
 	// Acquire takes one slot. It returns false when none is free. The caller calls
 	// release once, when the target is known to have ended the request.
 	Acquire(a Ask) (release func(), ok bool)
@@ -114,7 +115,7 @@
 }
 
 // Want implements Room. Local room appears only when a slot is given back.
-func (l *Local) Want([]Ask) {}
+func (l *Local) Want([]Ask, bool) {}
 
 // InFlight implements Room.
 func (l *Local) InFlight(t Target) int {
--- /dev/null
+++ b/request/route/fleet_test.go
@@ -0,0 +1,262 @@
+package route
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"quetzalknot/platform/memory"
+	"quetzalknot/process/credit"
+	"quetzalknot/process/health"
+	"quetzalknot/process/metrics"
+	"quetzalknot/process/slots"
+	"quetzalknot/request"
+	"quetzalknot/verdict"
+	"quetzalknot/version/config"
+	"quetzalknot/version/state"
+)
+
+// fleet is several hosts with routers, and targets that run and shed requests,
+// on the fake clock of a synctest bubble.
+type fleet struct {
+	svc   *config.Service
+	snap  *state.Snapshot
+	hosts []*fleetHost
+	slow  map[string]float64
+
+	mu       sync.Mutex
+	running  map[string]int
+	over     int
+	shed     int
+	refused  int
+	waits    []time.Duration
+	messages int
+}
+
+type fleetHost struct {
+	f      *fleet
+	host   credit.Host
+	room   *credit.Service
+	router *Router
+	// turn is held by the request that waits for room first.
+	turn chan struct{}
+}
+
+// Call implements peer.Caller: a network with a latency of 1 ms one way.
+func (f *fleet) Call(ctx context.Context, addr, method string, args, reply any) error {
+	f.mu.Lock()
+	f.messages++
+	f.mu.Unlock()
+	time.Sleep(time.Millisecond)
+	for _, h := range f.hosts {
+		if h.host.Addr == addr {
+			h.room.Serve(strings.TrimPrefix(method, "Credit."), args, reply)
+		}
+	}
+	time.Sleep(time.Millisecond)
+	return ctx.Err()
+}
+
+func newTestFleet(policy string, hosts, targets, targetSlots int) *fleet {
+	f := &fleet{
+		svc: testService(policy, targets, targetSlots), snap: &state.Snapshot{Version: 1},
+		running: make(map[string]int), slow: make(map[string]float64),
+	}
+	for i := range f.svc.Targets {
+		f.svc.Targets[i].Region = "r"
+	}
+	table := &memory.Table{}
+	for i := range hosts {
+		h := &fleetHost{f: f, turn: make(chan struct{}, 1), host: credit.Host{
+			Process: credit.Process{Host: fmt.Sprint("h", i), Incarnation: 1},
+			Region:  "r", FailureDomain: fmt.Sprint("d", i%2), Addr: fmt.Sprint("addr", i),
+		}}
+		f.hosts = append(f.hosts, h)
+		log := zerolog.New(io.Discard).Level(zerolog.Disabled)
+		set := metrics.NewSet()
+		h.room = credit.NewService(h.host.Process, credit.Options{
+			Self: func() credit.Host { return h.host }, Table: table, Caller: f,
+			Hosts: f.live, Targets: f.targets, Metrics: set, Log: log,
+		})
+		h.router = NewRouter(slots.NewLocal(), set, log, WithCredits(h.room))
+	}
+	return f
+}
+
+func (f *fleet) live() []credit.Host {
+	live := make([]credit.Host, len(f.hosts))
+	for i, h := range f.hosts {
+		live[i] = h.host
+	}
+	return live
+}
+
+func (f *fleet) targets() []credit.TargetInfo {
+	infos := make([]credit.TargetInfo, len(f.svc.Targets))
+	for i, t := range f.svc.Targets {
+		infos[i] = credit.TargetInfo{
+			Capacity: credit.Capacity{Target: slots.Target{Service: f.svc.Name, Name: t.Name}, Slots: t.Slots, LongSlots: t.Slots / 2},
+			Region:   t.Region,
+		}
+	}
+	return infos
+}
+
+// run sends rate requests a second through every host for a time.
+func (f *fleet) run(rate float64, run, duration time.Duration, seed uint64) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var loops, requests sync.WaitGroup
+	for i, h := range f.hosts {
+		loops.Go(func() { h.room.Run(ctx) })
+		rnd := rand.New(rand.NewPCG(seed, uint64(i)))
+		requests.Go(func() {
+			time.Sleep(10 * time.Second) // the hosts settle
+			for end := time.Now().Add(duration); time.Now().Before(end); {
+				time.Sleep(time.Duration(rnd.ExpFloat64() * float64(time.Second) * float64(len(f.hosts)) / rate))
+				length := time.Duration(float64(run) * math.Exp(0.3*rnd.NormFloat64()))
+				requests.Go(func() { h.request(length) })
+			}
+		})
+	}
+	requests.Wait()
+	cancel()
+	loops.Wait()
+}
+
+func (h *fleetHost) request(length time.Duration) {
+	arrived := time.Now()
+	info := &request.Info{
+		ID: "1", Service: h.f.svc, Class: config.Class{Name: "short"},
+		Deadline: arrived.Add(5 * time.Second), Idempotent: true,
+	}
+	for {
+		choice, ok := h.acquire(info)
+		if !ok {
+			h.f.drop()
+			return
+		}
+		if h.exchange(choice, length) {
+			h.f.done(time.Since(arrived))
+			return
+		}
+	}
+}
+
+// acquire waits for room, first come, first served.
+func (h *fleetHost) acquire(info *request.Info) (Choice, bool) {
+	h.turn <- struct{}{}
+	defer func() { <-h.turn }()
+	for time.Now().Before(info.Deadline) {
+		changed := h.router.Changed(h.f.svc.Name)
+		choice, err := h.router.Choose(info, h.f.snap, nil)
+		if err == nil {
+			return choice, true
+		}
+		select {
+		case <-changed:
+		case <-time.After(time.Until(info.Deadline)):
+		}
+	}
+	return Choice{}, false
+}
+
+// exchange runs a request at its target; false means that the target shed it.
+func (h *fleetHost) exchange(choice Choice, length time.Duration) bool {
+	if !h.f.begin(choice.Target) {
+		time.Sleep(time.Millisecond)
+		choice.Done(health.Outcome{Verdict: verdict.NotRun, Shed: true, RunTime: time.Millisecond})
+		return false
+	}
+	if factor := h.f.slow[choice.Target.Name]; factor > 0 {
+		length = time.Duration(float64(length) * factor)
+	}
+	time.Sleep(length)
+	h.f.end(choice.Target)
+	choice.Done(health.Outcome{Verdict: verdict.Ran, RunTime: length})
+	return true
+}
+
+func (f *fleet) begin(t *config.Target) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.running[t.Name] >= t.Slots {
+		f.over++
+		f.shed++
+		return false
+	}
+	f.running[t.Name]++
+	return true
+}
+
+func (f *fleet) end(t *config.Target) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.running[t.Name]--
+}
+
+func (f *fleet) done(took time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.waits = append(f.waits, took)
+}
+
+func (f *fleet) drop() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refused++
+}
+
+func (f *fleet) quantile(q float64) time.Duration {
+	if len(f.waits) == 0 {
+		return 0
+	}
+	slices.Sort(f.waits)
+	return f.waits[int(q*float64(len(f.waits)-1))].Round(100 * time.Microsecond)
+}
+
+// TestPoliciesUnderLoad compares the policies on a fake clock. What it asserts
+// are counts; the latencies are printed with -v.
+func TestPoliciesUnderLoad(t *testing.T) {
+	const duration = 4 * time.Second
+	shapes := []struct {
+		targets, slots int
+		rate           float64
+	}{{20, 6, 900}, {12, 3, 270}}
+	for _, shape := range shapes {
+		for _, slowed := range []bool{false, true} {
+			for _, policy := range config.Policies() {
+				name := fmt.Sprintf("targets=%d/slots=%d/rate=%v/slowed=%v/%s", shape.targets, shape.slots, shape.rate, slowed, policy)
+				t.Run(name, func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						f := newTestFleet(policy, 7, shape.targets, shape.slots)
+						if slowed {
+							for i := range (shape.targets + 9) / 10 {
+								f.slow[f.svc.Targets[i].Name] = 10
+							}
+						}
+						f.run(shape.rate, 40*time.Millisecond, duration, 1)
+						t.Logf("%d ran, p50 %v, p99 %v, p99.9 %v, over slots %d, refused %d, messages/s %.0f",
+							len(f.waits), f.quantile(0.5), f.quantile(0.99), f.quantile(0.999), f.over, f.refused,
+							float64(f.messages)/(duration+10*time.Second).Seconds())
+						if policy == config.PolicyCredits && f.over > 0 {
+							t.Errorf("%d requests came while all slots of the target were taken", f.over)
+						}
+						if f.refused > 0 {
+							t.Errorf("%d requests found no room although there was room", f.refused)
+						}
+					})
+				})
+			}
+		}
+	}
+}
--- a/request/route/router.go
+++ b/request/route/router.go
@@ -89,6 +89,38 @@
 	spots      []slots.Spot
 	views      []health.View
 	candidates []Candidate
+	asks       []slots.Ask
+}
+
+// usable returns how many more requests a target may get: by room, by its own
+// limit, and none while it is set aside.
+func (s *scratch) usable(i int) int {
+	if s.views[i].Weight <= 0 {
+		return 0
+	}
+	return min(s.spots[i].Free, s.views[i].Limit-s.spots[i].InFlight)
+}
+
+// unused returns how many requests could be sent now.
+func (s *scratch) unused() int {
+	total := 0
+	for i := range s.spots {
+		total += max(0, s.usable(i))
+	}
+	return total
+}
+
+// wanted returns the asks of the targets that would take one more request if
+// there were room.
+func (s *scratch) wanted(class *classPlan) []slots.Ask {
+	s.asks = s.asks[:0]
+	for i := range s.spots {
+		spare := s.views[i].Limit - s.spots[i].InFlight - max(0, s.spots[i].Free)
+		if s.views[i].Weight > 0 && spare > 0 {
+			s.asks = append(s.asks, class.asks[i])
+		}
+	}
+	return s.asks
 }
 
 func newScratch() *scratch {
@@ -125,12 +157,15 @@
 		if !ok {
 			continue
 		}
+		if s.unused() <= 1 {
+			room.Want(s.wanted(class), false)
+		}
 		r.health.Started(now, &class.ids[at], ask.Lane, probe)
 		r.logChoice(info, snap, class.targets[at], len(class.targets), probe)
 		return r.choice(info, class.targets[at], ask, release), nil
 	}
 	r.chosen.noRoom.Add(1)
-	room.Want(class.asks)
+	room.Want(s.wanted(class), true)
 	return Choice{}, verdict.Wrap(verdict.NotRun, "route", ErrNoRoom)
 }
 
@@ -220,7 +255,7 @@
 		}
 		v := &s.views[i]
 		s.candidates = append(s.candidates, Candidate{
-			Target: t, Free: min(s.spots[i].Free, v.Limit-s.spots[i].InFlight), InFlight: s.spots[i].InFlight,
+			Target: t, Free: s.usable(i), InFlight: s.spots[i].InFlight,
 			Latency: v.Latency, ReportedLoad: v.Load, Weight: v.Weight, Probe: v.Probe, at: i,
 		})
 	}
@@ -238,11 +273,19 @@
 	return levelFresh
 }
 
-// Changed returns a channel that is closed when room for the service may have appeared.
+// closed is a channel that wakes at once.
+var closed = func() chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}()
+
+// Changed returns a channel that is closed when room for the service may have
+// appeared. It is closed already for a service that no request was chosen for yet.
 func (r *Router) Changed(service string) <-chan struct{} {
 	plans := *r.plans.Load()
 	if p := plans[service]; p != nil {
 		return r.roomOf(p.service).Changed(service)
 	}
-	return r.room.Changed(service)
+	return closed
 }
