--- a/node_routing.go
+++ b/node_routing.go
@@ -14,27 +14,34 @@
 // releaseTimeout bounds the hand-over of granting rights at a stop.
 const releaseTimeout = 2 * time.Second
 
+// routing is the part of a node that lends and borrows slots.
+type routing struct {
+	credits *credit.Service
+	stop    func()
+}
+
 // newRouter returns the router of this host. Services with the policy credits
 // take their slots from loans, the others from this host's own counts.
 func (n *Node) newRouter() *route.Router {
-	n.credits = credit.NewService(n.process(), credit.Options{
+	n.routing.credits = credit.NewService(credit.Options{
 		Self: n.creditSelf, Table: n.platform.Table, Caller: n.clients,
 		Hosts: n.creditHosts, Targets: n.creditTargets, Metrics: n.metrics, Log: n.log,
 	})
 	return route.NewRouter(slots.NewLocal(), n.metrics, n.log,
-		route.WithCredits(n.credits), route.WithRegion(n.settings.Host.Region))
+		route.WithCredits(n.routing.credits), route.WithRegion(n.settings.Host.Region))
 }
 
 // startRouting begins to lend and borrow slots. It goes on while the requests in
 // flight of a stopping host finish.
 func (n *Node) startRouting() {
+	n.routing.credits.SetSelf(n.process())
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		n.credits.Run(ctx)
+		n.routing.credits.Run(ctx)
 	}()
-	n.stopCredits = func() {
+	n.routing.stop = func() {
 		cancel()
 		<-ended
 	}
@@ -44,23 +51,22 @@
 func (n *Node) leaveGranting(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
-	n.credits.Leave(ctx)
+	n.routing.credits.Leave(ctx)
 }
 
 // stopRouting gives all borrowed slots back and ends lending and borrowing.
 func (n *Node) stopRouting(ctx context.Context) {
-	if n.stopCredits == nil {
+	if n.routing.stop == nil {
 		return
 	}
-	n.stopCredits()
+	n.routing.stop()
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
-	n.credits.GiveBack(ctx)
-	n.clients.Close()
+	n.routing.credits.GiveBack(ctx)
 }
 
 func (n *Node) process() credit.Process {
-	return credit.Process{Host: n.settings.Host.Name, Incarnation: n.incarnation}
+	return credit.Process{Host: n.settings.Host.Name, Incarnation: n.members.Self().Incarnation}
 }
 
 func (n *Node) creditSelf() credit.Host {
--- a/process/credit/service.go
+++ b/process/credit/service.go
@@ -74,10 +74,10 @@
 }
 
 // NewService returns a service of a process that starts now.
-func NewService(self Process, opts Options) *Service {
+func NewService(opts Options) *Service {
 	s := &Service{
-		opts: opts, self: self, counters: newCounters(opts.Metrics), triggers: make(chan struct{}, 1),
-		granter: NewGranter(self), holder: NewHolder(self), elector: NewElector(time.Now()),
+		opts: opts, counters: newCounters(opts.Metrics), triggers: make(chan struct{}, 1),
+		granter: NewGranter(Process{}), holder: NewHolder(Process{}), elector: NewElector(time.Now()),
 		tenures: make(map[string]*Tenure), rows: make(map[string]rowAt),
 		homes: make(map[slots.Target]string), regions: make(map[slots.Target]string), adopted: make(map[slots.Target]bool),
 		backoff: make(map[Process]backoff), wakers: make(map[string]chan struct{}),
@@ -86,6 +86,15 @@
 	return s
 }
 
+// SetSelf says which process this is. It is called once, before Run.
+func (s *Service) SetSelf(self Process) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.self = self
+	s.granter.self = self
+	s.holder.self = self
+}
+
 // Register adds the service's calls to a peer server.
 func (s *Service) Register(server *peer.Server) error {
 	return server.Register(serviceName, &calls{service: s})
--- a/request/route/fleet_test.go
+++ b/request/route/fleet_test.go
@@ -84,10 +84,11 @@
 		f.hosts = append(f.hosts, h)
 		log := zerolog.New(io.Discard).Level(zerolog.Disabled)
 		set := metrics.NewSet()
-		h.room = credit.NewService(h.host.Process, credit.Options{
+		h.room = credit.NewService(credit.Options{
 			Self: func() credit.Host { return h.host }, Table: table, Caller: f,
 			Hosts: f.live, Targets: f.targets, Metrics: set, Log: log,
 		})
+		h.room.SetSelf(h.host.Process)
 		h.router = NewRouter(slots.NewLocal(), set, log, WithCredits(h.room))
 	}
 	return f
--- a/request/route/router.go
+++ b/request/route/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -85,6 +86,8 @@
 
 // scratch is the memory of one decision.
 type scratch struct {
+	// region limits the candidates; empty means all.
+	region     string
 	rnd        *rand.Rand
 	spots      []slots.Spot
 	views      []health.View
@@ -102,10 +105,12 @@
 }
 
 // unused returns how many requests could be sent now.
-func (s *scratch) unused() int {
+func (s *scratch) unused(class *classPlan) int {
 	total := 0
 	for i := range s.spots {
-		total += max(0, s.usable(i))
+		if inRegion(class.targets[i], s.region) {
+			total += max(0, s.usable(i))
+		}
 	}
 	return total
 }
@@ -116,7 +121,7 @@
 	s.asks = s.asks[:0]
 	for i := range s.spots {
 		spare := s.views[i].Limit - s.spots[i].InFlight - max(0, s.spots[i].Free)
-		if s.views[i].Weight > 0 && spare > 0 {
+		if s.views[i].Weight > 0 && spare > 0 && inRegion(class.targets[i], s.region) {
 			s.asks = append(s.asks, class.asks[i])
 		}
 	}
@@ -145,6 +150,7 @@
 	room := r.roomOf(info.Service)
 	s := r.pool.Get().(*scratch)
 	defer r.pool.Put(s)
+	s.region = info.Region
 	for range maxDraws {
 		now := time.Now()
 		at, probe := r.decide(now, p.policy, class, room, tried, s)
@@ -157,7 +163,7 @@
 		if !ok {
 			continue
 		}
-		if s.unused() <= 1 {
+		if s.unused(class) <= 1 {
 			room.Want(s.wanted(class), false)
 		}
 		r.health.Started(now, &class.ids[at], ask.Lane, probe)
@@ -215,7 +221,7 @@
 	room.Survey(class.asks, s.spots)
 	r.health.Survey(now, class.ids, s.views)
 	if len(tried) == 0 {
-		if at := probeOf(s); at != None {
+		if at := probeOf(class, s); at != None {
 			return at, true
 		}
 	}
@@ -229,9 +235,9 @@
 }
 
 // probeOf returns a target that is set aside and may get one request, or None.
-func probeOf(s *scratch) int {
+func probeOf(class *classPlan, s *scratch) int {
 	for i := range s.views {
-		if s.views[i].Probe && s.spots[i].Free > 0 {
+		if s.views[i].Probe && s.spots[i].Free > 0 && inRegion(class.targets[i], s.region) {
 			return i
 		}
 	}
@@ -241,6 +247,7 @@
 // The levels of preference, best first.
 const (
 	levelFresh = iota
+	levelTriedDomain
 	levelOtherRegion
 	levelTried
 	levels
@@ -250,7 +257,7 @@
 func (r *Router) collect(class *classPlan, tried []string, level int, s *scratch) {
 	s.candidates = s.candidates[:0]
 	for i, t := range class.targets {
-		if r.levelOf(t, tried) != level {
+		if !inRegion(t, s.region) || r.levelOf(class, t, tried) != level {
 			continue
 		}
 		v := &s.views[i]
@@ -261,18 +268,32 @@
 	}
 }
 
-func (r *Router) levelOf(t *config.Target, tried []string) int {
-	for _, name := range tried {
-		if name == t.Name {
-			return levelTried
-		}
+// inRegion reports whether a target may get a request that is limited to a region.
+func inRegion(t *config.Target, region string) bool { return region == "" || t.Region == region }
+
+func (r *Router) levelOf(class *classPlan, t *config.Target, tried []string) int {
+	if slices.Contains(tried, t.Name) {
+		return levelTried
 	}
 	if r.region != "" && t.Region != r.region {
 		return levelOtherRegion
 	}
+	if len(tried) > 0 && class.domainTried(t.FailureDomain, tried) {
+		return levelTriedDomain
+	}
 	return levelFresh
 }
 
+// domainTried reports whether an earlier attempt went to a target of the failure domain.
+func (c *classPlan) domainTried(domain string, tried []string) bool {
+	for _, t := range c.targets {
+		if t.FailureDomain == domain && slices.Contains(tried, t.Name) {
+			return true
+		}
+	}
+	return false
+}
+
 // closed is a channel that wakes at once.
 var closed = func() chan struct{} {
 	c := make(chan struct{})
--- a/tools/cli/ticket.go
+++ b/tools/cli/ticket.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -20,6 +21,8 @@
 	Check  ticketCheck  `cmd:"" help:"Check a ticket without submitting it."`
 	Submit ticketSubmit `cmd:"" help:"Submit a ticket."`
 	Show   ticketShow   `cmd:"" help:"Show an accepted ticket."`
+	List   ticketList   `cmd:"" help:"List accepted tickets in the order of acceptance."`
+	Diff   ticketDiff   `cmd:"" help:"Show what an accepted ticket changed: each object before and after."`
 }
 
 // apiFlag names the host to talk to.
@@ -97,12 +100,81 @@
 	return printJSON(fmt.Sprintf("http://%s/v1/tickets/%d", c.API, c.Number))
 }
 
+type ticketList struct {
+	apiFlag
+	After int64 `help:"Continue after this revision, as given by the last list."`
+	Limit int   `default:"50" help:"How many tickets to list."`
+}
+
+// Run implements the command.
+func (c *ticketList) Run() error {
+	resp, err := http.Get(fmt.Sprintf("http://%s/v1/tickets?after=%d&limit=%d", c.API, c.After, c.Limit))
+	if err != nil {
+		return err
+	}
+	var list quetzalknot.TicketList
+	if err := decodeReply(resp, &list); err != nil {
+		return err
+	}
+	for _, t := range list.Tickets {
+		fmt.Printf("%d\t%s\t%s\t%s\t%s\n", t.Number, t.AcceptedAt.Format(time.RFC3339), t.Operator, strings.Join(t.Objects, " "), t.Note)
+	}
+	if list.More {
+		fmt.Printf("more follow: --after %d\n", list.Next)
+	}
+	return nil
+}
+
+type ticketDiff struct {
+	apiFlag
+	Number uint64 `arg:"" help:"Number of the ticket."`
+}
+
+// Run implements the command.
+func (c *ticketDiff) Run() error {
+	return printJSON(fmt.Sprintf("http://%s/v1/tickets/%d/diff", c.API, c.Number))
+}
+
 type statusCommand struct {
 	apiFlag
+	All  bool `help:"Show every host, asked through this one."`
+	JSON bool `name:"json" help:"Print JSON."`
 }
 
 // Run implements the command.
-func (c *statusCommand) Run() error { return printJSON("http://" + c.API + "/v1/status") }
+func (c *statusCommand) Run() error {
+	url := "http://" + c.API + "/v1/status"
+	if !c.All {
+		return printJSON(url)
+	}
+	if c.JSON {
+		return printJSON(url + "?all=1")
+	}
+	resp, err := http.Get(url + "?all=1")
+	if err != nil {
+		return err
+	}
+	var fleet quetzalknot.FleetStatus
+	if err := decodeReply(resp, &fleet); err != nil {
+		return err
+	}
+	fmt.Printf("newest version in force: %d\n", fleet.Newest)
+	for _, h := range fleet.Hosts {
+		fmt.Println(hostLine(h))
+	}
+	return nil
+}
+
+func hostLine(h quetzalknot.HostStatus) string {
+	line := fmt.Sprintf("%s\t%s\tversion %d for %.0f s\tready %v\tfresh %v", h.Host, h.FailureDomain, h.Version, h.InForceSeconds, h.Ready, h.Fresh)
+	if h.Behind != "" {
+		line += "\t" + h.Behind
+	}
+	if h.Unready != "" {
+		line += "\t" + h.Unready
+	}
+	return line
+}
 
 func printJSON(url string) error {
 	resp, err := http.Get(url)
