--- a/node_routing.go
+++ b/node_routing.go
@@ -25,7 +25,7 @@
 func (n *Node) newRouter() *route.Router {
 	n.routing.credits = credit.NewService(credit.Options{
 		Self: n.creditSelf, Table: n.platform.Table, Caller: n.clients,
-		Hosts: n.creditHosts, Targets: n.creditTargets, Metrics: n.metrics, Log: n.log,
+		Hosts: n.creditHosts, Targets: n.creditTargets, Version: n.Version, Metrics: n.metrics, Log: n.log,
 	})
 	return route.NewRouter(slots.NewLocal(), n.metrics, n.log,
 		route.WithCredits(n.routing.credits), route.WithRegion(n.settings.Host.Region))
--- a/process/credit/borrow.go
+++ b/process/credit/borrow.go
@@ -19,6 +19,9 @@
 	// firstBackoff and lastBackoff bound the pause after a granter had nothing to lend.
 	firstBackoff = 4 * time.Millisecond
 	lastBackoff  = 32 * time.Millisecond
+	// farAfter is how long requests wait for slots of their region before slots of
+	// other regions are borrowed.
+	farAfter = 50 * time.Millisecond
 	// directoryLife is how long the list of granters is used before it is made anew.
 	directoryLife = 200 * time.Millisecond
 )
@@ -176,7 +179,8 @@
 }
 
 // nextGranter returns a granter of one of the targets that is not resting and
-// not being asked: of this host's region if there is one, any otherwise.
+// not being asked: of this host's region if there is one, any otherwise, and then
+// only for requests that have waited for farAfter.
 func (s *Service) nextGranter(now time.Time, key DemandKey, targets []string, owners map[slots.Target]Process) (Process, bool) {
 	region := s.opts.Self().Region
 	var near, far []Process
@@ -201,7 +205,7 @@
 	if len(near) > 0 {
 		return near[rand.IntN(len(near))], true
 	}
-	if len(far) > 0 && !busy {
+	if len(far) > 0 && !busy && s.holder.waitedSince(key, now.Add(-farAfter)) {
 		return far[rand.IntN(len(far))], true
 	}
 	return Process{}, false
--- a/process/credit/claims.go
+++ b/process/credit/claims.go
@@ -18,6 +18,8 @@
 	rowPrefix = "grant/"
 	// claimInterval is the time between two looks at the partitions.
 	claimInterval = time.Second
+	// versionInterval is the time between two looks at the configuration version.
+	versionInterval = 50 * time.Millisecond
 	// settleTime is how long the set of live hosts must be stable before a
 	// partition moves to a better placed host.
 	settleTime = 3 * time.Second
@@ -27,6 +29,18 @@
 	tableTimeout = 2 * time.Second
 )
 
+// lookAtPartitions keeps the partitions at each claimInterval and when a new
+// configuration version is in force.
+func (s *Service) lookAtPartitions(ctx context.Context) {
+	version := s.opts.Version()
+	if version == s.keptVersion && time.Since(s.keptAt) < claimInterval {
+		return
+	}
+	s.keptVersion = version
+	s.keptAt = time.Now()
+	s.keepPartitions(ctx)
+}
+
 // keepPartitions reads the rows, claims what this host should own, hands over
 // what another should own, and opens the targets of what it owns.
 func (s *Service) keepPartitions(ctx context.Context) {
--- a/process/credit/holder.go
+++ b/process/credit/holder.go
@@ -153,6 +153,12 @@
 	return d != nil && d.count > 0
 }
 
+// waitedSince reports whether requests have waited for a kind of slot since a time.
+func (h *Holder) waitedSince(key DemandKey, t time.Time) bool {
+	d := h.demands[key]
+	return d != nil && d.count > 0 && !d.since.After(t)
+}
+
 // Lapsed forgets the demands that were not met in demandLife and returns their services.
 func (h *Holder) Lapsed(now time.Time) []string {
 	var services []string
--- a/process/credit/service.go
+++ b/process/credit/service.go
@@ -35,6 +35,8 @@
 	Hosts func() []Host
 	// Targets returns the targets whose slots are lent.
 	Targets func() []TargetInfo
+	// Version returns the number of the configuration version in force.
+	Version func() uint64
 	Metrics *metrics.Set
 	Log     zerolog.Logger
 }
@@ -46,19 +48,22 @@
 	counters *counters
 	triggers chan struct{}
 
-	mu        sync.Mutex
-	granter   *Granter
-	holder    *Holder
-	elector   *Elector
-	tenures   map[string]*Tenure
-	rows      map[string]rowAt
-	readTo    int64
-	homes     map[slots.Target]string
-	regions   map[slots.Target]string
-	infos     []TargetInfo
-	adopted   map[slots.Target]bool
-	backoff   map[Process]backoff
-	directory *directory
+	mu      sync.Mutex
+	granter *Granter
+	holder  *Holder
+	elector *Elector
+	tenures map[string]*Tenure
+	rows    map[string]rowAt
+	readTo  int64
+	// keptAt and keptVersion tell of the last look at the partitions.
+	keptAt      time.Time
+	keptVersion uint64
+	homes       map[slots.Target]string
+	regions     map[slots.Target]string
+	infos       []TargetInfo
+	adopted     map[slots.Target]bool
+	backoff     map[Process]backoff
+	directory   *directory
 	// leaving is true once the process claims no more partitions.
 	leaving bool
 	wakers  map[string]chan struct{}
@@ -103,7 +108,7 @@
 // Run lends and borrows until ctx ends.
 func (s *Service) Run(ctx context.Context) {
 	var loops sync.WaitGroup
-	loops.Go(func() { s.every(ctx, claimInterval, s.keepPartitions) })
+	loops.Go(func() { s.every(ctx, versionInterval, s.lookAtPartitions) })
 	loops.Go(func() { s.every(ctx, pledgeInterval, s.pledge) })
 	loops.Go(func() { s.borrowLoop(ctx) })
 	loops.Wait()
--- a/request/route/fleet_test.go
+++ b/request/route/fleet_test.go
@@ -86,7 +86,7 @@
 		set := metrics.NewSet()
 		h.room = credit.NewService(credit.Options{
 			Self: func() credit.Host { return h.host }, Table: table, Caller: f,
-			Hosts: f.live, Targets: f.targets, Metrics: set, Log: log,
+			Hosts: f.live, Targets: f.targets, Version: func() uint64 { return 1 }, Metrics: set, Log: log,
 		})
 		h.room.SetSelf(h.host.Process)
 		h.router = NewRouter(slots.NewLocal(), set, log, WithCredits(h.room))
