--- a/request/route/router.go
+++ b/request/route/router.go
@@ -36,6 +36,9 @@
 // Choice is a target with a slot held for one attempt.
 type Choice struct {
 	Target *config.Target
+	// Until is when the attempt must have ended: the request's deadline, or earlier
+	// where the slot is lent for a shorter time.
+	Until time.Time
 	// Done gives the slot back and tells what the attempt showed. The holder calls
 	// it once, when the target is known to have ended the request.
 	Done func(health.Outcome)
@@ -89,6 +92,40 @@
 	spots      []slots.Spot
 	views      []health.View
 	candidates []Candidate
+	asks       []slots.Ask
+}
+
+// usable returns how many more requests a target may get: by room, by its own
+// limit, and none while it is set aside.
+func (s *scratch) usable(i int) int {
+	if s.views[i].Weight <= 0 {
+		return 0
+	}
+	return min(s.spots[i].Free, s.views[i].Limit-s.spots[i].InFlight)
+}
+
+// unused returns how many requests could be sent now.
+func (s *scratch) unused(class *classPlan) int {
+	total := 0
+	for i := range s.spots {
+		if inRegion(class.targets[i], s.region) {
+			total += max(0, s.usable(i))
+		}
+	}
+	return total
+}
+
+// wanted returns the asks of the targets that would take one more request if
+// there were room.
+func (s *scratch) wanted(class *classPlan) []slots.Ask {
+	s.asks = s.asks[:0]
+	for i := range s.spots {
+		spare := s.views[i].Limit - s.spots[i].InFlight - max(0, s.spots[i].Free)
+		if s.views[i].Weight > 0 && spare > 0 && inRegion(class.targets[i], s.region) {
+			s.asks = append(s.asks, class.asks[i])
+		}
+	}
+	return s.asks
 }
 
 func newScratch() *scratch {
@@ -121,20 +158,32 @@
 			break
 		}
 		ask := class.asks[at]
-		ask.Until = info.Deadline
+		ask.Until = until(now, info, room, ask.Lane)
 		release, ok := room.Acquire(ask)
 		if !ok {
 			continue
 		}
+		if s.unused(class) <= 1 {
+			room.Want(s.wanted(class), false)
+		}
 		r.health.Started(now, &class.ids[at], ask.Lane, probe)
 		r.logChoice(info, snap, class.targets[at], len(class.targets), probe)
 		return r.choice(info, class.targets[at], ask, release), nil
 	}
 	r.chosen.noRoom.Add(1)
-	room.Want(class.asks)
+	room.Want(s.wanted(class), true)
 	return Choice{}, verdict.Wrap(verdict.NotRun, "route", ErrNoRoom)
 }
 
+// until returns when an attempt that begins now must have ended.
+func until(now time.Time, info *request.Info, room slots.Room, lane slots.Lane) time.Time {
+	hold := room.Hold(lane)
+	if hold == 0 || info.Deadline.Sub(now) < hold {
+		return info.Deadline
+	}
+	return now.Add(hold)
+}
+
 func (r *Router) roomOf(svc *config.Service) slots.Room {
 	if r.credits != nil && svc.Policy == config.PolicyCredits {
 		return r.credits
@@ -152,7 +201,7 @@
 			r.observeClass(info, o)
 		})
 	}
-	return Choice{Target: t, Done: done, Release: func() { done(health.Outcome{Cancelled: true}) }}
+	return Choice{Target: t, Until: ask.Until, Done: done, Release: func() { done(health.Outcome{Cancelled: true}) }}
 }
 
 func (r *Router) logChoice(info *request.Info, snap *state.Snapshot, t *config.Target, candidates int, probe bool) {
@@ -213,7 +262,7 @@
 		}
 		v := &s.views[i]
 		s.candidates = append(s.candidates, Candidate{
-			Target: t, Free: min(s.spots[i].Free, v.Limit-s.spots[i].InFlight), InFlight: s.spots[i].InFlight,
+			Target: t, Free: s.usable(i), InFlight: s.spots[i].InFlight,
 			Latency: v.Latency, ReportedLoad: v.Load, Weight: v.Weight, Probe: v.Probe, at: i,
 		})
 	}
@@ -245,11 +294,19 @@
 	return false
 }
 
-// Changed returns a channel that is closed when room for the service may have appeared.
+// closed is a channel that wakes at once.
+var closed = func() chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}()
+
+// Changed returns a channel that is closed when room for the service may have
+// appeared. It is closed already for a service that no request was chosen for yet.
 func (r *Router) Changed(service string) <-chan struct{} {
 	plans := *r.plans.Load()
 	if p := plans[service]; p != nil {
 		return r.roomOf(p.service).Changed(service)
 	}
-	return r.room.Changed(service)
+	return closed
 }
--- a/tools/scenario/commands_test.go
+++ b/tools/scenario/commands_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/url"
 	"os"
 	"strings"
 	"time"
