--- a/process/settings/limits.go
+++ b/process/settings/limits.go
@@ -30,6 +30,13 @@
 	BytesPerSecond int64 `toml:"bytes_per_second"`
 }
 
+// DefaultLimits returns the limits of a file that states none.
+func DefaultLimits() Limits {
+	var l Limits
+	l.applyDefaults()
+	return l
+}
+
 // Stall returns the longest time without a byte from or to a caller.
 func (l *Limits) Stall() time.Duration { return time.Duration(l.StallMS) * time.Millisecond }
 
--- a/request/forward/forward.go
+++ b/request/forward/forward.go
@@ -43,25 +43,39 @@
 	bodyHoldLimit = 64 << 10
 )
 
-// Options are what a handler needs besides routing.
+// Options are what a handler needs besides routing. The zero value forwards with
+// the default limits, and without idempotency keys.
 type Options struct {
+	// Limits bound the callers. Default settings.DefaultLimits.
 	Limits settings.Limits
 	// Host is the name of this host.
 	Host string
 	// Owners finds the owners of idempotency keys.
 	Owners Owners
-	// Claims runs requests with an idempotency key at most once.
+	// Claims runs requests with an idempotency key at most once. It may be nil.
 	Claims *claim.Claims
-	// Quarantine knows the requests that crash targets.
+	// Quarantine knows the requests that crash targets. Default: a list of its own.
 	Quarantine *quarantine.List
 	// Spread tells other hosts at once of new marks. It may be nil.
 	Spread func(ctx context.Context)
 	// Recorder receives each finished request. It may be nil.
 	Recorder *trace.Recorder
-	// Leaving reports whether this host is about to stop.
+	// Leaving reports whether this host is about to stop. Default: it is not.
 	Leaving func() bool
 }
 
+func (o *Options) applyDefaults() {
+	if o.Limits == (settings.Limits{}) {
+		o.Limits = settings.DefaultLimits()
+	}
+	if o.Quarantine == nil {
+		o.Quarantine = quarantine.New(nil)
+	}
+	if o.Leaving == nil {
+		o.Leaving = func() bool { return false }
+	}
+}
+
 // Handler forwards callers' requests. It is an http.Handler.
 type Handler struct {
 	config *state.Holder
@@ -77,6 +91,7 @@
 
 // New returns a handler that routes by the configuration in force.
 func New(holder *state.Holder, admitter *admit.Admitter, pool *target.Pool, set *metrics.Set, log zerolog.Logger, opts Options) *Handler {
+	opts.applyDefaults()
 	h := &Handler{config: holder, admit: admitter, pool: pool, log: log, opts: opts, counts: newCounts(set)}
 	set.Gauge("forward.in_flight_requests", h.InFlight)
 	return h
