--- a/tools/replay/record.go
+++ b/tools/replay/record.go
@@ -45,7 +45,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return out, p.write(entries)
+	return out, p.write(entries, d.Hosts)
 }
 
 // resends repeats some of the requests with a key.
@@ -107,7 +107,7 @@
 }
 
 // write writes the entries as the plan's trace, the first one at time 0.
-func (p *Plan) write(entries []trace.Entry) error {
+func (p *Plan) write(entries []trace.Entry, hosts int) error {
 	if len(entries) == 0 {
 		return errors.New("nothing was recorded")
 	}
@@ -116,7 +116,7 @@
 		return err
 	}
 	_, err = fmt.Fprintf(file, "%s\n# %s on %s: %d requests, recorded from %d hosts\n",
-		trace.Header, p.Name, p.Deployment, len(entries), 7)
+		trace.Header, p.Name, p.Deployment, len(entries), hosts)
 	for i := range entries {
 		if err == nil {
 			_, err = fmt.Fprintln(file, entries[i].Line(entries[0].At))
