--- a/tools/scenario/commands_test.go
+++ b/tools/scenario/commands_test.go
@@ -35,12 +35,7 @@
 // every wanted text, and fails when they never do: fetch [-h Name:Value]... URL TEXT...
 // With ! the first answer must hold none of the texts.
 func cmdFetch(ts *testscript.TestScript, neg bool, args []string) {
-	header := make(http.Header)
-	for len(args) > 1 && args[0] == "-h" {
-		name, value, _ := strings.Cut(args[1], ":")
-		header.Set(name, value)
-		args = args[2:]
-	}
+	header, args := parseHeaders(args)
 	if len(args) < 2 {
 		ts.Fatalf("usage: fetch [-h Name:Value]... URL TEXT...")
 	}
@@ -67,6 +62,46 @@
 	}
 }
 
+// parseHeaders reads leading pairs of -h and Name:Value.
+func parseHeaders(args []string) (http.Header, []string) {
+	header := make(http.Header)
+	for len(args) > 1 && args[0] == "-h" {
+		name, value, _ := strings.Cut(args[1], ":")
+		header.Set(name, value)
+		args = args[2:]
+	}
+	return header, args
+}
+
+// cmdHold sends one request in the background: hold [-h Name:Value]... URL
+func cmdHold(ts *testscript.TestScript, neg bool, args []string) {
+	header, args := parseHeaders(args)
+	if neg || len(args) != 1 {
+		ts.Fatalf("usage: hold [-h Name:Value]... URL")
+	}
+	held := make(chan string, 1)
+	worldOf(ts).held = held
+	go func() {
+		answer, err := get(args[0], header)
+		if err != nil {
+			answer = "broken off"
+		}
+		held <- answer
+	}()
+}
+
+// cmdHeld waits for the answer to the request of hold, which must hold every text.
+// A connection that broke off has the text "broken off".
+func cmdHeld(ts *testscript.TestScript, neg bool, args []string) {
+	w := worldOf(ts)
+	if neg || w.held == nil || len(args) == 0 {
+		ts.Fatalf("usage: held TEXT..., after hold")
+	}
+	if answer := <-w.held; !containsAll(answer, args) {
+		ts.Fatalf("got %s, want %q", answer, args)
+	}
+}
+
 // get returns the status, the headers and the body of an answer as one text.
 func get(url string, header http.Header) (string, error) {
 	req, err := http.NewRequest(http.MethodGet, url, nil)
--- a/tools/scenario/deploy_test.go
+++ b/tools/scenario/deploy_test.go
@@ -26,6 +26,7 @@
 	running chan *load.Report
 	sender  *load.ClientSender
 	loads   int
+	held    chan string
 }
 
 type worldKey struct{}
--- a/tools/scenario/scenario_test.go
+++ b/tools/scenario/scenario_test.go
@@ -47,6 +47,8 @@
 			"crashes": cmdCrashes,
 			"expect":  cmdExpect,
 			"idle":    cmdIdle,
+			"hold":    cmdHold,
+			"held":    cmdHeld,
 			"signal":  cmdSignal,
 
 			"post":       cmdPost,
