--- a/api_tickets.go
+++ b/api_tickets.go
@@ -12,6 +12,7 @@
 	"github.com/gorilla/mux"
 
 	"quetzalknot/platform"
+	"quetzalknot/process/settings"
 	"quetzalknot/version/spread"
 	"quetzalknot/version/state"
 	"quetzalknot/version/store"
@@ -93,16 +94,22 @@
 // surroundings are what references of a ticket are checked against: the topology,
 // and the state in force while this host knows that it is fresh.
 func (n *Node) surroundings() ticket.Surroundings {
-	var around ticket.Surroundings
-	for _, r := range n.settings.Topology.Regions {
-		around.Regions = append(around.Regions, ticket.Region{Name: r.Name, FailureDomains: r.FailureDomains})
-	}
+	around := Surroundings(n.settings.Topology)
 	if n.Fresh() {
 		around.InForce = n.config.Load()
 	}
 	return around
 }
 
+// Surroundings returns the regions and failure domains of a topology, for the check of tickets.
+func Surroundings(topology settings.Topology) ticket.Surroundings {
+	var around ticket.Surroundings
+	for _, r := range topology.Regions {
+		around.Regions = append(around.Regions, ticket.Region{Name: r.Name, FailureDomains: r.FailureDomains})
+	}
+	return around
+}
+
 // TicketList is the answer of GET /v1/tickets.
 type TicketList struct {
 	Tickets []TicketSummary `json:"tickets"`
--- a/tools/cli/ticket.go
+++ b/tools/cli/ticket.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"quetzalknot"
+	"quetzalknot/process/settings"
 	"quetzalknot/version/state"
 	"quetzalknot/version/ticket"
 )
@@ -31,7 +32,8 @@
 }
 
 type ticketCheck struct {
-	File string `arg:"" type:"existingfile" help:"Ticket in TOML, or JSON when it ends in .json."`
+	Settings string `type:"existingfile" help:"Settings of a host; regions and failure domains are checked against its topology."`
+	File     string `arg:"" type:"existingfile" help:"Ticket in TOML, or JSON when it ends in .json."`
 }
 
 // Run implements the command.
@@ -40,13 +42,28 @@
 	if err != nil {
 		return badInput{err}
 	}
-	if err := t.Check(); err != nil {
+	around, err := c.surroundings()
+	if err != nil {
+		return badInput{err}
+	}
+	if err := t.CheckAgainst(around); err != nil {
 		return badInput{err}
 	}
 	fmt.Printf("ticket %d is well formed\n", t.Number)
 	return nil
 }
 
+func (c *ticketCheck) surroundings() (ticket.Surroundings, error) {
+	if c.Settings == "" {
+		return ticket.Surroundings{}, nil
+	}
+	s, err := settings.Load(c.Settings)
+	if err != nil {
+		return ticket.Surroundings{}, err
+	}
+	return quetzalknot.Surroundings(s.Topology), nil
+}
+
 func readTicket(path string) (*ticket.Ticket, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
