References to tickets that are still on their way; rows that cannot be decoded in the status

Change: before a reference is refused the tickets not arrived yet are read; the status lists undecodable rows; probes are waited for.

--- a/api_status.go
+++ b/api_status.go
@@ -90,6 +90,9 @@
 		NotInForce: n.merged.Faults(), Ready: unready == "", Unready: unready,
 		LeaseValid: n.members.Lease().Valid(time.Now()),
 	}
+	for _, row := range n.tickets.Unreadable() {
+		s.NotInForce = append(s.NotInForce, state.Fault{Error: "row " + row + " cannot be decoded"})
+	}
 	if age, known := n.engine.FreshAge(); known {
 		s.FreshAgeSeconds = age.Seconds()
 	}
@@ -180,7 +183,7 @@
 	case h.Error != "":
 		return "not known: " + h.Error
 	case len(h.NotInForce) > 0:
-		return fmt.Sprintf("ticket %d cannot be put into force: %s", h.NotInForce[0].Ticket, h.NotInForce[0].Error)
+		return "cannot be put into force: " + h.NotInForce[0].Error
 	case h.Version >= newest:
 		return ""
 	case !h.Fresh:
--- a/api_tickets.go
+++ b/api_tickets.go
@@ -73,7 +73,7 @@
 // store.RefusedError when the ticket is refused, and an error that is
 // platform.ErrUnknownOutcome when it may have been accepted: submit it again.
 func (n *Node) Submit(ctx context.Context, t *ticket.Ticket) (state.Record, error) {
-	if err := t.CheckAgainst(n.surroundings()); err != nil {
+	if err := n.check(ctx, t); err != nil {
 		return state.Record{}, err
 	}
 	record, err := t.Record(time.Now().UTC())
@@ -91,6 +91,23 @@
 	return accepted, nil
 }
 
+// check checks a ticket. Before a reference is refused, the tickets that have not
+// arrived here yet are read, since the object may have just been accepted.
+func (n *Node) check(ctx context.Context, t *ticket.Ticket) error {
+	err := t.CheckAgainst(n.surroundings())
+	if err == nil || t.CheckAgainst(Surroundings(n.settings.Topology)) != nil {
+		return err
+	}
+	page, readErr := n.store.Page(ctx, n.engine.Revision(), maxListed)
+	if readErr != nil {
+		return err
+	}
+	if delta := n.tickets.Add(page.Records...); delta != nil {
+		n.engine.Publish(spread.TicketsTopic, delta)
+	}
+	return t.CheckAgainst(n.surroundings())
+}
+
 // surroundings are what references of a ticket are checked against: the topology,
 // and the state in force while this host knows that it is fresh.
 func (n *Node) surroundings() ticket.Surroundings {
--- a/version/spread/detect.go
+++ b/version/spread/detect.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"quetzalknot/process/membership"
@@ -51,16 +52,21 @@
 }
 
 // reachableByOthers reports whether one of a few members reaches the silent one.
+// It returns when all that were asked have answered or the first has said yes.
 func (e *Engine) reachableByOthers(ctx context.Context, silent membership.Member) bool {
+	ctx, cancel := context.WithCancel(ctx)
+	var asking sync.WaitGroup
+	defer asking.Wait()
+	defer cancel()
 	asked := e.chooseHelpers(silent)
 	answers := make(chan bool, len(asked))
 	for _, helper := range asked {
-		go func() {
+		asking.Go(func() {
 			args := ProbeArgs{Addr: silent.PeerAddr, Host: silent.Host}
 			var reply ProbeReply
 			err := e.Caller.Call(ctx, helper.PeerAddr, serviceName+".Probe", &args, &reply)
 			answers <- err == nil && reply.Alive
-		}()
+		})
 	}
 	for range asked {
 		if <-answers {
--- a/version/spread/poller.go
+++ b/version/spread/poller.go
@@ -192,7 +192,9 @@
 			return err
 		}
 		for _, key := range page.Unreadable {
-			evUnreadable.Log(p.engine.Log).Str("row", key).Send()
+			if p.tickets.noteUnreadable(key) {
+				evUnreadable.Log(p.engine.Log).Str("row", key).Send()
+			}
 		}
 		if delta := p.tickets.Add(page.Records...); delta != nil {
 			p.engine.Publish(TicketsTopic, delta)
--- a/version/spread/tickets.go
+++ b/version/spread/tickets.go
@@ -2,7 +2,10 @@
 
 import (
 	"encoding/binary"
+	"maps"
 	"math/rand/v2"
+	"slices"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
@@ -22,11 +25,34 @@
 	state *state.State
 	// merged is called after tickets changed the state.
 	merged func()
+
+	mu sync.Mutex
+	// unreadable holds the keys of ticket rows that could not be decoded.
+	unreadable map[string]bool
 }
 
 // NewTickets returns the topic over a state. merged is called after each change,
 // from several goroutines at once; it puts the state into force.
-func NewTickets(s *state.State, merged func()) *Tickets { return &Tickets{state: s, merged: merged} }
+func NewTickets(s *state.State, merged func()) *Tickets {
+	return &Tickets{state: s, merged: merged, unreadable: make(map[string]bool)}
+}
+
+// Unreadable returns the keys of the ticket rows that this host read and could
+// not decode, in order.
+func (t *Tickets) Unreadable() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Sorted(maps.Keys(t.unreadable))
+}
+
+// noteUnreadable keeps the key of a row and reports whether it is new.
+func (t *Tickets) noteUnreadable(key string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := t.unreadable[key]
+	t.unreadable[key] = true
+	return !known
+}
 
 // EncodeRecords returns the delta of some tickets.
 func EncodeRecords(records ...state.Record) ([]byte, error) { return recordCoding.Marshal(records) }
--- a/version/spread/tickets_test.go
+++ b/version/spread/tickets_test.go
@@ -128,6 +128,31 @@
 	return changes, err
 }
 
+// A row that cannot be decoded is named by the poller that read it and keeps nothing back.
+func TestUnreadableRowIsNamed(t *testing.T) {
+	run(t, func(t *testing.T) {
+		f := newFleet()
+		f.startAll(t.Context(), 4)
+		defer f.stopAll()
+		f.settle(t)
+		const key = "ticket/00000000000000000003"
+		if _, err := f.table.Commit(t.Context(), nil, []platform.Write{{Key: key, Value: []byte("{")}}); err != nil {
+			t.Fatal(err)
+		}
+		f.accept(t, 4)
+		eventually(t, 5*time.Second, "the next ticket", func() bool { return f.allHave(4) })
+		named := 0
+		for _, h := range f.hosts {
+			if reflect.DeepEqual(h.tickets.Unreadable(), []string{key}) {
+				named++
+			}
+		}
+		if named == 0 {
+			t.Error("no host names the row")
+		}
+	})
+}
+
 // A second process of the same host ends the first one's lease for good.
 func TestOneProcessPerHost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
