Sites fall only after two failed rounds in a row

One round in which a stalled host got no answers in time took a site to level 0, from which it returns in 80 s. Two rounds must now agree.

--- a/process/digest/reporter.go
+++ b/process/digest/reporter.go
@@ -13,6 +13,9 @@
 	fallEvery = 5 * time.Second
 	// RepeatEvery is when an unchanged report is published again.
 	RepeatEvery = 10 * time.Minute
+	// failuresToDown is how many rounds in a row must find a site down: one alone may
+	// be due to a stall of the watching host.
+	failuresToDown = 2
 	// ownRoom is the free share of the slots below which own callers are turned away,
 	// and otherRoom the one below which others are.
 	ownRoom   = 0.05
@@ -34,6 +37,8 @@
 	level     Level
 	movedAt   time.Time
 	published time.Time
+	// failures counts the rounds in a row in which the site took nobody.
+	failures int
 }
 
 // Resume starts from what other hosts believed, so that a host that takes over a
@@ -46,6 +51,13 @@
 func (r *Reporter) Next(m Measurement, now time.Time) (level Level, publish bool) {
 	goal := goalOf(m)
 	before := r.level
+	r.failures++
+	if goal.Own > 0 {
+		r.failures = 0
+	}
+	if goal.Own == 0 && r.failures < failuresToDown {
+		goal = r.assumed()
+	}
 	switch {
 	case !r.known:
 		r.known, r.level, r.movedAt = true, goal, now
@@ -62,6 +74,14 @@
 	return r.level, false
 }
 
+// assumed returns the level to stay at while a first failure is not confirmed.
+func (r *Reporter) assumed() Level {
+	if r.known {
+		return r.level
+	}
+	return Level{Own: Full}
+}
+
 // move takes one step towards the goal when it is time.
 func (r *Reporter) move(goal Level, now time.Time) {
 	next := Level{Own: approach(r.level.Own, goal.Own), Other: approach(r.level.Other, goal.Other)}
