Client: no not-run after the transport has sent a request by itself

Cause: net/http sends an idempotent request again when its reused connection breaks. Change: once a header was written the verdict of the attempt is may-have-run.

--- a/client/send.go
+++ b/client/send.go
@@ -5,7 +5,9 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -99,13 +101,19 @@
 	answered := make(chan struct{})
 	defer close(answered)
 	go s.client.probe(ctx, entry.Addr, answered, cancel)
-	resp, err := s.client.transport.RoundTrip(out.WithContext(ctx))
+	var wrote atomic.Bool
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteHeaders: func() { wrote.Store(true) }})
+	resp, err := s.client.transport.RoundTrip(out.WithContext(traced))
 	if err == nil {
 		return resp, nil
 	}
 	if cause := context.Cause(ctx); errors.Is(cause, errEntryGone) {
 		err = cause
 	}
+	if wrote.Load() {
+		// The transport may have sent the request before, and failed to dial again.
+		return nil, verdict.Wrap(verdict.MayHaveRun, "send", err)
+	}
 	return nil, verdict.Wrap(verdictOf(err), "send", err)
 }
 
