--- a/tools/capacity/bench_test.go
+++ b/tools/capacity/bench_test.go
@@ -1,6 +1,7 @@
 package capacity
 
 import (
+	"os"
 	"testing"
 
 	"quetzalknot/version/lookup"
@@ -48,3 +49,16 @@
 		t.Error("a page without markers was written")
 	}
 }
+
+// TestPageHasEverySection finds the markers of all sections in the page of the project.
+func TestPageHasEverySection(t *testing.T) {
+	page, err := os.ReadFile("../../docs/CAPACITY.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range []string{"slopes", "swap", "structures", "control", "work", "day"} {
+		if _, err := replaceSection(page, Section{Name: name, Body: "new"}); err != nil {
+			t.Error(err)
+		}
+	}
+}
