--- a/tools/cli/lab.go
+++ b/tools/cli/lab.go
@@ -21,6 +21,7 @@
 	Platform   labPlatform   `cmd:"" help:"Run a stand-in for the platform."`
 	Target     labTarget     `cmd:"" help:"Run a stand-in for a target."`
 	Demo       labDemo       `cmd:"" help:"Show a whole deployment at work in one process."`
+	Load       labLoad       `cmd:"" help:"Send open-loop load to running entry hosts."`
 	Experiment labExperiment `cmd:"" help:"Compare policies under load and faults, and write a report."`
 }
 
