--- a/tools/cli/lab.go
+++ b/tools/cli/lab.go
@@ -22,6 +22,7 @@
 	Target     labTarget     `cmd:"" help:"Run a stand-in for a target."`
 	Demo       labDemo       `cmd:"" help:"Show a whole deployment at work in one process."`
 	Replay     labReplay     `cmd:"" help:"Replay recorded traces against stated outcomes."`
+	Load       labLoad       `cmd:"" help:"Send open-loop load to running entry hosts."`
 	Experiment labExperiment `cmd:"" help:"Compare policies under load and faults, and write a report."`
 	Table      labTable      `cmd:"" help:"Make a stored block table of generated blocks."`
 	Capacity   labCapacity   `cmd:"" help:"Measure what a host spends at the design size, and write docs/CAPACITY.md."`
