Callers state the address that they looked up; an attempt ends with its slot

(2) Choice.Until was ignored, so a request with a longer deadline could outlast its slot. Change: the client package sends Quetzal-Client; a bad address is a 400. The lab's callers stand in blocks of their own. The attempt's context, the deadline told to the target and the wait for its end follow Choice.Until, three seconds before the slot may be lent again. TestAttemptEndsWithItsSlot fails without the change. Conclusion: shifts follow the callers' blocks; the slot outlives its attempt.

--- a/client/send.go
+++ b/client/send.go
@@ -20,6 +20,7 @@
 // Headers of a request and of its answer.
 const (
 	HeaderService = "Quetzal-Service"
+	HeaderClient  = "Quetzal-Client"
 	HeaderKey     = "Idempotency-Key"
 	HeaderTimeout = "Quetzal-Timeout-Ms"
 )
@@ -163,6 +164,9 @@
 		out.Header = make(http.Header)
 	}
 	out.Header.Set(HeaderService, s.service)
+	if address := s.client.options.Address; address.IsValid() {
+		out.Header.Set(HeaderClient, address.String())
+	}
 	if s.key != "" {
 		out.Header.Set(HeaderKey, s.key)
 	}
--- a/request/forward/answer.go
+++ b/request/forward/answer.go
@@ -58,7 +58,8 @@
 }
 
 func (h *Handler) send(ctx context.Context, r *http.Request, info *request.Info, choice route.Choice, began quarantine.State) (*answer, error) {
-	rep := &report{done: choice.Done}
+	ctx, cancel := context.WithDeadline(ctx, choice.Until)
+	rep := &report{done: choice.Done, cancel: cancel}
 	start := time.Now()
 	resp, err := h.pool.Exchange(ctx, h.call(r, info, choice, rep))
 	outcome := health.Outcome{RunTime: time.Since(start)}
@@ -88,9 +89,9 @@
 func (h *Handler) call(r *http.Request, info *request.Info, choice route.Choice, rep *report) *target.Call {
 	call := &target.Call{
 		Addr:     choice.Target.Addr,
-		Request:  outbound(r, info),
+		Request:  outbound(r, info, choice.Until),
 		Fresh:    !info.Idempotent,
-		Deadline: info.Deadline,
+		Deadline: choice.Until,
 		Ended:    rep.ended,
 	}
 	if info.Service.EchoRequestID {
@@ -106,6 +107,8 @@
 // is known and the target has ended the request.
 type report struct {
 	done func(health.Outcome)
+	// cancel frees the attempt's deadline.
+	cancel context.CancelFunc
 
 	mu      sync.Mutex
 	outcome health.Outcome
@@ -119,7 +122,10 @@
 	p.part()
 }
 
-func (p *report) ended() { p.part() }
+func (p *report) ended() {
+	p.cancel()
+	p.part()
+}
 
 func (p *report) part() {
 	p.mu.Lock()
@@ -154,16 +160,16 @@
 	call.Inline = true
 }
 
-// outbound returns the request in the form sent to the target. It shares the body
-// and the trailer of r.
-func outbound(r *http.Request, info *request.Info) *http.Request {
+// outbound returns the request in the form sent to the target, which is told the
+// attempt's deadline. It shares the body and the trailer of r.
+func outbound(r *http.Request, info *request.Info, deadline time.Time) *http.Request {
 	header := make(http.Header, len(r.Header)+2)
 	for name, values := range r.Header {
 		header[name] = values
 	}
 	removeHopHeaders(header)
 	header[request.HeaderRequestID] = []string{info.ID}
-	left := max(1, time.Until(info.Deadline).Milliseconds())
+	left := max(1, time.Until(deadline).Milliseconds())
 	header[request.HeaderTimeout] = []string{strconv.FormatInt(left, 10)}
 	if header["User-Agent"] == nil {
 		header["User-Agent"] = []string{""} // none, in place of the library's
--- a/request/forward/attempts_test.go
+++ b/request/forward/attempts_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"testing"
 	"time"
 
@@ -134,3 +135,26 @@
 		t.Fatalf("%d retries of %d requests", n, requests)
 	}
 }
+
+// TestAttemptEndsWithItsSlot lets a target hang longer than the slot may be held,
+// though the caller would wait. The target is told the time of the slot.
+func TestAttemptEndsWithItsSlot(t *testing.T) {
+	told := make(chan string, 1)
+	b := newBench(t, func(_ http.ResponseWriter, r *http.Request) {
+		told <- r.Header.Get(request.HeaderTimeout)
+		<-r.Context().Done()
+	})
+	info := b.info(time.Minute)
+	choice, err := b.admit.Acquire(t.Context(), info, b.config.Load(), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	choice.Until = time.Now().Add(50 * time.Millisecond)
+	_, err = b.exchange(t.Context(), httptest.NewRequest(http.MethodGet, "/roster", nil), info, choice)
+	if verdict.Of(err) != verdict.MayHaveRun || err == nil {
+		t.Errorf("error = %v", err)
+	}
+	if ms, err := strconv.Atoi(<-told); err != nil || ms > 50 {
+		t.Errorf("the target was told %d ms, %v", ms, err)
+	}
+}
--- a/request/forward/passon.go
+++ b/request/forward/passon.go
@@ -40,7 +40,7 @@
 	}
 	evPassedOn.Log(h.log).Str("request", info.ID).Str("key", info.Key).Str("owner", owner.Host).Send()
 	h.counts.passedOn.Add(1)
-	out := outbound(r, info)
+	out := outbound(r, info, info.Deadline)
 	out.Header[request.HeaderService] = []string{info.Service.Name}
 	out.Header[headerPassedBy] = []string{h.opts.Host}
 	call := &target.Call{Addr: addr, Request: out, Fresh: true, Deadline: info.Deadline}
--- a/request/request.go
+++ b/request/request.go
@@ -21,6 +21,9 @@
 	HeaderRequestID = "Quetzal-Request-Id"
 	HeaderTimeout   = "Quetzal-Timeout-Ms"
 	HeaderKey       = "Idempotency-Key"
+	// HeaderClient is the client address that the caller looked up. Without it the
+	// address of the connection counts.
+	HeaderClient = "Quetzal-Client"
 )
 
 // maxHeaderValue is the longest accepted request id or key, in bytes.
@@ -97,6 +100,10 @@
 	if err != nil {
 		return nil, err
 	}
+	client, err := clientAddr(r)
+	if err != nil {
+		return nil, err
+	}
 	class := ClassOf(svc, r.Method, r.URL.Path)
 	timeout, err := timeoutOf(r, svc, class)
 	if err != nil {
@@ -104,7 +111,7 @@
 	}
 	return &Info{
 		ID: id, Service: svc, Class: class, Method: r.Method, Path: r.URL.Path,
-		Client: clientAddr(r), Key: key, Deadline: now.Add(timeout),
+		Client: client, Key: key, Deadline: now.Add(timeout),
 		Idempotent: idempotentMethod(r.Method),
 	}, nil
 }
@@ -164,10 +171,18 @@
 	}
 }
 
-func clientAddr(r *http.Request) netip.Addr {
+// clientAddr returns the address by which a request's region and stickiness are decided.
+func clientAddr(r *http.Request) (netip.Addr, error) {
+	if text := r.Header.Get(HeaderClient); text != "" {
+		addr, err := netip.ParseAddr(text)
+		if err != nil || addr.Zone() != "" {
+			return netip.Addr{}, errors.WithStack(&FieldError{Field: HeaderClient, Value: text[:min(len(text), maxHeaderValue)], Allowed: "an IP address without a zone"})
+		}
+		return addr.Unmap(), nil
+	}
 	ap, err := netip.ParseAddrPort(r.RemoteAddr)
 	if err != nil {
-		return netip.Addr{}
+		return netip.Addr{}, nil
 	}
-	return ap.Addr().Unmap()
+	return ap.Addr().Unmap(), nil
 }
--- a/request/route/router.go
+++ b/request/route/router.go
@@ -30,6 +30,10 @@
 // ErrNoRoom reports that no target has room for the request now.
 var ErrNoRoom = errors.New("no target has room")
 
+// endMargin is how long after its deadline a target may still hold the slot of an
+// attempt: the grace of the connection and the way there.
+const endMargin = 3 * time.Second
+
 // maxDraws bounds how often a choice is repeated whose slot was taken meanwhile.
 const maxDraws = 3
 
@@ -178,10 +182,10 @@
 // until returns when an attempt that begins now must have ended.
 func until(now time.Time, info *request.Info, room slots.Room, lane slots.Lane) time.Time {
 	hold := room.Hold(lane)
-	if hold == 0 || info.Deadline.Sub(now) < hold {
+	if hold == 0 || info.Deadline.Sub(now) < hold-endMargin {
 		return info.Deadline
 	}
-	return now.Add(hold)
+	return now.Add(hold - endMargin)
 }
 
 func (r *Router) roomOf(svc *config.Service) slots.Room {
--- a/tools/lab/fleet/deployment.go
+++ b/tools/lab/fleet/deployment.go
@@ -60,9 +60,9 @@
 		Name: "skiptidagur", StoreRegion: "sudvestur", OneWay: interRegionLatency,
 		LinkBytesPerSecond: fourGbit, Hosts: entryHosts,
 		Regions: []Region{
-			{Name: "sudvestur", FailureDomains: []string{"sv-hofn", "sv-hraun"}, Block: "198.18.0.0/24"},
-			{Name: "nordur", FailureDomains: []string{"no-gler", "no-eyri"}, Block: "198.18.1.0/24"},
-			{Name: "austur", FailureDomains: []string{"au-fjord", "au-dalur"}, Block: "198.18.2.0/24"},
+			{Name: "sudvestur", FailureDomains: []string{"sv-hofn", "sv-hraun"}, Block: "10.1.0.0/16"},
+			{Name: "nordur", FailureDomains: []string{"no-gler", "no-eyri"}, Block: "10.2.0.0/16"},
+			{Name: "austur", FailureDomains: []string{"au-fjord", "au-dalur"}, Block: "10.3.0.0/16"},
 		},
 		Services: []Service{
 			{Name: "bokun", Targets: 20, Slots: 6, Classes: []config.Class{
@@ -83,9 +83,9 @@
 		Name: "galleries", StoreRegion: "mtl", OneWay: interRegionLatency,
 		LinkBytesPerSecond: threeHundredMbit, Hosts: entryHosts,
 		Regions: []Region{
-			{Name: "mtl", FailureDomains: []string{"mtl-1", "mtl-2"}, Block: "198.18.0.0/24"},
-			{Name: "qc", FailureDomains: []string{"qc-1", "qc-2"}, Block: "198.18.1.0/24"},
-			{Name: "gat", FailureDomains: []string{"gat-1", "gat-2"}, Block: "198.18.2.0/24"},
+			{Name: "mtl", FailureDomains: []string{"mtl-1", "mtl-2"}, Block: "10.1.0.0/16"},
+			{Name: "qc", FailureDomains: []string{"qc-1", "qc-2"}, Block: "10.2.0.0/16"},
+			{Name: "gat", FailureDomains: []string{"gat-1", "gat-2"}, Block: "10.3.0.0/16"},
 		},
 		Services: []Service{
 			{Name: "rota-desk", Targets: 20, Slots: 3, Classes: []config.Class{
--- a/tools/lab/load/kind.go
+++ b/tools/lab/load/kind.go
@@ -65,7 +65,7 @@
 }
 
 // clientsPerRegion is how many caller addresses each region has.
-const clientsPerRegion = 8
+const clientsPerRegion = 32
 
 // schedule draws all requests of a kind for the duration.
 func schedule(k *Kind, regions []string, seed uint64, duration time.Duration) []shot {
--- a/tools/lab/load/run.go
+++ b/tools/lab/load/run.go
@@ -66,13 +66,13 @@
 // Run sends the load and returns a result for each kind, not yet compared with
 // what the targets ran. It returns when every request has ended.
 func Run(ctx context.Context, opts Options) (*Report, error) {
-	blocks := make([]netip.Addr, len(opts.Blocks))
+	blocks := make([]netip.Prefix, len(opts.Blocks))
 	for i, b := range opts.Blocks {
 		prefix, err := netip.ParsePrefix(b)
 		if err != nil {
 			return nil, err
 		}
-		blocks[i] = prefix.Addr()
+		blocks[i] = prefix
 	}
 	t := &tally{results: make(map[string]*Result)}
 	var shots []shot
@@ -114,7 +114,7 @@
 // runner sends the requests of one run.
 type runner struct {
 	opts   Options
-	blocks []netip.Addr
+	blocks []netip.Prefix
 	tally  *tally
 	start  time.Time
 }
@@ -205,9 +205,18 @@
 	o.target = a.Target
 }
 
-// clientAddr returns the n-th address of an IPv4 block.
-func clientAddr(block netip.Addr, n int) netip.Addr {
-	b := block.As4()
+// wideBlock is the longest IPv4 prefix whose callers get a /24 block each.
+const wideBlock = 16
+
+// clientAddr returns the address of the n-th caller of an IPv4 block. In a wide
+// block each caller stands in a /24 block of its own.
+func clientAddr(block netip.Prefix, n int) netip.Addr {
+	b := block.Addr().As4()
+	if block.Bits() <= wideBlock {
+		b[2] = byte(n)
+		b[3] = 1
+		return netip.AddrFrom4(b)
+	}
 	b[3] = byte(n)
 	return netip.AddrFrom4(b)
 }
