--- a/request/forward/answer.go
+++ b/request/forward/answer.go
@@ -58,10 +58,10 @@
 }
 
 func (h *Handler) send(ctx context.Context, r *http.Request, info *request.Info, choice route.Choice, began quarantine.State) (*answer, error) {
-	ctx, cancel := context.WithDeadline(ctx, choice.Until)
+	attempt, cancel := context.WithDeadline(ctx, choice.Until)
 	rep := &report{done: choice.Done, cancel: cancel}
 	start := time.Now()
-	resp, err := h.pool.Exchange(ctx, h.call(r, info, choice, rep))
+	resp, err := h.pool.Exchange(attempt, h.call(r, info, choice, rep))
 	outcome := health.Outcome{RunTime: time.Since(start)}
 	if err == nil && info.Service.Shed.Matches(resp.StatusCode, resp.Header) {
 		discard(resp)
@@ -122,10 +122,7 @@
 	p.part()
 }
 
-func (p *report) ended() {
-	p.cancel()
-	p.part()
-}
+func (p *report) ended() { p.part() }
 
 func (p *report) part() {
 	p.mu.Lock()
@@ -133,6 +130,7 @@
 	both, outcome := p.parts == 2, p.outcome
 	p.mu.Unlock()
 	if both {
+		p.cancel()
 		p.done(outcome)
 	}
 }
