A new quarantine mark has a second to reach other hosts

Cause: one of 14 runs of fail_crashing_request under load lost a third target: the push of the mark to another region (dial, hello and call at 35 ms one way take 210 ms) ended after 300 ms. Change: push and probe may take a second each; the caller of a request whose target crashed waits for it at most that long.

--- a/process/quarantine/spread.go
+++ b/process/quarantine/spread.go
@@ -19,7 +19,7 @@
 	// repairInterval is the time between two comparisons with another host.
 	repairInterval = 2 * time.Second
 	// pushTimeout bounds the sending of a new mark.
-	pushTimeout = 300 * time.Millisecond
+	pushTimeout = time.Second
 	// callTimeout bounds one comparison.
 	callTimeout = time.Second
 )
--- a/request/forward/crash.go
+++ b/request/forward/crash.go
@@ -27,7 +27,7 @@
 )
 
 // probeTime bounds the check whether a target still takes connections.
-const probeTime = 300 * time.Millisecond
+const probeTime = time.Second
 
 var errQuarantined = errors.New("request is quarantined: the targets that ran it crashed")
 
