A request that was not run waits for the retry budget instead of being refused

Change: not-run waits up to 500 ms for the budget and may have 8 attempts; what may have run keeps 3 attempts and no wait.

--- a/request/forward/attempts.go
+++ b/request/forward/attempts.go
@@ -93,11 +93,21 @@
 		s.mayHaveRun = true
 	}
 	failure := retry.Failure{Verdict: v, Attempts: len(s.tried), Replayable: canSendAgain(s.r)}
-	wait, ok := s.extra.retry.Next(s.info, failure, time.Now())
-	if !ok {
-		return false
+	for {
+		wait, decision := s.extra.retry.Next(s.info, failure, time.Now())
+		if decision == retry.Stop || !sleep(ctx, wait) {
+			return false
+		}
+		if decision == retry.Send {
+			return true
+		}
+		failure.Waited += wait
 	}
-	timer := time.NewTimer(wait)
+}
+
+// sleep waits and reports whether the whole time passed before ctx ended.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
--- a/request/retry/retry.go
+++ b/request/retry/retry.go
@@ -23,8 +23,12 @@
 )
 
 const (
-	// maxAttempts bounds the attempts of one request.
+	// maxAttempts bounds the attempts of one request that may have run; maxNotRun
+	// those of one that surely did not.
 	maxAttempts = 3
+	maxNotRun   = 8
+	// budgetPatience is how long a request that was not run waits for the budget.
+	budgetPatience = 500 * time.Millisecond
 	// firstBackoff is the mean wait before the second attempt; each further one is
 	// backoffFactor times as long, up to maxBackoff. jitter is the share by which a
 	// wait differs from its mean at most.
@@ -53,8 +57,23 @@
 	Attempts int
 	// Replayable is true when the body, if any, can be sent again whole.
 	Replayable bool
+	// Waited is how long the request has waited for the budget since the attempt.
+	Waited time.Duration
 }
 
+// Decision says what follows a failed attempt.
+type Decision uint8
+
+// The decisions.
+const (
+	// Stop means that no attempt follows.
+	Stop Decision = iota
+	// Send means that an attempt follows after the wait.
+	Send
+	// AskAgain means that the budget may allow an attempt after the wait.
+	AskAgain
+)
+
 // Retrier decides on retries within a budget for each service. It is safe for
 // concurrent use.
 type Retrier struct {
@@ -82,23 +101,26 @@
 	r.budget.Earn(info.Service.Name, share)
 }
 
-// Next decides on another attempt after a failed one. It returns how long to wait
-// before it, and whether there is to be one.
-func (r *Retrier) Next(info *request.Info, f Failure, now time.Time) (time.Duration, bool) {
+// Next decides on another attempt after a failed one, and returns how long to wait
+// before it. A request that was not run waits a while for an empty budget, since
+// the next attempt costs nothing but the wait.
+func (r *Retrier) Next(info *request.Info, f Failure, now time.Time) (time.Duration, Decision) {
 	wait := waitBefore(f.Attempts)
 	reason := r.reasonAgainst(info, f, now.Add(wait))
-	if reason == "" {
+	switch {
+	case reason == "":
 		r.retried.Add(1)
 		evRetry.Log(r.log).Str("request", info.ID).Str("service", info.Service.Name).Int("attempts", f.Attempts).
-			Stringer("verdict", f.Verdict).Int64("wait_us", wait.Microseconds()).Send()
-		return wait, true
-	}
-	if reason == ReasonBudget {
+			Stringer("verdict", f.Verdict).Int64("wait_us", (f.Waited + wait).Microseconds()).Send()
+		return wait, Send
+	case reason == ReasonBudget && f.Verdict == verdict.NotRun && f.Waited+wait <= budgetPatience:
+		return wait, AskAgain
+	case reason == ReasonBudget:
 		r.starved.Add(1)
 	}
 	evNoRetry.Log(r.log).Str("request", info.ID).Str("service", info.Service.Name).Int("attempts", f.Attempts).
 		Stringer("verdict", f.Verdict).Str("reason", string(reason)).Send()
-	return 0, false
+	return 0, Stop
 }
 
 // reasonAgainst returns why there is no attempt at start, or "" after it took the
@@ -107,7 +129,7 @@
 	switch {
 	case f.Verdict != verdict.NotRun && !(f.Verdict == verdict.MayHaveRun && info.Idempotent):
 		return ReasonVerdict
-	case f.Attempts >= maxAttempts:
+	case f.Attempts >= attemptsAllowed(f.Verdict):
 		return ReasonAttempts
 	case !f.Replayable:
 		return ReasonBody
@@ -120,6 +142,13 @@
 	}
 }
 
+func attemptsAllowed(v verdict.Verdict) int {
+	if v == verdict.NotRun {
+		return maxNotRun
+	}
+	return maxAttempts
+}
+
 // waitBefore draws the wait before the attempt that follows this many.
 func waitBefore(attempts int) time.Duration {
 	b := &backoff.ExponentialBackOff{
