Roles switch the forward listener and the look-up routes

Cause: settings.roles was checked but only watch was obeyed. Change: without forward no listener for callers is opened, and look-ups name no such host; without lookup the API has no look-up routes. Shown by TestRolesSwitchListenersAndRoutes.

--- a/api.go
+++ b/api.go
@@ -14,7 +14,9 @@
 // apiRouter returns the handler for callers' look-ups, operators and machines.
 func (n *Node) apiRouter() http.Handler {
 	r := mux.NewRouter()
-	n.lookupRoutes(r)
+	if n.settings.Roles.Lookup {
+		n.lookupRoutes(r)
+	}
 	n.ticketRoutes(r)
 	n.statusRoutes(r)
 	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
--- a/node.go
+++ b/node.go
@@ -143,6 +143,9 @@
 	if n.addrs.API, err = n.serve(n.settings.Listen.API, n.apiRouter()); err != nil {
 		return err
 	}
+	if !n.settings.Roles.Forward {
+		return nil
+	}
 	n.addrs.Forward, err = n.serveCallers(n.settings.Listen.Forward)
 	return err
 }
--- a/node_lookup.go
+++ b/node_lookup.go
@@ -187,7 +187,7 @@
 		in.Services = append(in.Services, name)
 	}
 	for _, m := range from.members {
-		if !from.config.LeavingHosts[m.Host] {
+		if m.ForwardAddr != "" && !from.config.LeavingHosts[m.Host] {
 			in.Hosts = append(in.Hosts, entryHost(m))
 		}
 	}
--- /dev/null
+++ b/roles_test.go
@@ -0,0 +1,39 @@
+package quetzalknot_test
+
+import (
+	"io"
+	"net/http"
+	"testing"
+
+	"quetzalknot"
+	"quetzalknot/platform/memory"
+	"quetzalknot/process/settings"
+)
+
+// TestRolesSwitchListenersAndRoutes starts a host that only watches.
+func TestRolesSwitchListenersAndRoutes(t *testing.T) {
+	s := &settings.Settings{
+		Host:   settings.Host{Name: "h1", Region: "nordur", FailureDomain: "no-gler"},
+		Listen: settings.Listen{API: "127.0.0.1:0", Forward: "127.0.0.1:0", Peer: "127.0.0.1:0"},
+		Roles:  settings.Roles{Watch: true},
+	}
+	if err := s.Complete(); err != nil {
+		t.Fatal(err)
+	}
+	node := quetzalknot.New(s, quetzalknot.Options{Platform: memory.New(), Logs: io.Discard})
+	if err := node.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(node.Kill)
+	if addr := node.Addrs().Forward; addr != "" {
+		t.Errorf("a host without the role forward listens on %s", addr)
+	}
+	resp, err := http.Get("http://" + node.Addrs().API + "/v1/lookup?service=bokun&client=192.0.2.7")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusNotFound || resp.Header.Get("Content-Type") == "application/json" {
+		t.Errorf("a host without the role lookup answers look-ups: %s", resp.Status)
+	}
+}
