--- a/api_lookup_test.go
+++ b/api_lookup_test.go
@@ -18,7 +18,7 @@
 
 func newLookupNode(t *testing.T, perCaller float64) *Node {
 	t.Helper()
-	s := &settings.Settings{Host: settings.Host{Name: "h1", Region: "a", FailureDomain: "a-1"}, Lookup: settings.Lookup{PerCaller: perCaller}}
+	s := &settings.Settings{Host: settings.Host{Name: "h1", Region: "a", FailureDomain: "a-1"}, Lookup: settings.Lookup{PerCaller: perCaller}, Roles: settings.Roles{Lookup: true}}
 	n := New(s, Options{Platform: memory.New(), Logs: io.Discard})
 	n.lookups.view.Store(versionView(t, 1))
 	n.lookups.unready = func() string { return "" }
