--- a/node_digest.go
+++ b/node_digest.go
@@ -14,6 +14,7 @@
 	"quetzalknot/process/digest"
 	"quetzalknot/process/eventlog"
 	"quetzalknot/process/membership"
+	"quetzalknot/process/pause"
 	"quetzalknot/version/config"
 	"quetzalknot/version/lookup"
 	"quetzalknot/version/state"
@@ -64,7 +65,7 @@
 		return
 	}
 	n.loops.Go(func() {
-		for sleepFor(ctx, siteInterval*3/4+rand.N(siteInterval/2)) {
+		for pause.For(ctx, siteInterval*3/4+rand.N(siteInterval/2)) {
 			n.watchSites(ctx)
 			n.watchLinks(ctx)
 		}
@@ -72,18 +73,6 @@
 	})
 }
 
-// sleepFor waits and reports whether ctx still lives.
-func sleepFor(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // watchSites checks each site of this host's duties and publishes what changed.
 func (n *Node) watchSites(ctx context.Context) {
 	snap := n.config.Load()
--- a/request/forward/attempts.go
+++ b/request/forward/attempts.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"quetzalknot/process/metrics"
+	"quetzalknot/process/pause"
 	"quetzalknot/request"
 	"quetzalknot/request/hedge"
 	"quetzalknot/request/latency"
@@ -95,7 +96,7 @@
 	failure := retry.Failure{Verdict: v, Attempts: len(s.tried), Replayable: canSendAgain(s.r)}
 	for {
 		wait, decision := s.extra.retry.Next(s.info, failure, time.Now())
-		if decision == retry.Stop || !sleep(ctx, wait) {
+		if decision == retry.Stop || !pause.For(ctx, wait) {
 			return false
 		}
 		if decision == retry.Send {
@@ -105,18 +106,6 @@
 	}
 }
 
-// sleep waits and reports whether the whole time passed before ctx ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // fail writes the failure of the last attempt with a verdict for all of them.
 func (s *series) fail(w http.ResponseWriter, status int, err error) verdict.Verdict {
 	if s.mayHaveRun {
--- a/tools/cli/capacity.go
+++ b/tools/cli/capacity.go
@@ -1,11 +1,8 @@
 package cli
 
 import (
-	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/mattn/go-isatty"
 
@@ -22,7 +19,7 @@
 
 // Run implements the command.
 func (c *labCapacity) Run() error {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	ctx, stop := signalContext()
 	defer stop()
 	out, err := capacity.Run(ctx, capacity.Options{
 		Blocks: c.Blocks, Only: c.Only, Structures: c.Structures,
--- a/tools/cli/lab.go
+++ b/tools/cli/lab.go
@@ -1,13 +1,10 @@
 package cli
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
 	"path/filepath"
-	"syscall"
 
 	"github.com/cockroachdb/errors"
 	"github.com/mattn/go-isatty"
@@ -40,7 +37,7 @@
 
 // Run implements the command.
 func (c *labExperiment) Run() error {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	ctx, stop := signalContext()
 	defer stop()
 	f, err := experiment.Load(c.File)
 	if err != nil {
@@ -101,7 +98,7 @@
 
 // Run implements the command.
 func (c *labDemo) Run() error {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	ctx, stop := signalContext()
 	defer stop()
 	logs, closeLogs, err := logFile(c.Logs)
 	if err != nil {
--- a/tools/cli/load.go
+++ b/tools/cli/load.go
@@ -1,12 +1,9 @@
 package cli
 
 import (
-	"context"
 	"fmt"
 	"os"
-	"os/signal"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -36,7 +33,7 @@
 	if c.Rate <= 0 {
 		return badInput{errors.Newf("--rate = %g: give a rate above 0", c.Rate)}
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	ctx, stop := signalContext()
 	defer stop()
 	sender := load.NewClientSender(c.API, c.Attempts)
 	defer sender.Close()
--- a/tools/cli/replay.go
+++ b/tools/cli/replay.go
@@ -1,11 +1,7 @@
 package cli
 
 import (
-	"context"
 	"fmt"
-	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/cockroachdb/errors"
 
@@ -20,7 +16,7 @@
 
 // Run implements the command.
 func (c *labReplay) Run() error {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	ctx, stop := signalContext()
 	defer stop()
 	logs, closeLogs, err := logFile(c.Logs)
 	if err != nil {
--- a/tools/cli/standin.go
+++ b/tools/cli/standin.go
@@ -1,11 +1,7 @@
 package cli
 
 import (
-	"context"
 	"net/http"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -38,14 +34,14 @@
 		return err
 	}
 	defer target.Close()
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	ctx, stop := signalContext()
 	defer stop()
 	<-ctx.Done()
 	return nil
 }
 
 func serveUntilSignal(addr string, handler http.Handler) error {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	ctx, stop := signalContext()
 	defer stop()
 	server := &http.Server{Addr: addr, Handler: handler}
 	go func() {
