--- a/connection/target/conn.go
+++ b/connection/target/conn.go
@@ -33,6 +33,8 @@
 	written   countingWriter
 	reused    bool
 	idleSince time.Time
+	// keep is how long the connection may be idle; 0 means the pool's own limit.
+	keep time.Duration
 }
 
 func newConn(raw net.Conn, addr string) *conn {
--- a/connection/target/end.go
+++ b/connection/target/end.go
@@ -107,7 +107,7 @@
 // connection ends the request; otherwise it is cancelled at the target and waited for.
 func (x *exchange) abandon(readErr error) {
 	x.settle()
-	if endedByTarget(readErr) {
+	if endedByTarget(readErr) || x.call.Abrupt {
 		_ = x.conn.Close()
 		x.call.end()
 		return
--- a/connection/target/exchange.go
+++ b/connection/target/exchange.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -43,6 +45,11 @@
 	Inline bool
 	// Fresh keeps the request off connections that were idle for long.
 	Fresh bool
+	// Unframed accepts answers whose body only the end of the connection ends.
+	Unframed bool
+	// Abrupt closes the connection at once when the request is given up, in place of
+	// waiting for the target to end it.
+	Abrupt bool
 	// Deadline is the time by which the target was told to end the request.
 	Deadline time.Time
 	// StopBody makes a blocked read of the request body return an error that is
@@ -126,6 +133,7 @@
 	}
 	if err == nil {
 		x.resp = resp
+		x.conn.keep = keepAlive(resp.Header)
 		resp.Body = &answerBody{ReadCloser: resp.Body, x: x}
 		return resp, nil
 	}
@@ -217,7 +225,7 @@
 // check refuses answers that are not known to belong to the request, or whose end
 // could not be told from a break.
 func (x *exchange) check(resp *http.Response) error {
-	if resp.Body != http.NoBody && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+	if !x.call.Unframed && resp.Body != http.NoBody && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		return ErrNoLength
 	}
 	name := x.call.EchoHeader
@@ -232,6 +240,23 @@
 	return errors.Wrapf(ErrCrossed, "%s = %q", name, got)
 }
 
+// keepAliveSlack is how long before the target's own limit a connection is not used
+// any more.
+const keepAliveSlack = time.Second
+
+// keepAlive returns how long the target keeps an idle connection, less a slack, or 0
+// when it does not say.
+func keepAlive(header http.Header) time.Duration {
+	for _, field := range strings.Split(header.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		seconds, err := strconv.Atoi(value)
+		if err == nil && strings.EqualFold(name, "timeout") && seconds >= 0 {
+			return max(keepAliveSlack/2, time.Duration(seconds)*time.Second-keepAliveSlack)
+		}
+	}
+	return 0
+}
+
 // fail turns the failure of a request whose sending has ended into its verdict.
 func (x *exchange) fail(readErr error) error {
 	if x.conn.written.n == x.before {
--- a/connection/target/pool.go
+++ b/connection/target/pool.go
@@ -69,7 +69,7 @@
 	defer p.mu.Unlock()
 	list := p.idle[addr]
 	n := len(list)
-	if n == 0 || time.Since(list[n-1].idleSince) >= maxIdle {
+	if n == 0 || list[n-1].idleFor() >= list[n-1].limitIdle(maxIdle) {
 		return nil
 	}
 	c := list[n-1]
@@ -84,7 +84,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[c.addr]
-	for len(list) > 0 && (time.Since(list[0].idleSince) > idleTime || len(list) >= idleLimit) {
+	for len(list) > 0 && (list[0].idleFor() > list[0].limitIdle(idleTime) || len(list) >= idleLimit) {
 		_ = list[0].Close()
 		list = list[1:]
 	}
@@ -126,3 +126,13 @@
 	}
 	return newConn(raw, addr), nil
 }
+
+func (c *conn) idleFor() time.Duration { return time.Since(c.idleSince) }
+
+// limitIdle returns the smaller of a limit and what the target allows.
+func (c *conn) limitIdle(limit time.Duration) time.Duration {
+	if c.keep > 0 {
+		return min(limit, c.keep)
+	}
+	return limit
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -12,7 +12,9 @@
 	"github.com/alecthomas/kong"
 
 	"quetzalknot"
+	"quetzalknot/entry"
 	"quetzalknot/platform"
+	"quetzalknot/platform/adapter"
 	"quetzalknot/platform/httpclient"
 	"quetzalknot/platform/memory"
 	"quetzalknot/process/settings"
@@ -26,7 +28,7 @@
 )
 
 type cli struct {
-	Settings string           `arg:"" type:"path" help:"TOML settings file."`
+	Settings string           `arg:"" optional:"" type:"path" help:"TOML settings file. Without it, this is an entry host on the users' platform, whose settings file the environment names."`
 	Check    bool             `help:"Check the settings and exit."`
 	Version  kong.VersionFlag `help:"Print the version and exit."`
 }
@@ -45,6 +47,9 @@
 		fmt.Fprintf(os.Stderr, "quetzald: %s (see quetzald --help)\n", err)
 		return exitSettings
 	}
+	if c.Settings == "" {
+		return mainEntry(os.Getenv(adapter.SettingsVariable), c.Check)
+	}
 	s, err := settings.Load(c.Settings)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -75,6 +80,45 @@
 	return node.Stop(again)
 }
 
+// mainEntry runs an entry host on the users' platform and returns the exit code.
+func mainEntry(path string, check bool) int {
+	if path == "" {
+		fmt.Fprintln(os.Stderr, "quetzald: no settings file is named (see quetzald --help)")
+		return exitSettings
+	}
+	s, err := entry.Load(path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	if check {
+		fmt.Printf("%s is well formed\n", path)
+		return exitOK
+	}
+	if err := runEntry(s, path); err != nil {
+		fmt.Fprintln(os.Stderr, "quetzald:", err)
+		return exitFailure
+	}
+	return exitOK
+}
+
+func runEntry(s *entry.Settings, path string) error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	host := entry.New(s, path, os.Stdout)
+	if err := host.Start(context.Background()); err != nil {
+		return err
+	}
+	for sig := range signals {
+		if sig != syscall.SIGHUP {
+			break
+		}
+		host.Reload()
+	}
+	host.Stop(context.Background())
+	return nil
+}
+
 func connect(s *settings.Settings) platform.Platform {
 	if s.Platform.URL == "" {
 		return memory.New()
--- /dev/null
+++ b/entry/host.go
@@ -0,0 +1,235 @@
+// Package entry runs an entry host on the users' platform: it keeps the beliefs about
+// the desired state, the targets and the other hosts, and serves callers by them.
+//
+// host.go starts and stops the parts, beliefs.go takes in records of the store and of
+// partners, follow.go reads the store, surface.go answers the directory and the
+// readiness check, settings.go holds the settings.
+package entry
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"quetzalknot/connection/target"
+	"quetzalknot/platform/adapter"
+	"quetzalknot/process/crash"
+	"quetzalknot/process/eventlog"
+	"quetzalknot/process/fleet"
+	"quetzalknot/process/metrics"
+	"quetzalknot/process/partner"
+	"quetzalknot/process/peer"
+	"quetzalknot/request/budget"
+	"quetzalknot/request/place"
+	"quetzalknot/request/serve"
+	"quetzalknot/version/mirror"
+	"quetzalknot/version/routes"
+)
+
+var (
+	evStarted = eventlog.Define(1011, zerolog.InfoLevel, "entry host started")
+	evLeaving = eventlog.Define(1012, zerolog.InfoLevel, "entry host leaves")
+	evStopped = eventlog.Define(1013, zerolog.InfoLevel, "entry host stopped")
+	evReload  = eventlog.Define(1014, zerolog.InfoLevel, "settings read again")
+	evBad     = eventlog.Define(1015, zerolog.ErrorLevel, "settings refused")
+)
+
+// Prices of ways, as time that is worth as much for each kilobyte.
+const (
+	crossDomainCost = 4 * time.Millisecond
+	crossRegionCost = 10 * time.Millisecond
+)
+
+// Host is one process of the system.
+type Host struct {
+	path     string
+	settings atomic.Pointer[Settings]
+	log      zerolog.Logger
+	lines    *eventlog.Async
+	metrics  *metrics.Set
+	self     partner.Member
+
+	config   atomic.Pointer[routes.Config]
+	mirror   *mirror.Mirror
+	store    *adapter.Store
+	link     storeLink
+	fleet    *fleet.Fleet
+	chooser  *place.Chooser
+	pool     *target.Pool
+	budgets  *budget.Windows
+	crashes  *crash.Counts
+	group    *partner.Group
+	peers    *peer.Server
+	clients  *peer.Clients
+	handler  *serve.Handler
+	applying sync.Mutex
+
+	leaving atomic.Bool
+	entry   *http.Server
+	servers []*http.Server
+	cancel  context.CancelFunc
+	loops   sync.WaitGroup
+}
+
+// New returns a host that has not started. Path is where its settings are read again.
+func New(s *Settings, path string, logs io.Writer) *Host {
+	h := &Host{path: path, metrics: metrics.NewSet(), mirror: mirror.New(), lines: eventlog.NewAsync(logs)}
+	h.settings.Store(s)
+	h.log = eventlog.New(h.lines, s.Host.Name)
+	h.self = partner.Member{
+		Name: s.Host.Name, Incarnation: time.Now().UnixNano(), Region: s.Host.Region, Domain: s.Host.FailureDomain,
+		Peer: peerAddr(s), Entry: s.Listen.Entry,
+	}
+	h.store = adapter.NewStore(s.Store.Address, h.dial)
+	h.crashes = crash.New(s.Host.Name)
+	h.clients = peer.NewClients(nil, h.dial)
+	h.peers = peer.NewServer(nil)
+	h.group = partner.New(partner.Options{
+		Self: h.self, Tables: adapter.Tables(), Mirror: h.mirror, Apply: h.apply, Crashes: h.crashes,
+		Caller: h.clients, Log: h.log, Now: time.Now,
+	})
+	h.fleet = fleet.New(h.log, h.group.Owns)
+	h.chooser = place.New(h.fleet, place.Options{
+		Region: s.Host.Region, Domain: s.Host.FailureDomain,
+		Costs: place.Costs{CrossDomain: crossDomainCost, CrossRegion: crossRegionCost},
+	})
+	h.pool = target.NewPool(h.dialTarget)
+	h.budgets = budget.NewWindows(time.Duration(s.Bounds.RetryWindow), 0, 0)
+	h.setBudgets()
+	h.handler = serve.New(serve.Options{
+		Config: h.config.Load, Chooser: h.chooser, Fleet: h.fleet, Pool: h.pool, Budget: h.budgets, Crashes: h.crashes,
+		Wire: adapter.Wire{}, Fresh: h.link.ok, Leaving: h.leaving.Load, Metrics: h.metrics, Log: h.log,
+	})
+	return h
+}
+
+func peerAddr(s *Settings) string {
+	ip, _ := netip.ParseAddr(s.Host.IP) // checked with the settings
+	return netip.AddrPortFrom(ip, s.Listen.FirstPeerPort).String()
+}
+
+// Start listens on all addresses and begins to serve.
+func (h *Host) Start(ctx context.Context) error {
+	ctx, h.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	s := h.settings.Load()
+	if err := h.group.Register(h.peers); err != nil {
+		return err
+	}
+	if err := h.peers.Listen(h.self.Peer); err != nil {
+		return err
+	}
+	if err := h.listen(s.Listen.Ready, adapter.Readiness(h.ready)); err != nil {
+		return err
+	}
+	if err := h.listen(s.Listen.Directory, adapter.Directory(h.directory, lookupTTL(s))); err != nil {
+		return err
+	}
+	if err := h.listen(s.Listen.Entry, h.handler); err != nil {
+		return err
+	}
+	h.entry = h.servers[len(h.servers)-1]
+	h.loops.Go(func() { h.follow(ctx, adapter.OperatorTable) })
+	h.loops.Go(func() { h.follow(ctx, adapter.TargetTable) })
+	h.loops.Go(func() { h.group.Run(ctx) })
+	h.loops.Go(func() { h.meet(ctx) })
+	h.loops.Go(func() { h.tick(ctx) })
+	evStarted.Log(h.log).Str("entry", s.Listen.Entry).Str("peer", h.self.Peer).Int64("incarnation", h.self.Incarnation).Send()
+	return nil
+}
+
+const (
+	// headerTimeout bounds how long a caller may take to send a header.
+	headerTimeout = 10 * time.Second
+	// callerIdle is how long a caller's idle connection is kept.
+	callerIdle = time.Minute
+)
+
+func (h *Host) listen(addr string, handler http.Handler) error {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle, ErrorLog: quiet}
+	h.servers = append(h.servers, server)
+	h.loops.Go(func() { _ = server.Serve(l) })
+	return nil
+}
+
+// Reload reads the settings again. Settings that can't be used leave the old ones in force.
+func (h *Host) Reload() {
+	s, err := Load(h.path)
+	if err != nil {
+		evBad.Log(h.log).Err(err).Send()
+		return
+	}
+	h.settings.Store(s)
+	h.setBudgets()
+	evReload.Log(h.log).Send()
+}
+
+const (
+	// acceptWhileLeaving is how long a leaving host still accepts connections, since
+	// callers use answers of the directory for a while.
+	acceptWhileLeaving = 2500 * time.Millisecond
+	// stopMargin is how long before the end of the grace period a host gives up.
+	stopMargin = 250 * time.Millisecond
+	// stopPoll is the time between two looks at what is still in flight.
+	stopPoll = 20 * time.Millisecond
+	// withdrawTimeout bounds the removal of this host's row.
+	withdrawTimeout = time.Second
+)
+
+// Stop ends the host without cutting a request: it leaves the directory, serves on
+// while callers learn of it, and ends when the last request has ended or the grace
+// period is over.
+func (h *Host) Stop(ctx context.Context) {
+	until := time.Now().Add(time.Duration(h.settings.Load().Bounds.Grace) - stopMargin)
+	h.leaving.Store(true)
+	evLeaving.Log(h.log).Int64("in_flight", h.handler.InFlight()).Send()
+	h.group.Leave(ctx)
+	go h.withdraw()
+	ctx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	pause(ctx, acceptWhileLeaving)
+	_ = h.entry.Shutdown(ctx)
+	for h.handler.InFlight() > 0 && pause(ctx, stopPoll) {
+	}
+	h.close()
+	evStopped.Log(h.log).Int64("in_flight", h.handler.InFlight()).Send()
+	h.lines.Close()
+}
+
+func (h *Host) withdraw() {
+	ctx, cancel := context.WithTimeout(context.Background(), withdrawTimeout)
+	defer cancel()
+	_ = h.store.Withdraw(ctx, h.self) // others notice by the missing beats
+}
+
+func (h *Host) close() {
+	h.cancel()
+	for _, server := range h.servers {
+		_ = server.Close()
+	}
+	_ = h.peers.Close()
+	h.clients.Close()
+	h.pool.Close()
+	h.loops.Wait()
+}
+
+// pause waits and returns false when ctx ended first.
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
--- /dev/null
+++ b/entry/settings.go
@@ -0,0 +1,127 @@
+package entry
+
+import (
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Settings are the settings of an entry host on the users' platform, as TOML.
+// deploy/quetzald.toml is the template that the platform fills in.
+type Settings struct {
+	Host   HostSettings   `toml:"host"`
+	Listen ListenSettings `toml:"listen"`
+	Store  StoreSettings  `toml:"store"`
+	Bounds BoundSettings  `toml:"bounds"`
+	// Regions maps failure domains to regions.
+	Regions map[string]string `toml:"regions"`
+}
+
+// HostSettings say which host this is.
+type HostSettings struct {
+	Name          string `toml:"name"`
+	Region        string `toml:"region"`
+	FailureDomain string `toml:"failure_domain"`
+	IP            string `toml:"ip"`
+}
+
+// ListenSettings are the addresses to listen on, each an IP address and port.
+type ListenSettings struct {
+	Entry     string `toml:"entry"`
+	Ready     string `toml:"ready"`
+	Directory string `toml:"directory"`
+	// FirstPeerPort and LastPeerPort bound the ports for calls between hosts.
+	FirstPeerPort uint16 `toml:"first_peer_port"`
+	LastPeerPort  uint16 `toml:"last_peer_port"`
+}
+
+// StoreSettings say where the platform's store is.
+type StoreSettings struct {
+	Address string `toml:"address"`
+}
+
+// BoundSettings are what the operators ask to be kept.
+type BoundSettings struct {
+	Grace        Duration `toml:"grace"`
+	RetryWindow  Duration `toml:"retry_window"`
+	RetryRatio   float64  `toml:"retry_ratio"`
+	RetryExtra   float64  `toml:"retry_extra"`
+	LookupTTLMax Duration `toml:"lookup_ttl_max"`
+}
+
+// Duration is a time in the settings: a number with its unit.
+type Duration time.Duration
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(text []byte) error {
+	value, err := time.ParseDuration(string(text))
+	if err != nil {
+		return err
+	}
+	*d = Duration(value)
+	return nil
+}
+
+// Load reads and checks settings. The error names the file and the faulty field.
+func Load(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "settings")
+	}
+	s, err := Parse(data)
+	return s, errors.Wrapf(err, "settings %s", path)
+}
+
+// Parse reads and checks settings. Unknown fields are ignored.
+func Parse(data []byte) (*Settings, error) {
+	s := new(Settings)
+	if err := toml.Unmarshal(data, s); err != nil {
+		return nil, err
+	}
+	s.complete()
+	return s, s.check()
+}
+
+// Defaults of the bounds.
+const (
+	defaultGrace  = 6 * time.Second
+	defaultWindow = 10 * time.Second
+	defaultTTLMax = 5 * time.Second
+)
+
+func (s *Settings) complete() {
+	b := &s.Bounds
+	setDefault(&b.Grace, defaultGrace)
+	setDefault(&b.RetryWindow, defaultWindow)
+	setDefault(&b.LookupTTLMax, defaultTTLMax)
+}
+
+func setDefault(d *Duration, value time.Duration) {
+	if *d <= 0 {
+		*d = Duration(value)
+	}
+}
+
+func (s *Settings) check() error {
+	for _, field := range []struct{ name, value string }{
+		{"listen.entry", s.Listen.Entry}, {"listen.ready", s.Listen.Ready},
+		{"listen.directory", s.Listen.Directory}, {"store.address", s.Store.Address},
+	} {
+		if _, err := netip.ParseAddrPort(field.value); err != nil {
+			return errors.Newf("%s is %q, not an IP address and port", field.name, field.value)
+		}
+	}
+	if _, err := netip.ParseAddr(s.Host.IP); err != nil {
+		return errors.Newf("host.ip is %q, not an IP address", s.Host.IP)
+	}
+	if s.Host.Name == "" || s.Host.Region == "" || s.Host.FailureDomain == "" {
+		return errors.New("host.name, host.region and host.failure_domain must be set")
+	}
+	if s.Listen.FirstPeerPort == 0 || s.Listen.LastPeerPort < s.Listen.FirstPeerPort {
+		return errors.Newf("listen.first_peer_port %d to last_peer_port %d is no range", s.Listen.FirstPeerPort, s.Listen.LastPeerPort)
+	}
+	return nil
+}
--- /dev/null
+++ b/process/fleet/target.go
@@ -0,0 +1,258 @@
+package fleet
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// loadHalfLife is how fast a target's load report loses its weight.
+	loadHalfLife = 300 * time.Millisecond
+	// paceHalfLife is the same for the report of the machine's pace.
+	paceHalfLife = 400 * time.Millisecond
+	// meanWeight is the weight of a new sample in running means.
+	meanWeight = 0.1
+	// failWeight is the weight of a new outcome in the failure share.
+	failWeight = 0.12
+	// failHalfLife is how fast a failure share falls while nothing is sent.
+	failHalfLife = 3 * time.Second
+	// objectLimit is how many objects are remembered for a target.
+	objectLimit = 64
+	// firstRun stands for the run time of a target that has not answered yet.
+	firstRun = 400 * time.Millisecond
+	// probeFirst and probeMost bound the pause between two checks of a target that is down.
+	probeFirst = 250 * time.Millisecond
+	probeMost  = 2 * time.Second
+	// coldSpacing is the time between two requests of this host to a cold target.
+	coldSpacing = 1100 * time.Millisecond
+	// coldOwners is how many hosts may send to one cold target.
+	coldOwners = 5
+)
+
+// Entry is what a target says of itself.
+type Entry struct {
+	ID      string
+	Service string
+	// Addr is the IP address and port.
+	Addr   string
+	Zone   string
+	Region string
+	Slots  int
+	// Leaving targets take no new requests.
+	Leaving bool
+	// Cold is how much longer the target stays cold.
+	Cold time.Duration
+	// Born is the time of its start in Unix milliseconds; Sequence counts its reports.
+	Born, Sequence int64
+}
+
+// Load is a target's report of its work.
+type Load struct {
+	Running, Waiting, Slots int
+	// Pace is how long work takes at this moment, as a multiple of the usual.
+	Pace float64
+}
+
+// Target is a target and what this host has seen of it. All fields and methods are
+// guarded by the Fleet's lock.
+type Target struct {
+	Entry
+	// InFlight is how many requests of this host the target has.
+	InFlight int
+	// Sent is how many requests this host has sent to it.
+	Sent int64
+	// RTT is the shortest time that opening a connection took.
+	RTT time.Duration
+
+	load     Load
+	loadAt   time.Time
+	others   float64
+	meanLoad float64
+	pace     float64
+	meanPace float64
+	// MeanRun is the running mean of run times.
+	meanRun time.Duration
+	fails   float64
+	failsAt time.Time
+	// quietSince is when the target answered last, or got its first open request.
+	quietSince time.Time
+
+	coldUntil time.Time
+	// unconfirmed targets may be cold: they came back after a failure or an evacuation.
+	unconfirmed bool
+	down        bool
+	probePause  time.Duration
+	probeAt     time.Time
+	probing     bool
+	coldSentAt  time.Time
+	removeAt    time.Time
+
+	objects map[uint64]time.Time
+}
+
+func newTarget(e Entry, now time.Time) *Target {
+	t := &Target{Entry: e, pace: 1, meanPace: 1, meanRun: firstRun, objects: make(map[uint64]time.Time)}
+	t.coldUntil = now.Add(e.Cold)
+	return t
+}
+
+// Cold reports whether the target is cold or may be.
+func (t *Target) Cold(now time.Time) bool { return t.unconfirmed || now.Before(t.coldUntil) }
+
+// Down reports whether the target does not answer.
+func (t *Target) Down() bool { return t.down }
+
+func decay(age, halfLife time.Duration) float64 {
+	if age <= 0 {
+		return 1
+	}
+	return math.Exp2(-float64(age) / float64(halfLife))
+}
+
+// Occupancy estimates how many requests of all hosts the target has.
+func (t *Target) Occupancy(now time.Time) float64 {
+	w := 0.0
+	if !t.loadAt.IsZero() {
+		w = decay(now.Sub(t.loadAt), loadHalfLife)
+	}
+	return float64(t.InFlight) + w*t.others + (1-w)*t.meanLoad
+}
+
+// Pace estimates how long work takes on the target now, as a multiple of the usual.
+func (t *Target) Pace(now time.Time) float64 {
+	w := 0.0
+	if !t.loadAt.IsZero() {
+		w = decay(now.Sub(t.loadAt), paceHalfLife)
+	}
+	return w*t.pace + (1-w)*t.meanPace
+}
+
+// Wait estimates how long a new request waits for a slot.
+func (t *Target) Wait(now time.Time) time.Duration {
+	slots := float64(max(1, t.Slots))
+	over := t.Occupancy(now) + 1 - slots
+	if over <= 0 {
+		return 0
+	}
+	return time.Duration(over / slots * float64(t.meanRun) * t.Pace(now))
+}
+
+// FailShare estimates the share of requests that fail at the target.
+func (t *Target) FailShare(now time.Time) float64 {
+	return t.fails * decay(now.Sub(t.failsAt), failHalfLife)
+}
+
+// Silence returns for how long the target has had requests of this host and not answered.
+func (t *Target) Silence(now time.Time) time.Duration {
+	if t.InFlight == 0 || t.quietSince.IsZero() {
+		return 0
+	}
+	return now.Sub(t.quietSince)
+}
+
+// MeanRun returns the running mean of the target's run times.
+func (t *Target) MeanRun() time.Duration { return t.meanRun }
+
+// Warm reports whether this host sent the object to the target less than keep ago.
+func (t *Target) Warm(object uint64, now time.Time, keep time.Duration) bool {
+	at, ok := t.objects[object]
+	return ok && now.Sub(at) < keep
+}
+
+func (t *Target) remember(object uint64, now time.Time) {
+	if object == 0 {
+		return
+	}
+	if _, known := t.objects[object]; !known && len(t.objects) >= objectLimit {
+		oldest, oldestAt := uint64(0), now
+		for o, at := range t.objects {
+			if at.Before(oldestAt) {
+				oldest, oldestAt = o, at
+			}
+		}
+		delete(t.objects, oldest)
+	}
+	t.objects[object] = now
+}
+
+// begin notes a request that is about to be sent.
+func (t *Target) begin(object uint64, now time.Time) {
+	if t.InFlight == 0 {
+		t.quietSince = now
+	}
+	t.InFlight++
+	t.Sent++
+	t.remember(object, now)
+	if t.Cold(now) {
+		t.coldSentAt = now
+	}
+}
+
+// Outcome is what became of a request at a target.
+type Outcome struct {
+	// Failed requests got no answer, or one that says that the target failed.
+	Failed bool
+	// Shed requests were rejected unrun.
+	Shed bool
+	// Cancelled requests were given up by this host; they say nothing of the target.
+	Cancelled bool
+	// Unreachable says that no connection could be opened or kept.
+	Unreachable bool
+	// Run is the time from sending to the answer.
+	Run time.Duration
+	// Load is the target's report; nil when it gave none.
+	Load *Load
+}
+
+func (t *Target) end(o Outcome, now time.Time) {
+	t.InFlight = max(0, t.InFlight-1)
+	if o.Load != nil {
+		t.report(*o.Load, now)
+	}
+	if o.Cancelled {
+		return
+	}
+	t.quietSince = now
+	t.note(o, now)
+	if o.Unreachable {
+		t.fallDown(now)
+	}
+}
+
+func (t *Target) note(o Outcome, now time.Time) {
+	fails := t.FailShare(now)
+	if o.Failed || o.Shed {
+		fails += failWeight * (1 - fails)
+	} else {
+		fails *= 1 - failWeight
+		t.meanRun += time.Duration(meanWeight * float64(o.Run-t.RTT-t.meanRun))
+	}
+	t.fails, t.failsAt = fails, now
+}
+
+func (t *Target) report(l Load, now time.Time) {
+	t.load, t.loadAt = l, now
+	if l.Slots > 0 {
+		t.Slots = l.Slots
+	}
+	t.others = max(0, float64(l.Running+l.Waiting-t.InFlight))
+	t.meanLoad += meanWeight * (t.others - t.meanLoad)
+	if l.Pace > 0 {
+		t.pace = l.Pace
+		t.meanPace += meanWeight * (l.Pace - t.meanPace)
+	}
+}
+
+func (t *Target) fallDown(now time.Time) {
+	if !t.down {
+		t.probePause = probeFirst
+	}
+	t.down = true
+	t.unconfirmed = true
+	t.objects = make(map[uint64]time.Time)
+	t.probeAt = now.Add(t.probePause)
+	t.probePause = min(probeMost, 2*t.probePause)
+}
+
+// mayStart reports whether a cold target may be sent a request by one of its owners.
+func (t *Target) mayStart(now time.Time) bool { return now.Sub(t.coldSentAt) >= coldSpacing }
--- /dev/null
+++ b/request/place/place.go
@@ -0,0 +1,293 @@
+// Package place chooses the target of a request.
+//
+// The choice is the target with the smallest expected cost: the run time there, given
+// what it has warm and how slow its machine is, the wait for a slot, the way there and
+// back, the price of the bytes on that way, and the share of requests that fail there.
+// Every host ranks the targets of an object by the same hash, so that hosts which know
+// nothing yet of an object send it to the same target.
+package place
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"quetzalknot/process/fleet"
+	"quetzalknot/version/routes"
+)
+
+// Costs are the prices of ways, as time that is worth as much for each kilobyte.
+type Costs struct {
+	CrossDomain, CrossRegion time.Duration
+}
+
+// Options tune the choice. The zero value of a field means its default.
+type Options struct {
+	Region, Domain string
+	Costs          Costs
+	// Keep is how long a target is taken to keep an object warm.
+	Keep time.Duration
+}
+
+const (
+	defaultKeep = 20 * time.Second
+	// warmFirst is the part of the run time that a warm target is taken to need until
+	// run times have been seen.
+	warmFirst = 0.35
+	// prior is the chance that the first target of an object's order has it warm
+	// though this host has not sent it there, by place in the order.
+	priorFirst, priorSecond, priorOther = 0.85, 0.5, 0.05
+	// foreignPrior scales the prior in other regions.
+	foreignPrior = 0.6
+	// failCost is the cost of a certain failure.
+	failCost = 2 * time.Second
+	// coldFactor is how much longer work takes on a cold target.
+	coldFactor = 2.0
+	// silenceSlack is how long a target may be silent beyond twice its mean run time.
+	silenceSlack = 400 * time.Millisecond
+	// unusedBonus is taken off the cost of a target that got no request yet.
+	unusedBonus = time.Second
+	// sampleWeight is the weight of a new sample in running means.
+	sampleWeight = 0.05
+)
+
+// Ask is a request that needs a target.
+type Ask struct {
+	Route   *routes.Route
+	Service string
+	// Object is the hash of the object that the request concerns; 0 means none.
+	Object uint64
+	// Bytes is the size of the request's body.
+	Bytes int64
+	// Tried are the targets that it was sent to.
+	Tried []string
+}
+
+// Choice is the chosen target and why.
+type Choice struct {
+	Target *fleet.Target
+	ID     string
+	Addr   string
+	// Expected is the expected time to the answer.
+	Expected time.Duration
+	Wait     time.Duration
+	Warm     bool
+	// Usable is how many targets could have been chosen.
+	Usable int
+	// RunTime is the expected run time without wait and way.
+	RunTime time.Duration
+	rtt     time.Duration
+}
+
+// Chooser chooses targets. It is safe for concurrent use.
+type Chooser struct {
+	opts  Options
+	fleet *fleet.Fleet
+
+	mu       sync.Mutex
+	profiles map[string]*profile
+}
+
+// profile is what is known of a route's requests.
+type profile struct {
+	fresh, warm time.Duration
+	answer      float64
+}
+
+// New returns a Chooser over a fleet.
+func New(f *fleet.Fleet, opts Options) *Chooser {
+	if opts.Keep == 0 {
+		opts.Keep = defaultKeep
+	}
+	return &Chooser{opts: opts, fleet: f, profiles: make(map[string]*profile)}
+}
+
+// Object returns the hash of an object of a route's service.
+func Object(service, route, key string) uint64 {
+	if key == "" {
+		return 0
+	}
+	return xxhash.Sum64String(service+"\x00"+route+"\x00"+key) | 1
+}
+
+func (c *Chooser) profile(r *routes.Route) profile {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.profiles[r.Name]
+	if p == nil {
+		fresh := r.Objective
+		if fresh == 0 {
+			fresh = time.Second
+		}
+		p = &profile{fresh: fresh, warm: time.Duration(warmFirst * float64(fresh)), answer: 4000}
+		c.profiles[r.Name] = p
+	}
+	return *p
+}
+
+// Choose returns the best target of a request and notes that the request is about to
+// be sent there. It returns false when no target may be used.
+func (c *Chooser) Choose(ask Ask, now time.Time) (Choice, bool) {
+	p := c.profile(ask.Route)
+	c.fleet.Lock()
+	defer c.fleet.Unlock()
+	targets := c.fleet.Service(ask.Service)
+	ranks := c.ranks(targets, ask)
+	var best Choice
+	bestCost := time.Duration(math.MaxInt64)
+	for _, t := range targets {
+		if !c.allowed(t, ask, now) {
+			continue
+		}
+		best.Usable++
+		cost, choice := c.cost(t, ask, p, ranks, now)
+		if cost < bestCost {
+			bestCost = cost
+			choice.Usable = best.Usable
+			best = choice
+		}
+	}
+	if best.Target == nil {
+		return Choice{}, false
+	}
+	best.rtt = best.Target.RTT
+	c.fleet.Begin(best.Target, ask.Object, now)
+	return best, true
+}
+
+func (c *Chooser) allowed(t *fleet.Target, ask Ask, now time.Time) bool {
+	for _, id := range ask.Tried {
+		if id == t.ID {
+			return false
+		}
+	}
+	return ask.Route.AllowsRegion(t.Region) && c.fleet.Usable(t, now)
+}
+
+// order holds the first targets of an object's order at home and elsewhere.
+type order struct {
+	home, away [2]*fleet.Target
+}
+
+func (c *Chooser) ranks(targets []*fleet.Target, ask Ask) order {
+	var o order
+	if ask.Object == 0 {
+		return o
+	}
+	var home, away [2]float64
+	for _, t := range targets {
+		if t.Leaving || t.Down() {
+			continue
+		}
+		s := weighted(fleet.Score(ask.Object, t.ID), t.Slots)
+		if t.Region == c.opts.Region {
+			insert(&o.home, &home, t, s)
+		} else {
+			insert(&o.away, &away, t, s)
+		}
+	}
+	return o
+}
+
+// weighted turns a hash into a rendezvous score in proportion to a weight.
+func weighted(hash uint64, weight int) float64 {
+	u := (float64(hash>>11) + 1) / (1 << 53)
+	return -float64(max(1, weight)) / math.Log(u)
+}
+
+func insert(first *[2]*fleet.Target, scores *[2]float64, t *fleet.Target, s float64) {
+	switch {
+	case s > scores[0]:
+		first[1], scores[1] = first[0], scores[0]
+		first[0], scores[0] = t, s
+	case s > scores[1]:
+		first[1], scores[1] = t, s
+	}
+}
+
+// prior is the chance that a target has an object warm that this host did not send there.
+func (o *order) prior(t *fleet.Target) float64 {
+	switch t {
+	case o.home[0]:
+		return priorFirst
+	case o.home[1]:
+		return priorSecond
+	case o.away[0]:
+		return priorFirst * foreignPrior
+	case o.away[1]:
+		return priorSecond * foreignPrior
+	default:
+		return priorOther
+	}
+}
+
+func (c *Chooser) cost(t *fleet.Target, ask Ask, p profile, ranks order, now time.Time) (time.Duration, Choice) {
+	choice := Choice{Target: t, ID: t.ID, Addr: t.Addr}
+	chance := 0.0
+	if ask.Route.Affinity && ask.Object != 0 {
+		choice.Warm = t.Warm(ask.Object, now, c.opts.Keep)
+		chance = ranks.prior(t)
+		if choice.Warm {
+			chance = 1
+		}
+	}
+	run := chance*float64(p.warm) + (1-chance)*float64(p.fresh)
+	if t.Cold(now) {
+		run *= coldFactor
+	}
+	choice.RunTime = time.Duration(run * t.Pace(now))
+	choice.Wait = t.Wait(now)
+	choice.Expected = choice.RunTime + choice.Wait + t.RTT
+	cost := choice.Expected + c.way(t, float64(ask.Bytes)+p.answer)
+	cost += time.Duration(t.FailShare(now) * float64(failCost))
+	if silence := t.Silence(now) - 2*t.MeanRun() - silenceSlack; silence > 0 {
+		cost += silence
+	}
+	if t.Sent == 0 && ask.Route.Idempotent && !t.Cold(now) {
+		cost -= unusedBonus
+	}
+	return cost, choice
+}
+
+// way returns the price of the bytes on the way to a target and back.
+func (c *Chooser) way(t *fleet.Target, bytes float64) time.Duration {
+	switch {
+	case t.Region != c.opts.Region:
+		return time.Duration(bytes / 1000 * float64(c.opts.Costs.CrossRegion))
+	case t.Zone != c.opts.Domain:
+		return time.Duration(bytes / 1000 * float64(c.opts.Costs.CrossDomain))
+	default:
+		return 0
+	}
+}
+
+// Done notes the outcome of a chosen target's request. AnswerBytes is the size of the
+// answer's body.
+func (c *Chooser) Done(choice Choice, route *routes.Route, o fleet.Outcome, answerBytes int, now time.Time) {
+	c.fleet.End(choice.Target, o, now)
+	if o.Failed || o.Shed || o.Cancelled {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.profiles[route.Name]
+	if p == nil {
+		return
+	}
+	p.answer += sampleWeight * (float64(answerBytes) - p.answer)
+	if choice.Wait > 0 {
+		return
+	}
+	run := max(0, o.Run-choice.rtt)
+	if o.Load != nil && o.Load.Pace > 0 {
+		run = time.Duration(float64(run) / o.Load.Pace)
+	}
+	mean := &p.fresh
+	if choice.Warm {
+		mean = &p.warm
+	}
+	run = min(run, 3**mean)
+	*mean += time.Duration(sampleWeight * float64(run-*mean))
+}
--- /dev/null
+++ b/request/serve/finish.go
@@ -0,0 +1,175 @@
+package serve
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"quetzalknot/process/eventlog"
+	"quetzalknot/verdict"
+)
+
+var (
+	evServed  = eventlog.Define(4602, zerolog.InfoLevel, "request served")
+	evFailed  = eventlog.Define(4603, zerolog.WarnLevel, "request failed")
+	evRefused = eventlog.Define(4604, zerolog.WarnLevel, "request not run")
+)
+
+// status maps what is known of a request to the status of this host's own answer. It
+// is the only place that does.
+func status(v verdict.Verdict, outOfTime bool) int {
+	switch {
+	case v == verdict.NotRun:
+		return http.StatusServiceUnavailable
+	case outOfTime:
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusBadGateway
+	}
+}
+
+// finish gives the final answer after the last attempt.
+func (q *request) finish(ctx context.Context, last result) {
+	switch {
+	case q.r.Context().Err() != nil:
+		q.log(evFailed, 0, errCallerGone)
+		panic(http.ErrAbortHandler)
+	case last.err == nil && last.resp != nil:
+		q.pass(last)
+	default:
+		q.own(status(q.verdict(), ctx.Err() != nil), last.err, evFailed)
+	}
+}
+
+// refuse answers a request that no target ran. It returns false, so that reading can
+// end with it.
+func (q *request) refuse(status int, err error) bool {
+	q.own(status, err, evRefused)
+	return false
+}
+
+// own gives an answer of this host's own.
+func (q *request) own(status int, err error, ev eventlog.Event) {
+	header := q.w.Header()
+	if status == http.StatusServiceUnavailable {
+		q.h.Wire.RetryAfter(header, retryPause())
+	}
+	text := http.StatusText(status) + "\n"
+	header.Set("Content-Length", strconv.Itoa(len(text)))
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	q.w.WriteHeader(status)
+	_, _ = io.WriteString(q.w, text) // the caller may be gone
+	q.log(ev, status, err)
+}
+
+// pass gives the target's answer to the caller.
+func (q *request) pass(res result) {
+	header := q.w.Header()
+	removeHopHeaders(res.resp.Header)
+	for name, values := range res.resp.Header {
+		header[name] = values
+	}
+	if res.resp.Header["Content-Type"] == nil {
+		header["Content-Type"] = nil // no guess by the library
+	}
+	if res.rest != nil {
+		q.passLarge(res)
+		return
+	}
+	if q.r.Method != http.MethodHead && bodyAllowed(res.resp.StatusCode) {
+		header.Set("Content-Length", strconv.Itoa(len(res.body)))
+	}
+	q.w.WriteHeader(res.resp.StatusCode)
+	_, _ = q.w.Write(res.body) // the caller may be gone
+	q.log(evServed, res.resp.StatusCode, nil)
+}
+
+// passLarge streams an answer that is too large to hold. A broken one aborts the
+// caller's connection, so that it never looks whole.
+func (q *request) passLarge(res result) {
+	defer func() { _ = res.rest.Close() }()
+	q.w.WriteHeader(res.resp.StatusCode)
+	_, err := q.w.Write(res.body)
+	if err == nil {
+		_, err = io.Copy(q.w, res.rest)
+	}
+	if err != nil {
+		q.log(evFailed, res.resp.StatusCode, err)
+		panic(http.ErrAbortHandler)
+	}
+	q.log(evServed, res.resp.StatusCode, nil)
+}
+
+func bodyAllowed(status int) bool {
+	return status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+// log writes the line of the request's final answer, with what decided it.
+func (q *request) log(ev eventlog.Event, status int, err error) {
+	line := ev.Log(q.h.Log).Str("request", q.call.ID).Int("status", status).
+		Int64("took_us", time.Since(q.started).Microseconds()).Stringer("verdict", q.verdict())
+	if q.config != nil {
+		line = line.Uint64("version", q.config.Version)
+	}
+	if q.route != nil {
+		line = line.Str("route", q.route.Name).Str("kind", q.route.Kind).Str("service", q.service).Uint64("object", q.object).
+			Int64("left_ms", q.deadline.Sub(q.started).Milliseconds())
+	}
+	if len(q.attempts) > 0 {
+		line = line.Array("attempts", attemptArray(q.attempts))
+	}
+	if err != nil {
+		line = line.Str("error", err.Error())
+	}
+	line.Send()
+	q.h.count(q, ev, status)
+}
+
+// count keeps the figures of final answers.
+func (h *Handler) count(q *request, ev eventlog.Event, status int) {
+	kind := "none"
+	if q.route != nil {
+		kind = q.route.Kind
+	}
+	h.Metrics.Counter("serve." + kind + "." + strconv.Itoa(status)).Add(1)
+	if ev.Number == evServed.Number && len(q.attempts) > 1 {
+		h.Metrics.Counter("serve.retried").Add(1)
+	}
+}
+
+type attemptArray []attemptLog
+
+// MarshalZerologArray implements zerolog.LogArrayMarshaler.
+func (a attemptArray) MarshalZerologArray(array *zerolog.Array) {
+	for _, entry := range a {
+		array.Object(entry)
+	}
+}
+
+// MarshalZerologObject implements zerolog.LogObjectMarshaler.
+func (a attemptLog) MarshalZerologObject(e *zerolog.Event) {
+	e.Str("target", a.target).Int64("expected_ms", a.expected.Milliseconds()).Int64("wait_ms", a.wait.Milliseconds()).
+		Bool("warm", a.warm).Int("usable", a.usable).Int64("took_us", a.took.Microseconds()).Str("outcome", a.outcome)
+}
+
+// hopHeaders concern only one connection.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+}
+
+func removeHopHeaders(header http.Header) {
+	for _, field := range header["Connection"] {
+		for _, name := range strings.Split(field, ",") {
+			header.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		delete(header, name)
+	}
+}
