Trial: late answers weigh on the choice of a target

Cause: the choice compared expected run times only, so that a warm target on a slow machine lost to cold ones whose answer is certain to be late.

--- a/request/place/place.go
+++ b/request/place/place.go
@@ -39,6 +39,13 @@
 	// prior is the chance that the first target of an object's order has it warm
 	// though this host has not sent it there, by place in the order.
 	priorFirst, priorSecond, priorOther = 0.85, 0.5, 0.05
+	// priorElsewhere scales the priors of an object that this host has sent to another
+	// target lately.
+	priorElsewhere = 0.25
+	// lateCost is the cost of a late answer, as a multiple of the route's objective.
+	lateCost = 1.0
+	// lateSpread is the relative spread of run times around their expectation.
+	lateSpread = 0.12
 	// foreignPrior scales the prior in other regions.
 	foreignPrior = 0.6
 	// failCost is the cost of a certain failure.
@@ -94,6 +101,8 @@
 type profile struct {
 	fresh, warm time.Duration
 	answer      float64
+	// known says that some target has the request's object warm by this host's own doing.
+	known bool
 }
 
 // New returns a Chooser over a fleet.
@@ -135,6 +144,7 @@
 	defer c.fleet.Unlock()
 	targets := c.fleet.Service(ask.Service)
 	ranks := c.ranks(targets, ask)
+	p.known = c.known(targets, ask, now)
 	var best Choice
 	bestCost := time.Duration(math.MaxInt64)
 	for _, t := range targets {
@@ -157,6 +167,19 @@
 	return best, true
 }
 
+// known reports whether a usable target has the object warm by this host's own doing.
+func (c *Chooser) known(targets []*fleet.Target, ask Ask, now time.Time) bool {
+	if ask.Object == 0 {
+		return false
+	}
+	for _, t := range targets {
+		if t.Warm(ask.Object, now, c.opts.Keep) && c.fleet.Usable(t, now) {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *Chooser) allowed(t *fleet.Target, ask Ask, now time.Time) bool {
 	for _, id := range ask.Tried {
 		if id == t.ID {
@@ -229,18 +252,27 @@
 	if ask.Route.Affinity && ask.Object != 0 {
 		choice.Warm = t.Warm(ask.Object, now, c.opts.Keep)
 		chance = ranks.prior(t)
+		if p.known {
+			chance *= priorElsewhere
+		}
 		if choice.Warm {
 			chance = 1
 		}
 	}
-	run := chance*float64(p.warm) + (1-chance)*float64(p.fresh)
+	pace := t.Pace(now)
 	if t.Cold(now) {
-		run *= coldFactor
+		pace *= coldFactor
 	}
-	choice.RunTime = time.Duration(run * t.Pace(now))
 	choice.Wait = t.Wait(now)
-	choice.Expected = choice.RunTime + choice.Wait + t.RTT
+	around := choice.Wait + t.RTT
+	warm := time.Duration(float64(p.warm) * pace)
+	fresh := time.Duration(float64(p.fresh) * pace)
+	choice.RunTime = time.Duration(chance*float64(warm) + (1-chance)*float64(fresh))
+	choice.Expected = choice.RunTime + around
 	cost := choice.Expected + c.way(t, float64(ask.Bytes)+p.answer)
+	aim := ask.Route.Objective
+	late := chance*late(warm+around, aim) + (1-chance)*late(fresh+around, aim)
+	cost += time.Duration(late * lateCost * float64(aim))
 	cost += time.Duration(t.FailShare(now) * float64(failCost))
 	if silence := t.Silence(now) - 2*t.MeanRun() - silenceSlack; silence > 0 {
 		cost += silence
@@ -251,6 +283,19 @@
 	return cost, choice
 }
 
+// callerWay is what the way between caller and host takes of the objective.
+const callerWay = 20 * time.Millisecond
+
+// late estimates the chance that an answer expected after some time comes after its
+// objective.
+func late(expected, objective time.Duration) float64 {
+	if objective <= 0 {
+		return 0
+	}
+	x := float64(expected+callerWay-objective) / (lateSpread*float64(expected) + float64(time.Millisecond))
+	return 1 / (1 + math.Exp(-1.7*x))
+}
+
 // way returns the price of the bytes on the way to a target and back.
 func (c *Chooser) way(t *fleet.Target, bytes float64) time.Duration {
 	switch {
--- a/request/serve/finish.go
+++ b/request/serve/finish.go
@@ -112,7 +112,7 @@
 // log writes the line of the request's final answer, with what decided it.
 func (q *request) log(ev eventlog.Event, status int, err error) {
 	line := ev.Log(q.h.Log).Str("request", q.call.ID).Int("status", status).
-		Int64("took_us", time.Since(q.started).Microseconds()).Stringer("verdict", q.verdict())
+		Int64("took_us", time.Since(q.started).Microseconds()).Stringer("verdict", verdictOf(ev, q))
 	if q.config != nil {
 		line = line.Uint64("version", q.config.Version)
 	}
@@ -130,6 +130,13 @@
 	q.h.count(q, ev, status)
 }
 
+func verdictOf(ev eventlog.Event, q *request) verdict.Verdict {
+	if ev.Number == evServed.Number {
+		return verdict.Ran
+	}
+	return q.verdict()
+}
+
 // count keeps the figures of final answers.
 func (h *Handler) count(q *request, ev eventlog.Event, status int) {
 	kind := "none"
