--- a/request/place/place.go
+++ b/request/place/place.go
@@ -44,6 +44,9 @@
 	priorElsewhere = 0.25
 	// lateCost is the cost of a late answer, as a multiple of the route's objective.
 	lateCost = 1.0
+	// freshCost is the cost of a run on a target that does not have the object warm, to
+	// the requests that wait meanwhile, as a multiple of the time it takes longer.
+	freshCost = 3.0
 	// lateSpread is the relative spread of run times around their expectation.
 	lateSpread = 0.12
 	// foreignPrior scales the prior in other regions.
@@ -252,7 +255,7 @@
 	if ask.Route.Affinity && ask.Object != 0 {
 		choice.Warm = t.Warm(ask.Object, now, c.opts.Keep)
 		chance = ranks.prior(t)
-		if p.known {
+		if p.known && t != ranks.home[0] {
 			chance *= priorElsewhere
 		}
 		if choice.Warm {
@@ -273,6 +276,7 @@
 	aim := ask.Route.Objective
 	late := chance*late(warm+around, aim) + (1-chance)*late(fresh+around, aim)
 	cost += time.Duration(late * lateCost * float64(aim))
+	cost += time.Duration((1 - chance) * freshCost * float64(p.fresh-p.warm))
 	cost += time.Duration(t.FailShare(now) * float64(failCost))
 	if silence := t.Silence(now) - 2*t.MeanRun() - silenceSlack; silence > 0 {
 		cost += silence
