Trial: one order of targets for an object, weighted by region

Cause: separate orders at home and elsewhere left the region with few targets without a place for what does not fit. One weighted rendezvous order moves a fixed part of its objects out.

--- a/request/place/place.go
+++ b/request/place/place.go
@@ -36,9 +36,9 @@
 	// warmFirst is the part of the run time that a warm target is taken to need until
 	// run times have been seen.
 	warmFirst = 0.35
-	// prior is the chance that the first target of an object's order has it warm
-	// though this host has not sent it there, by place in the order.
-	priorFirst, priorSecond, priorOther = 0.85, 0.5, 0.05
+	// homeWeight is how much more weight a target of this host's region has in the
+	// order of an object.
+	homeWeight = 20.0
 	// priorElsewhere scales the priors of an object that this host has sent to another
 	// target lately.
 	priorElsewhere = 0.25
@@ -63,6 +63,10 @@
 	sampleWeight = 0.05
 )
 
+// priors are the chances that the first targets of an object's order have it warm
+// though this host has not sent it there.
+var priors = [orderLength]float64{0.9, 0.5, 0.25, 0.12}
+
 // Ask is a request that needs a target.
 type Ask struct {
 	Route   *routes.Route
@@ -192,61 +196,58 @@
 	return ask.Route.AllowsRegion(t.Region) && c.fleet.Usable(t, now)
 }
 
-// order holds the first targets of an object's order at home and elsewhere.
+// orderLength is how many targets of an object's order are told apart.
+const orderLength = 4
+
+// order holds the first targets of an object's order, best first.
 type order struct {
-	home, away [2]*fleet.Target
+	targets [orderLength]*fleet.Target
+	scores  [orderLength]float64
 }
 
+// ranks returns the order of an object: weighted rendezvous hashing over the targets
+// that stay, with more weight for those of this host's region.
 func (c *Chooser) ranks(targets []*fleet.Target, ask Ask) order {
 	var o order
 	if ask.Object == 0 {
 		return o
 	}
-	var home, away [2]float64
 	for _, t := range targets {
-		if t.Leaving || t.Down() {
+		if t.Leaving {
 			continue
 		}
-		s := weighted(fleet.Score(ask.Object, t.ID), t.Slots)
+		weight := float64(max(1, t.Slots))
 		if t.Region == c.opts.Region {
-			insert(&o.home, &home, t, s)
-		} else {
-			insert(&o.away, &away, t, s)
+			weight *= homeWeight
 		}
+		o.insert(t, weighted(fleet.Score(ask.Object, t.ID), weight))
 	}
 	return o
 }
 
-// weighted turns a hash into a rendezvous score in proportion to a weight.
-func weighted(hash uint64, weight int) float64 {
-	u := (float64(hash>>11) + 1) / (1 << 53)
-	return -float64(max(1, weight)) / math.Log(u)
-}
-
-func insert(first *[2]*fleet.Target, scores *[2]float64, t *fleet.Target, s float64) {
-	switch {
-	case s > scores[0]:
-		first[1], scores[1] = first[0], scores[0]
-		first[0], scores[0] = t, s
-	case s > scores[1]:
-		first[1], scores[1] = t, s
+func (o *order) insert(t *fleet.Target, score float64) {
+	for i := range o.targets {
+		if score > o.scores[i] {
+			o.targets[i], t = t, o.targets[i]
+			o.scores[i], score = score, o.scores[i]
+		}
 	}
 }
 
 // prior is the chance that a target has an object warm that this host did not send there.
 func (o *order) prior(t *fleet.Target) float64 {
-	switch t {
-	case o.home[0]:
-		return priorFirst
-	case o.home[1]:
-		return priorSecond
-	case o.away[0]:
-		return priorFirst * foreignPrior
-	case o.away[1]:
-		return priorSecond * foreignPrior
-	default:
-		return priorOther
+	for i, other := range o.targets {
+		if other == t {
+			return priors[i]
+		}
 	}
+	return 0
+}
+
+// weighted turns a hash into a rendezvous score in proportion to a weight.
+func weighted(hash uint64, weight float64) float64 {
+	u := (float64(hash>>11) + 1) / (1 << 53)
+	return -weight / math.Log(u)
 }
 
 func (c *Chooser) cost(t *fleet.Target, ask Ask, p profile, ranks order, now time.Time) (time.Duration, Choice) {
@@ -255,7 +256,7 @@
 	if ask.Route.Affinity && ask.Object != 0 {
 		choice.Warm = t.Warm(ask.Object, now, c.opts.Keep)
 		chance = ranks.prior(t)
-		if p.known && t != ranks.home[0] {
+		if p.known && t != ranks.targets[0] {
 			chance *= priorElsewhere
 		}
 		if choice.Warm {
