Trial: handicap for other regions in place of weights

Cause: weights sent the same part of every region's objects out; a handicap keeps nearly all objects of a region with much room and half of those of a region with little.

--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -168,15 +168,16 @@
 	return t.mayStart(now) && f.owns(t.ID, coldOwners)
 }
 
-// Begin notes that a request is about to be sent. The lock must be held.
-func (f *Fleet) Begin(t *Target, object uint64, now time.Time) { t.begin(object, now) }
+// Begin notes that a request is about to be sent, and returns its number at the target.
+// The lock must be held.
+func (f *Fleet) Begin(t *Target, w Work, now time.Time) uint64 { return t.begin(w, now) }
 
 // End notes what became of a request.
-func (f *Fleet) End(t *Target, o Outcome, now time.Time) {
+func (f *Fleet) End(t *Target, number uint64, o Outcome, now time.Time) {
 	f.Lock()
 	defer f.Unlock()
 	wasDown := t.down
-	t.end(o, now)
+	t.end(number, o, now)
 	if t.down != wasDown {
 		f.logState(t, now)
 	}
--- a/process/fleet/target.go
+++ b/process/fleet/target.go
@@ -18,6 +18,19 @@
 	failHalfLife = 3 * time.Second
 	// objectLimit is how many objects are remembered for a target.
 	objectLimit = 64
+	// slowHalfLife is how fast a target that was slow is tried again.
+	slowHalfLife = 3 * time.Second
+	// slowWeight is the weight of a new sample in the slowness of a target; a sample
+	// counts as slowLeast at least and slowMost at most.
+	slowWeight          = 0.2
+	slowLeast, slowMost = 0.6, 6.0
+	// overdueSlack is added to expected times, so that short ones are not judged by
+	// small delays.
+	overdueSlack = 60 * time.Millisecond
+	// overdueRatio and overdueLeast say how late how many answers are that show a slow
+	// target before they are there.
+	overdueRatio = 2.5
+	overdueLeast = 2
 	// firstRun stands for the run time of a target that has not answered yet.
 	firstRun = 400 * time.Millisecond
 	// probeFirst and probeMost bound the pause between two checks of a target that is down.
@@ -70,10 +83,16 @@
 	meanLoad float64
 	pace     float64
 	meanPace float64
-	// MeanRun is the running mean of run times.
+	// meanRun is the running mean of the expected run times of what was sent.
 	meanRun time.Duration
 	fails   float64
 	failsAt time.Time
+	// slow is how much longer requests take than expected, as a multiple.
+	slow   float64
+	slowAt time.Time
+	// open are the requests of this host that the target has.
+	open map[uint64]openRequest
+	next uint64
 	// quietSince is when the target answered last, or got its first open request.
 	quietSince time.Time
 
@@ -90,8 +109,23 @@
 	objects map[uint64]time.Time
 }
 
+// openRequest is a request whose answer is awaited.
+type openRequest struct {
+	since    time.Time
+	expected time.Duration
+}
+
+// Work is what a request is expected to cost a target.
+type Work struct {
+	// Object is the hash of the object that the request concerns; 0 means none.
+	Object uint64
+	// Run is the expected run time at the usual pace; Expected is the expected time to
+	// the answer.
+	Run, Expected time.Duration
+}
+
 func newTarget(e Entry, now time.Time) *Target {
-	t := &Target{Entry: e, pace: 1, meanPace: 1, meanRun: firstRun, objects: make(map[uint64]time.Time)}
+	t := &Target{Entry: e, pace: 1, meanPace: 1, meanRun: firstRun, slow: 1, objects: make(map[uint64]time.Time), open: make(map[uint64]openRequest)}
 	t.coldUntil = now.Add(e.Cold)
 	return t
 }
@@ -150,7 +184,7 @@
 	return now.Sub(t.quietSince)
 }
 
-// MeanRun returns the running mean of the target's run times.
+// MeanRun returns the running mean of the expected run times of what was sent.
 func (t *Target) MeanRun() time.Duration { return t.meanRun }
 
 // Warm reports whether this host sent the object to the target less than keep ago.
@@ -175,17 +209,46 @@
 	t.objects[object] = now
 }
 
-// begin notes a request that is about to be sent.
-func (t *Target) begin(object uint64, now time.Time) {
+// Slow estimates how much longer requests take on the target than its reports say, from
+// the answers that came and those that are overdue.
+func (t *Target) Slow(now time.Time) float64 {
+	slow := 1 + (t.slow-1)*decay(now.Sub(t.slowAt), slowHalfLife)
+	overdue, total := 0, 0.0
+	for _, r := range t.open {
+		if ratio := float64(now.Sub(r.since)) / float64(r.expected+overdueSlack); ratio > overdueRatio {
+			overdue++
+			total += min(ratio, slowMost)
+		}
+	}
+	if overdue < overdueLeast {
+		return slow
+	}
+	return max(slow, total/float64(overdue))
+}
+
+// took notes how much longer a request took than expected.
+func (t *Target) took(run, expected time.Duration, now time.Time) {
+	ratio := float64(run) / float64(expected+overdueSlack)
+	slow := 1 + (t.slow-1)*decay(now.Sub(t.slowAt), slowHalfLife)
+	t.slow = slow + slowWeight*(min(max(ratio, slowLeast), slowMost)-slow)
+	t.slowAt = now
+}
+
+// begin notes a request that is about to be sent, and returns its number.
+func (t *Target) begin(w Work, now time.Time) uint64 {
+	t.next++
+	t.open[t.next] = openRequest{since: now, expected: w.Expected}
 	if t.InFlight == 0 {
 		t.quietSince = now
 	}
 	t.InFlight++
 	t.Sent++
-	t.remember(object, now)
+	t.meanRun += time.Duration(meanWeight * float64(w.Run-t.meanRun))
+	t.remember(w.Object, now)
 	if t.Cold(now) {
 		t.coldSentAt = now
 	}
+	return t.next
 }
 
 // Outcome is what became of a request at a target.
@@ -204,11 +267,16 @@
 	Load *Load
 }
 
-func (t *Target) end(o Outcome, now time.Time) {
+func (t *Target) end(number uint64, o Outcome, now time.Time) {
 	t.InFlight = max(0, t.InFlight-1)
+	request := t.open[number]
+	delete(t.open, number)
 	if o.Load != nil {
 		t.report(*o.Load, now)
 	}
+	if overdue := o.Run > request.expected+overdueSlack; !o.Shed && !o.Unreachable && (!o.Cancelled || overdue) {
+		t.took(o.Run, request.expected, now)
+	}
 	if o.Cancelled {
 		return
 	}
@@ -225,7 +293,6 @@
 		fails += failWeight * (1 - fails)
 	} else {
 		fails *= 1 - failWeight
-		t.meanRun += time.Duration(meanWeight * float64(o.Run-t.RTT-t.meanRun))
 	}
 	t.fails, t.failsAt = fails, now
 }
--- a/request/place/place.go
+++ b/request/place/place.go
@@ -9,10 +9,12 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 
 	"quetzalknot/process/fleet"
 	"quetzalknot/version/routes"
@@ -36,17 +38,22 @@
 	// warmFirst is the part of the run time that a warm target is taken to need until
 	// run times have been seen.
 	warmFirst = 0.35
-	// homeWeight is how much more weight a target of this host's region has in the
-	// order of an object.
-	homeWeight = 20.0
+	// awayHandicap is the handicap of targets of other regions in an object's order, as a
+	// multiple of the mean gap between the targets of a mean region.
+	awayHandicap = 1.2
+	// regionLimit is how many regions are told apart.
+	regionLimit = 16
 	// priorElsewhere scales the priors of an object that this host has sent to another
 	// target lately.
 	priorElsewhere = 0.25
 	// lateCost is the cost of a late answer, as a multiple of the route's objective.
 	lateCost = 1.0
+	// patienceUrgent and patienceOther are how long requests may wait that will be late,
+	// as a multiple of their objective.
+	patienceUrgent, patienceOther = 1.5, 0.8
 	// freshCost is the cost of a run on a target that does not have the object warm, to
 	// the requests that wait meanwhile, as a multiple of the time it takes longer.
-	freshCost = 3.0
+	freshCost = 6.0
 	// lateSpread is the relative spread of run times around their expectation.
 	lateSpread = 0.12
 	// foreignPrior scales the prior in other regions.
@@ -63,6 +70,13 @@
 	sampleWeight = 0.05
 )
 
+var (
+	// ErrNoTarget says that no target may be used.
+	ErrNoTarget = errors.New("no target may be used")
+	// ErrBusy says that the targets have no room for the request.
+	ErrBusy = errors.New("targets have no room")
+)
+
 // priors are the chances that the first targets of an object's order have it warm
 // though this host has not sent it there.
 var priors = [orderLength]float64{0.9, 0.5, 0.25, 0.12}
@@ -75,6 +89,8 @@
 	Object uint64
 	// Bytes is the size of the request's body.
 	Bytes int64
+	// Left is how long the caller waits.
+	Left time.Duration
 	// Tried are the targets that it was sent to.
 	Tried []string
 }
@@ -93,6 +109,9 @@
 	// RunTime is the expected run time without wait and way.
 	RunTime time.Duration
 	rtt     time.Duration
+	number  uint64
+	// usual is the expected run time at the usual pace.
+	usual time.Duration
 }
 
 // Chooser chooses targets. It is safe for concurrent use.
@@ -144,8 +163,8 @@
 }
 
 // Choose returns the best target of a request and notes that the request is about to
-// be sent there. It returns false when no target may be used.
-func (c *Chooser) Choose(ask Ask, now time.Time) (Choice, bool) {
+// be sent there. It returns ErrNoTarget or ErrBusy when it is not to be sent.
+func (c *Chooser) Choose(ask Ask, now time.Time) (Choice, error) {
 	p := c.profile(ask.Route)
 	c.fleet.Lock()
 	defer c.fleet.Unlock()
@@ -167,11 +186,34 @@
 		}
 	}
 	if best.Target == nil {
-		return Choice{}, false
+		return Choice{}, ErrNoTarget
+	}
+	if !worthwhile(ask, best) {
+		return best, ErrBusy
 	}
 	best.rtt = best.Target.RTT
-	c.fleet.Begin(best.Target, ask.Object, now)
-	return best, true
+	best.number = c.fleet.Begin(best.Target, fleet.Work{Object: ask.Object, Run: best.usual, Expected: best.Expected}, now)
+	return best, nil
+}
+
+// worthwhile reports whether a request is sent though it waits. One that would be late
+// anyway takes the slots of others, the less urgent the sooner.
+func worthwhile(ask Ask, best Choice) bool {
+	if best.Wait <= 0 || len(ask.Tried) > 0 {
+		return true
+	}
+	if ask.Left > 0 && best.Expected > ask.Left {
+		return false
+	}
+	aim := ask.Route.Objective
+	if aim == 0 || best.Expected+callerWay <= aim {
+		return true
+	}
+	patience := patienceOther
+	if ask.Route.Urgent {
+		patience = patienceUrgent
+	}
+	return best.Wait <= time.Duration(patience*float64(aim))
 }
 
 // known reports whether a usable target has the object warm by this host's own doing.
@@ -205,31 +247,55 @@
 	scores  [orderLength]float64
 }
 
-// ranks returns the order of an object: weighted rendezvous hashing over the targets
-// that stay, with more weight for those of this host's region.
+// ranks returns the order of an object: rendezvous hashing weighted by slots, with a
+// handicap for targets outside this host's region. The handicap is in proportion to the
+// mean capacity of a region, so that a region with much room keeps nearly all of its
+// objects and one with little room keeps few.
 func (c *Chooser) ranks(targets []*fleet.Target, ask Ask) order {
 	var o order
 	if ask.Object == 0 {
 		return o
 	}
+	handicap := awayHandicap / c.regionSlots(targets)
 	for _, t := range targets {
 		if t.Leaving {
 			continue
 		}
-		weight := float64(max(1, t.Slots))
-		if t.Region == c.opts.Region {
-			weight *= homeWeight
+		score := exponential(fleet.Score(ask.Object, t.ID)) / float64(max(1, t.Slots))
+		if t.Region != c.opts.Region {
+			score += handicap
 		}
-		o.insert(t, weighted(fleet.Score(ask.Object, t.ID), weight))
+		o.insert(t, score)
 	}
 	return o
 }
 
+// regionSlots returns the mean number of slots of the regions that have targets.
+func (c *Chooser) regionSlots(targets []*fleet.Target) float64 {
+	slots := 0
+	var regions [regionLimit]string
+	n := 0
+	for _, t := range targets {
+		slots += t.Slots
+		if n < regionLimit && !slices.Contains(regions[:n], t.Region) {
+			regions[n] = t.Region
+			n++
+		}
+	}
+	return float64(max(1, slots)) / float64(max(1, n))
+}
+
+// exponential turns a hash into an exponentially distributed number of mean 1.
+func exponential(hash uint64) float64 { return -math.Log((float64(hash>>11) + 1) / (1 << 53)) }
+
 func (o *order) insert(t *fleet.Target, score float64) {
 	for i := range o.targets {
-		if score > o.scores[i] {
+		if o.targets[i] == nil || score < o.scores[i] {
 			o.targets[i], t = t, o.targets[i]
 			o.scores[i], score = score, o.scores[i]
+			if t == nil {
+				return
+			}
 		}
 	}
 }
@@ -244,12 +310,6 @@
 	return 0
 }
 
-// weighted turns a hash into a rendezvous score in proportion to a weight.
-func weighted(hash uint64, weight float64) float64 {
-	u := (float64(hash>>11) + 1) / (1 << 53)
-	return -weight / math.Log(u)
-}
-
 func (c *Chooser) cost(t *fleet.Target, ask Ask, p profile, ranks order, now time.Time) (time.Duration, Choice) {
 	choice := Choice{Target: t, ID: t.ID, Addr: t.Addr}
 	chance := 0.0
@@ -263,7 +323,7 @@
 			chance = 1
 		}
 	}
-	pace := t.Pace(now)
+	pace := math.Sqrt(t.Pace(now)) * max(1, t.Slow(now))
 	if t.Cold(now) {
 		pace *= coldFactor
 	}
@@ -271,6 +331,7 @@
 	around := choice.Wait + t.RTT
 	warm := time.Duration(float64(p.warm) * pace)
 	fresh := time.Duration(float64(p.fresh) * pace)
+	choice.usual = time.Duration(chance*float64(p.warm) + (1-chance)*float64(p.fresh))
 	choice.RunTime = time.Duration(chance*float64(warm) + (1-chance)*float64(fresh))
 	choice.Expected = choice.RunTime + around
 	cost := choice.Expected + c.way(t, float64(ask.Bytes)+p.answer)
@@ -316,7 +377,7 @@
 // Done notes the outcome of a chosen target's request. AnswerBytes is the size of the
 // answer's body.
 func (c *Chooser) Done(choice Choice, route *routes.Route, o fleet.Outcome, answerBytes int, now time.Time) {
-	c.fleet.End(choice.Target, o, now)
+	c.fleet.End(choice.Target, choice.number, o, now)
 	if o.Failed || o.Shed || o.Cancelled {
 		return
 	}
--- a/request/serve/serve.go
+++ b/request/serve/serve.go
@@ -87,9 +87,7 @@
 
 var (
 	errOutOfTime  = errors.New("out of time")
-	errNoTarget   = errors.New("no target may be used")
 	errNoBudget   = errors.New("retry budget is used up")
-	errTooSlow    = errors.New("no target would answer in time")
 	errCrashes    = errors.New("request crashes targets")
 	errNoConfig   = errors.New("no desired state is known yet")
 	errNoRoute    = errors.New("no route")
@@ -225,11 +223,12 @@
 	if ctx.Err() != nil {
 		return place.Choice{}, context.Cause(ctx)
 	}
-	choice, ok := q.h.Chooser.Choose(place.Ask{
+	choice, err := q.h.Chooser.Choose(place.Ask{
 		Route: q.route, Service: q.service, Object: q.object, Bytes: max(int64(len(q.body)), q.r.ContentLength), Tried: q.tried,
+		Left: q.deadline.Sub(now),
 	}, now)
-	if !ok {
-		return choice, errNoTarget
+	if err != nil {
+		return choice, err
 	}
 	if len(q.tried) > 0 && !q.h.Budget.Take(q.service, now) {
 		q.h.Chooser.Done(choice, q.route, fleet.Outcome{Cancelled: true}, 0, now)
--- a/version/routes/routes.go
+++ b/version/routes/routes.go
@@ -36,6 +36,8 @@
 	Objective time.Duration
 	// Priority is the rank among routes; 0 is the most urgent.
 	Priority int
+	// Urgent says that no other route of the same services has a better rank.
+	Urgent bool
 	// Attempts is how many targets one request may be sent to, at least 1.
 	Attempts int
 	// Affinity says that targets serve objects faster that they served lately.
@@ -82,6 +84,7 @@
 		host := strings.ToLower(r.Host)
 		c.byHost[host] = append(c.byHost[host], r)
 	}
+	c.markUrgent()
 	for _, list := range c.byHost {
 		slices.SortFunc(list, func(a, b *Route) int {
 			return cmp.Or(cmp.Compare(len(b.Prefix), len(a.Prefix)), cmp.Compare(a.Name, b.Name))
@@ -90,6 +93,21 @@
 	return nil
 }
 
+// markUrgent finds the routes with the best rank at their services.
+func (c *Config) markUrgent() {
+	best := make(map[string]int)
+	for _, r := range c.Routes {
+		for _, s := range r.Shares {
+			if rank, ok := best[s.Service]; !ok || r.Priority < rank {
+				best[s.Service] = r.Priority
+			}
+		}
+	}
+	for _, r := range c.Routes {
+		r.Urgent = r.Priority <= best[r.Shares[0].Service]
+	}
+}
+
 func (c *Config) check(r *Route) error {
 	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
 		return errors.Newf("prefix %q does not begin and end with a slash", r.Prefix)
