--- a/request/place/place.go
+++ b/request/place/place.go
@@ -45,7 +45,7 @@
 	regionLimit = 16
 	// priorElsewhere scales the priors of an object that this host has sent to another
 	// target lately.
-	priorElsewhere = 0.25
+	priorElsewhere = 0.6
 	// lateCost is the cost of a late answer, as a multiple of the route's objective.
 	lateCost = 1.0
 	// patienceUrgent and patienceOther are how long requests may wait that will be late,
