Beliefs, stand-ins and end-to-end tests of the platform path; suspects of two hosts no longer share a target

Tests: any order of deltas ends the same, nothing goes back; reports in any order; cold, fallen, missing and evacuated targets; windows of the retry budget; eleven misbehaviours of a target by kind of route; store refusing one host; planned stop.

--- /dev/null
+++ b/entry/host_test.go
@@ -0,0 +1,260 @@
+package entry
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"quetzalknot/platform/standin"
+)
+
+// TestRequestGoesEndToEnd sends a request of each kind through two hosts.
+func TestRequestGoesEndToEnd(t *testing.T) {
+	s := newSite(t, 3, 2)
+	for i, h := range s.hosts {
+		for _, method := range []string{"GET", "POST"} {
+			path := map[string]string{"GET": "/search/1", "POST": "/book/1"}[method]
+			got := send(t.Context(), h.addr(), method, path, fmt.Sprint(method, i), "")
+			if got.status != 200 || got.body != standin.Body || got.header.Get("Response-Stamp") == "" {
+				t.Errorf("%s through host %d: %+v", method, i, got)
+			}
+		}
+	}
+	if got := send(t.Context(), s.hosts[0].addr(), "GET", "/nowhere/", "x", ""); got.status != http.StatusNotFound {
+		t.Errorf("a path without a route: %+v", got)
+	}
+}
+
+// TestAnswersByBehaviour checks the final answer, and how often the request ran, for
+// each misbehaviour of a target and each kind of route.
+func TestAnswersByBehaviour(t *testing.T) {
+	for _, tc := range []struct {
+		name         string
+		behaviour    standin.Behaviour
+		safe, unsafe int
+		// runs bounds how often an unsafe request runs.
+		runs int
+	}{
+		{"good", standin.Good, 200, 200, 1},
+		{"shed", standin.Shed, 503, 503, 0},
+		{"foreign", standin.Foreign, 502, 502, 1},
+		{"extra", standin.Extra, 200, 200, 1},
+		{"truncated", standin.Truncated, 502, 502, 1},
+		{"unframed", standin.Unframed, 200, 200, 1},
+		{"unsigned", standin.Unsigned, 502, 502, 1},
+		{"reset", standin.Reset, 502, 502, 1},
+		{"silent", standin.Silent, 504, 504, 1},
+		{"garbage", standin.Garbage, 502, 502, 1},
+		{"fails", standin.Fails, 500, 500, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, 2, 1)
+			for _, target := range s.targets {
+				target.Behave(tc.behaviour, 0)
+			}
+			for i := range 3 {
+				got := send(t.Context(), s.hosts[0].addr(), "GET", "/search/1", fmt.Sprint("safe", i), "")
+				if got.status != tc.safe || (got.status == 200 && got.body != standin.Body) {
+					t.Errorf("safe: %+v, want status %d", got, tc.safe)
+				}
+				id := fmt.Sprint("unsafe", i)
+				got = send(t.Context(), s.hosts[0].addr(), "POST", "/book/1", id, "a booking")
+				if got.status != tc.unsafe || (got.status == 200 && got.body != standin.Body) {
+					t.Errorf("unsafe: %+v, want status %d", got, tc.unsafe)
+				}
+				if got.status == 503 && got.header.Get("Retry-After") == "" {
+					t.Error("a request that was not run is not told when to come back")
+				}
+				if runs := s.targets[0].Ran(id) + s.targets[1].Ran(id); runs > 1 || (got.status == 503 && runs > 0) {
+					t.Errorf("unsafe request with status %d ran %d times", got.status, runs)
+				}
+			}
+		})
+	}
+}
+
+// TestOneBadTargetIsPassedOver serves safe requests from the other target.
+func TestOneBadTargetIsPassedOver(t *testing.T) {
+	for _, behaviour := range []standin.Behaviour{standin.Shed, standin.Foreign, standin.Truncated, standin.Reset, standin.Garbage} {
+		s := newSite(t, 2, 1)
+		s.targets[0].Behave(behaviour, 0)
+		for i := range 5 {
+			got := send(t.Context(), s.hosts[0].addr(), "GET", "/search/1", fmt.Sprint(i), "")
+			if got.status != 200 || got.body != standin.Body {
+				t.Errorf("behaviour %d: %+v", behaviour, got)
+			}
+		}
+	}
+}
+
+// TestLeavingTargetGetsNothing stops sending once the store has the report.
+func TestLeavingTargetGetsNothing(t *testing.T) {
+	s := newSite(t, 2, 2)
+	s.store.Put("servers", "i-0", s.targets[0].Report("bokun", "no-gler", "draining", 2))
+	s.eventuallyOnly(1)
+	s.store.Put("op", "evacuate/au-fjord", "{}")
+	s.store.Put("servers", "i-2", s.addTarget("i-2").Report("bokun", "au-fjord", "ready", 2))
+	s.store.Remove("servers", "i-1")
+	s.eventually("no target is left", func() bool {
+		return send(t.Context(), s.hosts[0].addr(), "POST", "/book/1", "none", "").status == 503
+	})
+}
+
+// eventuallyOnly waits until only one target gets requests, by all hosts.
+func (s *site) eventuallyOnly(index int) {
+	s.t.Helper()
+	n := 0
+	s.eventually("only one target is used", func() bool {
+		before := s.targets[1-index].Runs()
+		for _, h := range s.hosts {
+			for range 4 {
+				n++
+				send(s.t.Context(), h.addr(), "GET", "/search/1", fmt.Sprint("only", n), "")
+			}
+		}
+		return s.targets[1-index].Runs() == before
+	})
+}
+
+// TestNewDesiredStateWithTheStoreRefusingOneHost learns it from the partner.
+func TestNewDesiredStateWithTheStoreRefusingOneHost(t *testing.T) {
+	s := newSite(t, 2, 2)
+	s.eventually("the hosts know each other", func() bool {
+		return len(s.hosts[0].group.Alive()) == 2 && len(s.hosts[1].group.Alive()) == 2
+	})
+	s.doors[1].SetFaults(standin.StoreFaults{Refuse: 503})
+	s.store.Put("op", "config", fmt.Sprintf(desiredState, 7))
+	s.store.Put("servers", "i-0", s.targets[0].Report("bokun", "no-gler", "draining", 2))
+	for i, h := range s.hosts {
+		s.eventually(fmt.Sprintf("version 7 is in force on host %d", i), func() bool { return h.config.Load().Version == 7 })
+	}
+	s.eventuallyOnly(1)
+}
+
+// TestStoreTroubles goes on serving while the store refuses, loses its history and
+// comes back, and follows afterwards.
+func TestStoreTroubles(t *testing.T) {
+	s := newSite(t, 2, 1)
+	s.doors[0].SetFaults(standin.StoreFaults{Refuse: 503})
+	s.store.Put("op", "config", fmt.Sprintf(desiredState, 2))
+	s.store.Put("op", "config", fmt.Sprintf(desiredState, 3))
+	s.store.Compact()
+	if got := send(t.Context(), s.hosts[0].addr(), "GET", "/search/1", "down", ""); got.status != 200 {
+		t.Errorf("with the store down: %+v", got)
+	}
+	s.doors[0].SetFaults(standin.StoreFaults{})
+	s.eventually("the newest version is in force", func() bool { return s.hosts[0].config.Load().Version == 3 })
+}
+
+// TestUnreadableRowsNameNoTarget harms nothing else.
+func TestUnreadableRowsNameNoTarget(t *testing.T) {
+	s := newSite(t, 1, 1)
+	for i, row := range []string{"", "{", "null", `{"service":5}`, `{"service":"bokun","address":"nowhere","zone":"no-gler","slots":6,"state":"ready","coldRemaining":"0ms","sequence":1}`,
+		`{"service":"bokun","address":"127.0.0.1:1","zone":"no-gler","slots":6,"state":"strange","coldRemaining":"0ms","sequence":1}`} {
+		s.store.Put("servers", fmt.Sprint("bad-", i), row)
+	}
+	s.store.Put("op", "config", "{not a desired state")
+	s.addTarget("i-9")
+	s.eventually("the good target is known", func() bool { return s.hosts[0].fleet.Size() == 2 })
+	if got := send(t.Context(), s.hosts[0].addr(), "GET", "/search/1", "x", ""); got.status != 200 {
+		t.Errorf("beside unreadable rows: %+v", got)
+	}
+	if v := s.hosts[0].config.Load().Version; v != 1 {
+		t.Errorf("version %d in force after an unreadable one", v)
+	}
+}
+
+// TestPlannedStopCutsNothing stops a host while requests run and callers go on sending.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	s := newSite(t, 2, 2)
+	for _, target := range s.targets {
+		target.Behave(standin.Good, 300*time.Millisecond)
+	}
+	var callers sync.WaitGroup
+	for i := range 8 {
+		callers.Go(func() {
+			got := send(t.Context(), s.hosts[0].addr(), "POST", "/book/1", fmt.Sprint("stop", i), "a booking")
+			if got.status != 200 {
+				t.Errorf("during the stop: %+v", got)
+			}
+		})
+	}
+	s.eventually("requests are in flight", func() bool { return s.hosts[0].handler.InFlight() == 8 })
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		s.hosts[0].Stop(t.Context())
+	}()
+	s.eventually("the host is not ready", func() bool { return !s.hosts[0].ready() })
+	if got := send(t.Context(), s.hosts[0].addr(), "POST", "/book/1", "late", ""); got.status != 200 || !got.closes {
+		t.Errorf("on a leaving host: %+v", got)
+	}
+	callers.Wait()
+	<-stopped
+	s.eventually("the directory of the other host leaves it out", func() bool {
+		return len(s.resolve(s.hosts[1])) == 1
+	})
+	if _, ok := s.store.Get("hosts", "front-0"); ok {
+		t.Error("the row of the stopped host is still there")
+	}
+}
+
+// TestDirectoryLeavesTheDeadOut names both hosts, and then only the one that lives.
+func TestDirectoryLeavesTheDeadOut(t *testing.T) {
+	s := newSite(t, 1, 2)
+	s.eventually("both hosts are named", func() bool { return len(s.resolve(s.hosts[0])) == 2 })
+	s.hosts[1].close()
+	s.eventually("the dead host is left out", func() bool { return len(s.resolve(s.hosts[0])) == 1 })
+}
+
+// resolve asks a host's directory.
+func (s *site) resolve(h *Host) []string {
+	s.t.Helper()
+	resp, err := http.Get("http://" + h.settings.Load().Listen.Directory + "/-/resolution?name=bokun.example&region=nordur&zone=no-gler")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var answer struct{ Addresses []string }
+	data, _ := io.ReadAll(resp.Body)
+	if err := json.Unmarshal(data, &answer); err != nil {
+		s.t.Fatal(err)
+	}
+	return answer.Addresses
+}
+
+// TestRequestThatCrashesTargetsIsStopped counts the crashes of several hosts together.
+func TestRequestThatCrashesTargetsIsStopped(t *testing.T) {
+	s := newSite(t, 6, 2)
+	s.eventually("the hosts know each other", func() bool { return len(s.hosts[0].group.Alive()) == 2 })
+	for _, target := range s.targets {
+		target.Behave(standin.Crash, 0)
+	}
+	crashed := func() int {
+		n := 0
+		for _, target := range s.targets {
+			if target.Crashed() {
+				n++
+			}
+		}
+		return n
+	}
+	for i := range 8 {
+		before := crashed()
+		got := send(t.Context(), s.hosts[i%2].addr(), "POST", "/book/1", fmt.Sprint("crash", i), "a bad booking")
+		if got.status == 200 {
+			t.Errorf("sending %d: %+v", i, got)
+		}
+		if crashed() > before {
+			time.Sleep(1500 * time.Millisecond) // the next beat tells the other host
+		}
+	}
+	if n := crashed(); n != 3 {
+		t.Errorf("%d targets crashed, want 3", n)
+	}
+}
--- /dev/null
+++ b/entry/site_test.go
@@ -0,0 +1,165 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"quetzalknot/platform/standin"
+)
+
+// patience is how long tests wait for what must happen.
+const patience = 10 * time.Second
+
+// site is a store, targets and hosts on the loopback interface.
+type site struct {
+	t     *testing.T
+	store *standin.Store
+	// doors are the hosts' own addresses of the store.
+	doors   []*standin.Door
+	targets []*standin.Target
+	hosts   []*Host
+}
+
+const desiredState = `{"version":%d,"resources":[
+{"resourceKind":"services","metadata":{"name":"bokun"},"specification":{"healthPath":"/health","connectionLimit":390,"coldStart":"3s","coldPerS":4.9}},
+{"resourceKind":"routes","metadata":{"name":"search"},"specification":{"host":"bokun.example","prefix":"/search/","kind":"safe","timeout":"1500ms","fullCredit":"500ms","priority":2,"attempts":2,"sessionAffinity":true,"service":"bokun"}},
+{"resourceKind":"routes","metadata":{"name":"book"},"specification":{"host":"bokun.example","prefix":"/book/","kind":"unsafe","timeout":"1500ms","fullCredit":"600ms","priority":1,"attempts":2,"sessionAffinity":true,"service":"bokun"}},
+{"resourceKind":"limits","metadata":{},"specification":{"headerBytes":16384,"bodyBytes":67108864,"headerTimeout":"3000ms","idleTimeout":"15000ms"}}]}`
+
+// newSite starts a site and waits until all hosts are ready.
+func newSite(t *testing.T, targets, hosts int) *site {
+	t.Helper()
+	s := &site{t: t, store: standin.NewStore()}
+	s.store.Put("op", "config", fmt.Sprintf(desiredState, 1))
+	for i := range targets {
+		s.addTarget(fmt.Sprintf("i-%d", i))
+	}
+	for i := range hosts {
+		s.addHost(fmt.Sprintf("front-%d", i))
+	}
+	for _, h := range s.hosts {
+		s.eventually("host is ready", h.ready)
+	}
+	return s
+}
+
+func (s *site) addTarget(id string) *standin.Target {
+	s.t.Helper()
+	target, err := standin.NewTarget(id)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(target.Close)
+	s.targets = append(s.targets, target)
+	s.store.Put("servers", id, target.Report("bokun", "no-gler", "ready", 1))
+	return target
+}
+
+func (s *site) addHost(name string) *Host {
+	s.t.Helper()
+	door := s.store.Open()
+	s.t.Cleanup(door.Close)
+	s.doors = append(s.doors, door)
+	settings, err := Parse([]byte(settingsText(s.t, name, door.Addr())))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	h := New(settings, "", io.Discard)
+	if err := h.Start(s.t.Context()); err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(h.close)
+	s.hosts = append(s.hosts, h)
+	return h
+}
+
+func settingsText(t *testing.T, name, store string) string {
+	t.Helper()
+	return fmt.Sprintf(`[host]
+name = %q
+region = "nordur"
+failure_domain = "no-gler"
+ip = "127.0.0.1"
+[listen]
+entry = "127.0.0.1:%d"
+ready = "127.0.0.1:%d"
+directory = "127.0.0.1:%d"
+first_peer_port = %d
+last_peer_port = 65535
+[store]
+address = %q
+[bounds]
+grace = "4s"
+retry_ratio = 0.2
+retry_extra = 60.0
+[regions]
+"no-gler" = "nordur"
+"au-fjord" = "austur"
+`, name, freePort(t), freePort(t), freePort(t), freePort(t), store)
+}
+
+func freePort(t *testing.T) int {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().(*net.TCPAddr).Port
+}
+
+func (s *site) eventually(what string, done func() bool) {
+	s.t.Helper()
+	for until := time.Now().Add(patience); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
+		if done() {
+			return
+		}
+	}
+	s.t.Fatalf("never: %s", what)
+}
+
+// reply is an answer to a caller; status 0 means that the connection ended without one.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	// closes says that the connection ends with the answer.
+	closes bool
+	err    error
+}
+
+// send makes one request on a connection of its own.
+func send(ctx context.Context, addr, method, path, id, body string) reply {
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(patience))
+	r, err := http.NewRequestWithContext(ctx, method, "http://bokun.example"+path, strings.NewReader(body))
+	if err != nil {
+		return reply{err: err}
+	}
+	r.Header.Set("Request-Identifier", id)
+	r.Header.Set("Deadline-Milliseconds", "3000")
+	r.Header.Set("Cookie", "Affinity-Key=17")
+	if err := r.Write(conn); err != nil {
+		return reply{err: err}
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), r)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, header: resp.Header, body: string(data), closes: resp.Close, err: err}
+}
+
+func (h *Host) addr() string { return h.settings.Load().Listen.Entry }
--- a/node_exchange.go
+++ b/node_exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -53,10 +54,23 @@
 	n.metrics.Gauge("quarantine.requests", x.quarantine.Count)
 	n.forward = forward.New(&n.config, admitter, n.pool, n.metrics, n.log, forward.Options{
 		Limits: n.settings.Limits, Host: n.settings.Host.Name, Owners: n, Claims: x.claims,
-		Quarantine: x.quarantine, Spread: x.spreader.Push, Recorder: x.recorder, Leaving: n.leaving,
+		Quarantine: x.quarantine, Spread: x.spreader.Push, Recorder: x.recorder, Leaving: n.leaving, Owned: n.ownsSuspects,
 	})
 }
 
+// ownsSuspects reports whether this host runs suspects on the target at a position of
+// its service. Positions are dealt out in turn, so that each host has some to spare.
+func (n *Node) ownsSuspects(position int) bool {
+	names := []string{n.settings.Host.Name}
+	for _, m := range n.members.Live() {
+		if m.Host != n.settings.Host.Name {
+			names = append(names, m.Host)
+		}
+	}
+	slices.Sort(names)
+	return names[position%len(names)] == n.settings.Host.Name
+}
+
 // registerExchange adds the services for other hosts.
 func (n *Node) registerExchange() error {
 	return n.peers.Register(quarantine.ServiceName, quarantine.NewService(n.exchange.quarantine, n.exchange.spreader.PassOn))
--- /dev/null
+++ b/request/budget/window_test.go
@@ -0,0 +1,48 @@
+package budget
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestEveryWindowKeepsItsBound takes and earns at random times, and counts each
+// sliding window that ends with an extra attempt. A window that ends later has no more
+// of them.
+func TestEveryWindowKeepsItsBound(t *testing.T) {
+	const length, ratio, fixed = 10 * time.Second, 0.2, 3.0
+	rapid.Check(t, func(t *rapid.T) {
+		w := NewWindows(length, ratio, fixed)
+		now := time.Unix(1000, 0)
+		var requests, extra []time.Time
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "pause")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "earn") {
+				w.Earn("bokun", now)
+				requests = append(requests, now)
+				continue
+			}
+			if !w.Take("bokun", now) {
+				continue
+			}
+			extra = append(extra, now)
+			// The buckets reach back by up to one bucket more than the window.
+			in := countAfter(extra, now.Add(-length))
+			allowed := ratio*float64(countAfter(requests, now.Add(-length-length/buckets))) + fixed
+			if float64(in) > allowed+1e-9 {
+				t.Fatalf("%d extra attempts in a window that allows %v", in, allowed)
+			}
+		}
+	})
+}
+
+func countAfter(times []time.Time, after time.Time) int {
+	n := 0
+	for _, at := range times {
+		if at.After(after) {
+			n++
+		}
+	}
+	return n
+}
--- a/request/forward/attempts.go
+++ b/request/forward/attempts.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"quetzalknot/process/metrics"
 	"quetzalknot/process/pause"
+	"quetzalknot/process/quarantine"
 	"quetzalknot/request"
 	"quetzalknot/request/hedge"
 	"quetzalknot/request/latency"
@@ -51,7 +53,7 @@
 	h.extra.hedge.Begin(info)
 	s := &series{Handler: h, r: r, info: info, snap: snap}
 	for {
-		choice, err := h.admit.Acquire(ctx, info, snap, s.tried)
+		choice, err := h.admit.Acquire(ctx, info, snap, s.avoided())
 		if err != nil {
 			return s.fail(w, http.StatusServiceUnavailable, err)
 		}
@@ -65,10 +67,30 @@
 	}
 }
 
-// tryTarget sends the request once, or twice where it is hedged.
+// avoided returns the targets that come last: those that were tried and, for a suspect,
+// those on which other hosts run their suspects.
+func (s *series) avoided() []string {
+	if !s.suspect() {
+		return s.tried
+	}
+	avoided := slices.Clone(s.tried)
+	for i, t := range s.info.Service.Targets {
+		if !s.opts.Owned(i) {
+			avoided = append(avoided, t.Name)
+		}
+	}
+	return avoided
+}
+
+func (s *series) suspect() bool {
+	return s.opts.Quarantine.State(s.info.Fingerprint) == quarantine.Suspect
+}
+
+// tryTarget sends the request once, or twice where it is hedged. A suspect runs once at
+// a time, so that a crash tells which request it was.
 func (s *series) tryTarget(ctx context.Context, choice route.Choice) (*answer, error) {
 	s.tried = append(s.tried, choice.Target.Name)
-	if s.r.Body == nil || s.r.Body == http.NoBody {
+	if !s.suspect() && (s.r.Body == nil || s.r.Body == http.NoBody) {
 		if delay, ok := s.extra.hedge.Delay(s.info); ok {
 			return s.hedged(ctx, choice, delay)
 		}
--- a/request/forward/forward.go
+++ b/request/forward/forward.go
@@ -56,6 +56,9 @@
 	Claims *claim.Claims
 	// Quarantine knows the requests that crash targets. Default: a list of its own.
 	Quarantine *quarantine.List
+	// Owned reports whether this host runs suspects on the target at a position of its
+	// service, so that suspects of two hosts do not share one. Default: it runs them on any.
+	Owned func(position int) bool
 	// Spread tells other hosts at once of new marks. It may be nil.
 	Spread func(ctx context.Context)
 	// Recorder receives each finished request. It may be nil.
@@ -71,6 +74,9 @@
 	if o.Quarantine == nil {
 		o.Quarantine = quarantine.New(nil)
 	}
+	if o.Owned == nil {
+		o.Owned = func(int) bool { return true }
+	}
 	if o.Leaving == nil {
 		o.Leaving = func() bool { return false }
 	}
--- a/request/forward/hedged.go
+++ b/request/forward/hedged.go
@@ -52,7 +52,7 @@
 	if !s.extra.hedge.Take(s.info) {
 		return nil
 	}
-	choice, ok := s.admit.TryAcquire(s.info, s.snap, s.tried)
+	choice, ok := s.admit.TryAcquire(s.info, s.snap, s.avoided())
 	if ok && choice.Target.Name == first {
 		choice.Release()
 		ok = false
--- /dev/null
+++ b/version/mirror/mirror_test.go
@@ -0,0 +1,130 @@
+package mirror
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// TestAnyOrderOfDeltasEndsTheSame feeds changes of a table in pieces that are reordered,
+// repeated and partly replaced by whole reads, and compares with the table itself.
+func TestAnyOrderOfDeltasEndsTheSame(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		history := drawHistory(t)
+		m := New()
+		order := rapid.Permutation(indexes(len(history))).Draw(t, "order")
+		for _, i := range order {
+			m.Apply(Delta{Table: "t", Records: history[i : i+1]})
+			if rapid.Bool().Draw(t, "stale whole read") {
+				upTo := rapid.IntRange(0, len(history)).Draw(t, "up to")
+				m.Apply(Delta{Table: "t", Records: tableAt(history, upTo), UpTo: uint64(upTo), Whole: true})
+			}
+		}
+		want := tableAt(history, len(history))
+		m.Apply(Delta{Table: "t", Records: want, UpTo: uint64(len(history)), Whole: true})
+		compare(t, m.All("t"), want)
+	})
+}
+
+// TestNothingGoesBack checks that a key's revision never falls, whatever arrives.
+func TestNothingGoesBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		history := drawHistory(t)
+		m := New()
+		newest := make(map[string]uint64)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			upTo := rapid.IntRange(0, len(history)).Draw(t, "up to")
+			d := Delta{Table: "t", UpTo: uint64(upTo)}
+			if rapid.Bool().Draw(t, "whole") {
+				d.Whole, d.Records = true, tableAt(history, upTo)
+			} else if upTo > 0 {
+				d.Records = history[upTo-1 : upTo]
+			}
+			m.Apply(d)
+			for _, r := range m.All("t") {
+				if r.Revision < newest[r.Key] {
+					t.Fatalf("key %s went back from revision %d to %d", r.Key, newest[r.Key], r.Revision)
+				}
+				newest[r.Key] = r.Revision
+			}
+		}
+	})
+}
+
+// TestHostThatIsBehindCatchesUp passes what one mirror has on to another, also after
+// removals were forgotten.
+func TestHostThatIsBehindCatchesUp(t *testing.T) {
+	ahead, behind := New(), New()
+	behind.Apply(Delta{Table: "t", Records: []Record{{Key: "old", Revision: 1}}, UpTo: 1})
+	ahead.Apply(Delta{Table: "t", Records: []Record{{Key: "old", Revision: 1}}, UpTo: 1})
+	for i := range 3 * tombstoneLimit {
+		revision := uint64(i + 2)
+		ahead.Apply(Delta{Table: "t", Records: []Record{{Key: fmt.Sprint(i), Revision: revision}}, UpTo: revision})
+	}
+	last := uint64(3*tombstoneLimit + 2)
+	ahead.Apply(Delta{Table: "t", Records: []Record{{Key: "new", Revision: last}}, UpTo: last, Whole: true})
+	d := ahead.Since("t", behind.Position("t"))
+	if !d.Whole {
+		t.Error("removals were forgotten, but the delta is not whole")
+	}
+	behind.Apply(d)
+	compare(t, behind.All("t"), ahead.All("t"))
+	if got := behind.Position("t"); got != last {
+		t.Errorf("position %d, want %d", got, last)
+	}
+}
+
+// fataler is the part of testing.T and rapid.T that comparisons need.
+type fataler interface{ Fatalf(string, ...any) }
+
+func compare(t fataler, got, want []Record) {
+	if len(got) != len(want) {
+		t.Fatalf("%d records, want %d: %v and %v", len(got), len(want), got, want)
+	}
+	byKey := make(map[string]uint64)
+	for _, r := range want {
+		byKey[r.Key] = r.Revision
+	}
+	for _, r := range got {
+		if byKey[r.Key] != r.Revision {
+			t.Fatalf("key %s has revision %d, want %d", r.Key, r.Revision, byKey[r.Key])
+		}
+	}
+}
+
+// drawHistory returns changes of a few keys; revision i is at index i-1.
+func drawHistory(t *rapid.T) []Record {
+	history := make([]Record, rapid.IntRange(1, 30).Draw(t, "changes"))
+	for i := range history {
+		history[i] = Record{
+			Key:      rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "key"),
+			Revision: uint64(i + 1),
+			Removed:  rapid.Bool().Draw(t, "removed"),
+		}
+	}
+	return history
+}
+
+// tableAt returns the table as it was at a revision.
+func tableAt(history []Record, upTo int) []Record {
+	rows := make(map[string]Record)
+	for _, r := range history[:upTo] {
+		rows[r.Key] = r
+	}
+	var all []Record
+	for _, r := range rows {
+		if !r.Removed {
+			all = append(all, r)
+		}
+	}
+	return all
+}
+
+func indexes(n int) []int {
+	all := make([]int, n)
+	for i := range all {
+		all[i] = i
+	}
+	return all
+}
--- /dev/null
+++ b/version/routes/routes_test.go
@@ -0,0 +1,82 @@
+package routes
+
+import (
+	"math"
+	"strings"
+	"testing"
+)
+
+func config(t *testing.T, list ...*Route) *Config {
+	t.Helper()
+	c := &Config{Version: 1, Routes: list, Services: map[string]*Service{"bokun": {Name: "bokun"}, "skjalasafn": {Name: "skjalasafn"}}}
+	if err := c.Complete(); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func route(name, prefix string, priority int) *Route {
+	return &Route{Name: name, Host: "Bokun.example", Prefix: prefix, Priority: priority, Shares: []Share{{"bokun", 1}}}
+}
+
+// TestLongestPrefixWins matches paths against nested prefixes.
+func TestLongestPrefixWins(t *testing.T) {
+	c := config(t, route("short", "/a/", 1), route("long", "/a/b/", 2), route("root", "/", 3))
+	for _, tc := range []struct{ host, path, want string }{
+		{"bokun.example", "/a/x", "short"},
+		{"BOKUN.example:80", "/a/b/x", "long"},
+		{"bokun.example", "/a/b", "short"},
+		{"bokun.example", "/ab", "root"},
+		{"other.example", "/a/x", ""},
+	} {
+		got := ""
+		if r := c.Match(tc.host, tc.path); r != nil {
+			got = r.Name
+		}
+		if got != tc.want {
+			t.Errorf("%s%s is routed to %q, want %q", tc.host, tc.path, got, tc.want)
+		}
+	}
+}
+
+// TestFaultyRoutesAreRefused names the fault of each.
+func TestFaultyRoutesAreRefused(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		r    Route
+		want string
+	}{
+		{"no slash at the end", Route{Prefix: "/a", Shares: []Share{{"bokun", 1}}}, "slash"},
+		{"no service", Route{Prefix: "/"}, "no service"},
+		{"unknown service", Route{Prefix: "/", Shares: []Share{{"nobody", 1}}}, "unknown"},
+		{"negative weight", Route{Prefix: "/", Shares: []Share{{"bokun", -1}}}, "negative"},
+		{"no weight", Route{Prefix: "/", Shares: []Share{{"bokun", 0}}}, "nothing"},
+	} {
+		c := &Config{Routes: []*Route{&tc.r}, Services: map[string]*Service{"bokun": {}}}
+		if err := c.Complete(); err == nil || !strings.Contains(err.Error(), tc.want) {
+			t.Errorf("%s: %v", tc.name, err)
+		}
+	}
+}
+
+// TestWeightsAreKept spreads evenly spaced points over two services.
+func TestWeightsAreKept(t *testing.T) {
+	r := &Route{Shares: []Share{{"bokun", 90}, {"skjalasafn", 10}}}
+	n := 0
+	for i := range 1000 {
+		if r.Pick(float64(i)/1000) == "bokun" {
+			n++
+		}
+	}
+	if math.Abs(float64(n)-900) > 1 {
+		t.Errorf("%d of 1000 points go to the service of weight 90 in 100", n)
+	}
+}
+
+// TestUrgentRoutes marks the routes of the best rank at a service.
+func TestUrgentRoutes(t *testing.T) {
+	c := config(t, route("claim", "/c/", 1), route("search", "/s/", 2))
+	if !c.Match("bokun.example", "/c/1").Urgent || c.Match("bokun.example", "/s/1").Urgent {
+		t.Error("the route of rank 1 is the urgent one")
+	}
+}
