--- a/entry/host.go
+++ b/entry/host.go
@@ -12,11 +12,13 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/gorilla/mux"
 	"github.com/rs/zerolog"
 
 	"quetzalknot/connection/target"
@@ -89,6 +91,9 @@
 		Peer: peerAddr(s), Entry: s.Listen.Entry,
 	}
 	h.store = adapter.NewStore(s.Store.Address, h.dial)
+	h.store.Calls = func(call string, status int) {
+		h.metrics.Counter("store." + call + "." + strconv.Itoa(status)).Add(1)
+	}
 	h.crashes = crash.New(s.Host.Name)
 	h.clients = peer.NewClients(nil, h.dial)
 	h.peers = peer.NewServer(nil)
@@ -132,6 +137,9 @@
 	if err := h.listen(s.Listen.Directory, adapter.Directory(h.directory, lookupTTL(s))); err != nil {
 		return err
 	}
+	if err := h.listenMetrics(s); err != nil {
+		return err
+	}
 	if err := h.listen(s.Listen.Entry, h.handler); err != nil {
 		return err
 	}
@@ -145,6 +153,22 @@
 	return nil
 }
 
+// listenMetrics serves the figures, as text and as expvar does.
+func (h *Host) listenMetrics(s *Settings) error {
+	if s.Listen.MetricsPort == 0 {
+		return nil
+	}
+	h.metrics.Gauge("serve.in_flight_requests", h.handler.InFlight)
+	h.metrics.Gauge("targets.known", func() int64 { return int64(h.fleet.Size()) })
+	h.metrics.Gauge("partners.alive", func() int64 { return int64(len(h.group.Alive())) })
+	h.metrics.Gauge("log.dropped_lines", h.lines.Dropped)
+	router := mux.NewRouter()
+	router.Path("/metrics").Handler(h.metrics.Text())
+	router.Path("/debug/vars").Handler(h.metrics)
+	ip, _ := netip.ParseAddr(s.Host.IP) // checked with the settings
+	return h.listen(netip.AddrPortFrom(ip, s.Listen.MetricsPort).String(), router)
+}
+
 const (
 	// headerTimeout bounds how long a caller may take to send a header.
 	headerTimeout = 10 * time.Second
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -36,6 +36,8 @@
 	// FirstPeerPort and LastPeerPort bound the ports for calls between hosts.
 	FirstPeerPort uint16 `toml:"first_peer_port"`
 	LastPeerPort  uint16 `toml:"last_peer_port"`
+	// MetricsPort is the port of the figures as text at /metrics. 0 switches them off.
+	MetricsPort uint16 `toml:"metrics_port"`
 }
 
 // StoreSettings say where the platform's store is.
--- a/request/serve/finish.go
+++ b/request/serve/finish.go
@@ -8,9 +8,11 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"quetzalknot/process/eventlog"
+	"quetzalknot/request/place"
 	"quetzalknot/verdict"
 )
 
@@ -127,7 +129,7 @@
 		line = line.Str("error", err.Error())
 	}
 	line.Send()
-	q.h.count(q, ev, status)
+	q.h.count(q, ev, status, err)
 }
 
 func verdictOf(ev eventlog.Event, q *request) verdict.Verdict {
@@ -137,13 +139,33 @@
 	return q.verdict()
 }
 
+// refusalReason returns a short name of a known refusal, for figures.
+func refusalReason(err error) string {
+	for _, known := range []struct {
+		err  error
+		name string
+	}{
+		{place.ErrBusy, "busy"}, {place.ErrNoTarget, "no_target"}, {errCrashes, "crashes"}, {errNoConfig, "no_config"},
+		{errNoRoute, "no_route"}, {errOutOfTime, "out_of_time"}, {errCallerGone, "caller_gone"}, {errNoBudget, "no_budget"},
+	} {
+		if errors.Is(err, known.err) {
+			return known.name
+		}
+	}
+	return "malformed"
+}
+
 // count keeps the figures of final answers.
-func (h *Handler) count(q *request, ev eventlog.Event, status int) {
+func (h *Handler) count(q *request, ev eventlog.Event, status int, err error) {
 	kind := "none"
 	if q.route != nil {
 		kind = q.route.Kind
 	}
 	h.Metrics.Counter("serve." + kind + "." + strconv.Itoa(status)).Add(1)
+	h.Metrics.Histogram("serve." + kind + ".latency").Observe(time.Since(q.started))
+	if ev.Number == evRefused.Number {
+		h.Metrics.Counter("serve.refused." + refusalReason(err)).Add(1)
+	}
 	if ev.Number == evServed.Number && len(q.attempts) > 1 {
 		h.Metrics.Counter("serve.retried").Add(1)
 	}
