--- /dev/null
+++ b/entry/settings_test.go
@@ -0,0 +1,39 @@
+package entry
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestSettingsNameTheFaultyField changes one field at a time.
+func TestSettingsNameTheFaultyField(t *testing.T) {
+	good := settingsText(t, "front-1", "127.0.0.1:80")
+	s, err := Parse([]byte(good + "\n[later]\nx = 1\n"))
+	if err != nil || time.Duration(s.Bounds.RetryWindow) != defaultWindow || s.Regions["au-fjord"] != "austur" {
+		t.Fatalf("%+v, %v", s, err)
+	}
+	for _, tc := range [][3]string{
+		{`name = "front-1"`, `name = ""`, "host.name"},
+		{`ip = "127.0.0.1"`, `ip = "here"`, "host.ip"},
+		{`address = "127.0.0.1:80"`, `address = "store"`, "store.address"},
+		{`last_peer_port = 65535`, `last_peer_port = 1`, "last_peer_port"},
+		{`grace = "4s"`, `grace = "soon"`, "grace"},
+		{`retry_ratio = 0.2`, `retry_ratio = "x"`, "retry_ratio"},
+	} {
+		_, err := Parse([]byte(strings.Replace(good, tc[0], tc[1], 1)))
+		if err == nil || !strings.Contains(err.Error(), tc[2]) {
+			t.Errorf("%s: %v", tc[1], err)
+		}
+	}
+}
+
+// FuzzSettings reads any bytes as settings.
+func FuzzSettings(f *testing.F) {
+	f.Add([]byte("[host]\nname = \"a\"\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if s, err := Parse(data); err == nil && s.Bounds.Grace <= 0 {
+			t.Errorf("%+v is read from %q", s, data)
+		}
+	})
+}
--- a/tools/cli/explain.go
+++ b/tools/cli/explain.go
@@ -12,16 +12,29 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"quetzalknot/tools/story"
 )
 
 type explainCommand struct {
 	apiFlag
-	Request string `arg:"" help:"Request id, as the answer's Quetzal-Request-Id gives it."`
-	JSON    bool   `name:"json" help:"Print the log lines as they are."`
+	Request string        `arg:"" optional:"" help:"Request id, as the answer or the caller's report gives it."`
+	Log     string        `help:"Read log lines from this file in place of asking a host; - means standard input."`
+	Events  bool          `help:"With --log: also what the hosts came to believe around the request."`
+	Around  time.Duration `default:"2s" help:"With --events: how long before and after the request."`
+	JSON    bool          `name:"json" help:"Print the log lines as they are."`
 }
 
+var errNoRequest = errors.New("a request id is needed")
+
 // Run implements the command.
 func (c *explainCommand) Run() error {
+	if c.Request == "" {
+		return errNoRequest
+	}
+	if c.Log != "" {
+		return c.fromLog()
+	}
 	resp, err := http.Get("http://" + c.API + "/v1/explain/" + url.PathEscape(c.Request))
 	if err != nil {
 		return err
@@ -30,6 +43,37 @@
 	if err := decodeReply(resp, &lines); err != nil {
 		return err
 	}
+	return c.print(lines)
+}
+
+func (c *explainCommand) fromLog() error {
+	in := io.ReadCloser(os.Stdin)
+	if c.Log != "-" {
+		file, err := os.Open(c.Log)
+		if err != nil {
+			return err
+		}
+		in = file
+	}
+	defer func() { _ = in.Close() }()
+	around := time.Duration(0)
+	if c.Events {
+		around = c.Around
+	}
+	told, err := story.Read(in, c.Request, around)
+	if err != nil {
+		return err
+	}
+	if told.Skipped > 0 {
+		fmt.Fprintf(os.Stderr, "%d lines are no log lines and were skipped\n", told.Skipped)
+	}
+	if len(told.Lines) == 0 {
+		return errors.Newf("no line of the log tells of request %q", c.Request)
+	}
+	return c.print(told.Lines)
+}
+
+func (c *explainCommand) print(lines []json.RawMessage) error {
 	for _, line := range lines {
 		if c.JSON {
 			fmt.Println(string(line))
--- /dev/null
+++ b/tools/story/story_test.go
@@ -0,0 +1,39 @@
+package story
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+const log = `  -7.9 front-1 {"time":"2026-04-05T10:00:00Z","host":"front-1","event":1011,"message":"entry host started"}
+{"time":"2026-04-05T10:00:09Z","host":"front-2","event":1601,"message":"target state changed","target":"i-1"}
+front-1 {"time":"2026-04-05T10:00:10.5Z","host":"front-1","event":4602,"request":"r1","status":200}
+{"time":"2026-04-05T10:00:10Z","host":"front-2","event":4603,"request":"r1","status":502}
+{"time":"2026-04-05T10:00:10Z","host":"front-2","event":4602,"request":"r2","status":200}
+{"time":"2026-04-05T10:00:1
+panic: something else
+{"other":"json"}
+`
+
+// TestStoryOverSeveralHosts orders the lines of one request and skips what is no log line.
+func TestStoryOverSeveralHosts(t *testing.T) {
+	s, err := Read(strings.NewReader(log), "r1", 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(s.Lines) != 2 || !strings.Contains(string(s.Lines[0]), "4603") || s.Skipped != 3 {
+		t.Errorf("%d lines skipped, told %s", s.Skipped, s.Lines)
+	}
+}
+
+// TestBeliefsAroundARequest adds what the hosts came to believe near it.
+func TestBeliefsAroundARequest(t *testing.T) {
+	s, err := Read(strings.NewReader(log), "r1", 2*time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(s.Lines) != 3 || !strings.Contains(string(s.Lines[0]), "1601") {
+		t.Errorf("told %s", s.Lines)
+	}
+}
