--- a/entry/follow.go
+++ b/entry/follow.go
@@ -21,17 +21,17 @@
 
 const (
 	// feedWait is how long the store holds a call that waits for changes.
-	feedWait = 8 * time.Second
+	feedWait = 20 * time.Second
 	// feedPause is the time between two calls for changes of a table, so that changes
 	// that come together cost one call.
-	feedPause = 200 * time.Millisecond
+	feedPause = 600 * time.Millisecond
 	// retryFirst and retryMost bound the pause after a failed call.
 	retryFirst = 150 * time.Millisecond
 	retryMost  = 1200 * time.Millisecond
 	// troubleSpan is how long after a failure the store's removals are not believed at once.
 	troubleSpan = 3 * time.Second
 	// meetInterval is the time between two readings of the hosts' rows.
-	meetInterval = 10 * time.Second
+	meetInterval = 20 * time.Second
 	// tickInterval is the time between two looks at what has fallen due.
 	tickInterval = 100 * time.Millisecond
 )
