A request whose best target is crowded goes to an idle one before it is refused

Change: an idle target is taken instead, urgent kinds wait longer than others, the handicap of other regions grows with the size of a route's bodies, and the pause asked of refused callers follows the route's objective.

--- a/request/place/place.go
+++ b/request/place/place.go
@@ -41,6 +41,10 @@
 	// awayHandicap is the handicap of targets of other regions in an object's order, as a
 	// multiple of the mean gap between the targets of a mean region.
 	awayHandicap = 1.2
+	// usualBody and smallBody are sizes in bytes, and weightPower the power of the size
+	// in a route's handicap.
+	usualBody, smallBody = 5000.0, 2500.0
+	weightPower          = 0.5
 	// regionLimit is how many regions are told apart.
 	regionLimit = 16
 	// priorElsewhere scales the priors of an object that this host has sent to another
@@ -50,7 +54,7 @@
 	lateCost = 1.0
 	// patienceUrgent and patienceOther are how long requests may wait that will be late,
 	// as a multiple of their objective.
-	patienceUrgent, patienceOther = 1.5, 0.8
+	patienceUrgent, patienceOther = 3.0, 1.0
 	// freshCost is the cost of a run on a target that does not have the object warm, to
 	// the requests that wait meanwhile, as a multiple of the time it takes longer.
 	freshCost = 6.0
@@ -110,6 +114,7 @@
 	RunTime time.Duration
 	rtt     time.Duration
 	number  uint64
+	bytes   int64
 	// usual is the expected run time at the usual pace.
 	usual time.Duration
 }
@@ -126,7 +131,8 @@
 // profile is what is known of a route's requests.
 type profile struct {
 	fresh, warm time.Duration
-	answer      float64
+	// request and answer are the mean sizes of bodies, in bytes.
+	request, answer float64
 	// known says that some target has the request's object warm by this host's own doing.
 	known bool
 }
@@ -169,9 +175,9 @@
 	c.fleet.Lock()
 	defer c.fleet.Unlock()
 	targets := c.fleet.Service(ask.Service)
-	ranks := c.ranks(targets, ask)
+	ranks := c.ranks(targets, ask, p)
 	p.known = c.known(targets, ask, now)
-	var best Choice
+	var best, fastest Choice
 	bestCost := time.Duration(math.MaxInt64)
 	for _, t := range targets {
 		if !c.allowed(t, ask, now) {
@@ -179,6 +185,9 @@
 		}
 		best.Usable++
 		cost, choice := c.cost(t, ask, p, ranks, now)
+		if fastest.Target == nil || choice.Expected < fastest.Expected {
+			fastest = choice
+		}
 		if cost < bestCost {
 			bestCost = cost
 			choice.Usable = best.Usable
@@ -189,9 +198,13 @@
 		return Choice{}, ErrNoTarget
 	}
 	if !worthwhile(ask, best) {
-		return best, ErrBusy
+		if fastest.Wait > 0 {
+			return best, ErrBusy
+		}
+		fastest.Usable = best.Usable
+		best = fastest
 	}
-	best.rtt = best.Target.RTT
+	best.rtt, best.bytes = best.Target.RTT, ask.Bytes
 	best.number = c.fleet.Begin(best.Target, fleet.Work{Object: ask.Object, Run: best.usual, Expected: best.Expected}, now)
 	return best, nil
 }
@@ -251,12 +264,12 @@
 // handicap for targets outside this host's region. The handicap is in proportion to the
 // mean capacity of a region, so that a region with much room keeps nearly all of its
 // objects and one with little room keeps few.
-func (c *Chooser) ranks(targets []*fleet.Target, ask Ask) order {
+func (c *Chooser) ranks(targets []*fleet.Target, ask Ask, p profile) order {
 	var o order
 	if ask.Object == 0 {
 		return o
 	}
-	handicap := awayHandicap / c.regionSlots(targets)
+	handicap := awayHandicap * p.weight() / c.regionSlots(targets)
 	for _, t := range targets {
 		if t.Leaving {
 			continue
@@ -270,6 +283,13 @@
 	return o
 }
 
+// weight returns how much more the bodies of a route weigh on the way than those of a
+// usual one. It moves in steps, so that hosts which have seen other requests agree.
+func (p profile) weight() float64 {
+	step := math.Round(math.Log2((p.request + p.answer + smallBody) / usualBody))
+	return math.Exp2(weightPower * step)
+}
+
 // regionSlots returns the mean number of slots of the regions that have targets.
 func (c *Chooser) regionSlots(targets []*fleet.Target) float64 {
 	slots := 0
@@ -388,6 +408,7 @@
 		return
 	}
 	p.answer += sampleWeight * (float64(answerBytes) - p.answer)
+	p.request += sampleWeight * (float64(choice.bytes) - p.request)
 	if choice.Wait > 0 {
 		return
 	}
--- a/request/serve/finish.go
+++ b/request/serve/finish.go
@@ -59,7 +59,7 @@
 func (q *request) own(status int, err error, ev eventlog.Event) {
 	header := q.w.Header()
 	if status == http.StatusServiceUnavailable {
-		q.h.Wire.RetryAfter(header, retryPause())
+		q.h.Wire.RetryAfter(header, q.retryPause())
 	}
 	text := http.StatusText(status) + "\n"
 	header.Set("Content-Length", strconv.Itoa(len(text)))
--- a/request/serve/serve.go
+++ b/request/serve/serve.go
@@ -255,9 +255,22 @@
 	q.refuse(http.StatusServiceUnavailable, err)
 }
 
-// retryPause is how long a refused caller is asked to wait, spread so that callers do
-// not come back together.
-func retryPause() time.Duration { return 150*time.Millisecond + rand.N(350*time.Millisecond) }
+const (
+	// retryLeast is the shortest time after which a refused caller may come back.
+	retryLeast = 150 * time.Millisecond
+	// retryUsual stands for the objective of a request without a route.
+	retryUsual = 500 * time.Millisecond
+)
+
+// retryPause is how long a refused caller is asked to wait, in proportion to what its
+// request takes, spread so that callers do not come back together.
+func (q *request) retryPause() time.Duration {
+	usual := retryUsual
+	if q.route != nil && q.route.Objective > 0 {
+		usual = q.route.Objective
+	}
+	return retryLeast + rand.N(usual)
+}
 
 // verdict returns what is known of the whole request.
 func (q *request) verdict() verdict.Verdict {
