--- a/entry/settings.go
+++ b/entry/settings.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -81,12 +82,22 @@
 func Parse(data []byte) (*Settings, error) {
 	s := new(Settings)
 	if err := toml.Unmarshal(data, s); err != nil {
-		return nil, err
+		return nil, named(err)
 	}
 	s.complete()
 	return s, s.check()
 }
 
+// named adds the field and the line to an error of the decoder.
+func named(err error) error {
+	var at *toml.DecodeError
+	if !errors.As(err, &at) {
+		return err
+	}
+	line, _ := at.Position()
+	return errors.Wrapf(err, "line %d, field %q", line, strings.Join(at.Key(), "."))
+}
+
 // Defaults of the bounds.
 const (
 	defaultGrace  = 6 * time.Second
