Reports of load lose their weight; targets that join are introduced by one host

Cause: a target that was avoided never reported again, so that the mean of its old reports kept it avoided (test: a crowded target is come back to). The bonus for targets without requests was too small to matter and would have cost cold runs at the start; now one host sends the first request to a target that joined later.

--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -31,8 +31,13 @@
 	evacuated map[string]bool
 	// owns reports whether this host may send to a cold target.
 	owns func(id string, owners int) bool
+	// since is when the first target was known.
+	since time.Time
 }
 
+// settleTime is how long after the first target others count as known from the start.
+const settleTime = 5 * time.Second
+
 // New returns a fleet without targets. owns reports whether this host is among the
 // given number of owners of a target.
 func New(log zerolog.Logger, owns func(id string, owners int) bool) *Fleet {
@@ -63,6 +68,10 @@
 		f.unlist(old)
 	}
 	t := newTarget(e, now)
+	if f.since.IsZero() {
+		f.since = now
+	}
+	t.joined = now.Sub(f.since) > settleTime
 	f.targets[e.ID] = t
 	f.byService[e.Service] = append(f.byService[e.Service], t)
 	f.logState(t, now)
@@ -168,6 +177,12 @@
 	return t.mayStart(now) && f.owns(t.ID, coldOwners)
 }
 
+// Introduces reports whether this host is the one that sends the first request to a
+// target that joined lately. The lock must be held.
+func (f *Fleet) Introduces(t *Target, now time.Time) bool {
+	return t.joined && t.Sent == 0 && !t.Cold(now) && f.owns(t.ID, 1)
+}
+
 // Begin notes that a request is about to be sent, and returns its number at the target.
 // The lock must be held.
 func (f *Fleet) Begin(t *Target, w Work, now time.Time) uint64 { return t.begin(w, now) }
--- a/process/fleet/target.go
+++ b/process/fleet/target.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -10,6 +12,9 @@
 	loadHalfLife = 300 * time.Millisecond
 	// paceHalfLife is the same for the report of the machine's pace.
 	paceHalfLife = 400 * time.Millisecond
+	// meanHalfLife is how fast running means of reports lose their weight while none come,
+	// so that a target that was crowded is tried again.
+	meanHalfLife = 4 * time.Second
 	// meanWeight is the weight of a new sample in running means.
 	meanWeight = 0.1
 	// failWeight is the weight of a new outcome in the failure share.
@@ -72,6 +77,8 @@
 	Entry
 	// InFlight is how many requests of this host the target has.
 	InFlight int
+	// hash is the hash of the identity.
+	hash uint64
 	// Sent is how many requests this host has sent to it.
 	Sent int64
 	// RTT is the shortest time that opening a connection took.
@@ -105,6 +112,8 @@
 	probing     bool
 	coldSentAt  time.Time
 	removeAt    time.Time
+	// joined targets were not there when this host started.
+	joined bool
 
 	objects map[uint64]time.Time
 }
@@ -125,7 +134,7 @@
 }
 
 func newTarget(e Entry, now time.Time) *Target {
-	t := &Target{Entry: e, pace: 1, meanPace: 1, meanRun: firstRun, slow: 1, objects: make(map[uint64]time.Time), open: make(map[uint64]openRequest)}
+	t := &Target{Entry: e, hash: xxhash.Sum64String(e.ID), pace: 1, meanPace: 1, meanRun: firstRun, slow: 1, objects: make(map[uint64]time.Time), open: make(map[uint64]openRequest)}
 	t.coldUntil = now.Add(e.Cold)
 	return t
 }
@@ -133,6 +142,9 @@
 // Cold reports whether the target is cold or may be.
 func (t *Target) Cold(now time.Time) bool { return t.unconfirmed || now.Before(t.coldUntil) }
 
+// Score returns the rendezvous score of the target for a key.
+func (t *Target) Score(key uint64) uint64 { return mix(key ^ t.hash) }
+
 // Down reports whether the target does not answer.
 func (t *Target) Down() bool { return t.down }
 
@@ -145,20 +157,23 @@
 
 // Occupancy estimates how many requests of all hosts the target has.
 func (t *Target) Occupancy(now time.Time) float64 {
-	w := 0.0
-	if !t.loadAt.IsZero() {
-		w = decay(now.Sub(t.loadAt), loadHalfLife)
+	if t.loadAt.IsZero() {
+		return float64(t.InFlight)
 	}
-	return float64(t.InFlight) + w*t.others + (1-w)*t.meanLoad
+	age := now.Sub(t.loadAt)
+	w := decay(age, loadHalfLife)
+	return float64(t.InFlight) + w*t.others + (1-w)*t.meanLoad*decay(age, meanHalfLife)
 }
 
 // Pace estimates how long work takes on the target now, as a multiple of the usual.
 func (t *Target) Pace(now time.Time) float64 {
-	w := 0.0
-	if !t.loadAt.IsZero() {
-		w = decay(now.Sub(t.loadAt), paceHalfLife)
+	if t.loadAt.IsZero() {
+		return 1
 	}
-	return w*t.pace + (1-w)*t.meanPace
+	age := now.Sub(t.loadAt)
+	w := decay(age, paceHalfLife)
+	mean := 1 + (t.meanPace-1)*decay(age, meanHalfLife)
+	return w*t.pace + (1-w)*mean
 }
 
 // Wait estimates how long a new request waits for a slot.
--- a/request/place/place.go
+++ b/request/place/place.go
@@ -68,8 +68,9 @@
 	coldFactor = 2.0
 	// silenceSlack is how long a target may be silent beyond twice its mean run time.
 	silenceSlack = 400 * time.Millisecond
-	// unusedBonus is taken off the cost of a target that got no request yet.
-	unusedBonus = time.Second
+	// unusedBonus is taken off the cost of a target that joined and got no request yet,
+	// at the host that introduces it.
+	unusedBonus = 10 * time.Second
 	// sampleWeight is the weight of a new sample in running means.
 	sampleWeight = 0.05
 )
@@ -274,7 +275,7 @@
 		if t.Leaving {
 			continue
 		}
-		score := exponential(fleet.Score(ask.Object, t.ID)) / float64(max(1, t.Slots))
+		score := exponential(t.Score(ask.Object)) / float64(max(1, t.Slots))
 		if t.Region != c.opts.Region {
 			score += handicap
 		}
@@ -363,7 +364,7 @@
 	if silence := t.Silence(now) - 2*t.MeanRun() - silenceSlack; silence > 0 {
 		cost += silence
 	}
-	if t.Sent == 0 && ask.Route.Idempotent && !t.Cold(now) {
+	if ask.Route.Idempotent && c.fleet.Introduces(t, now) {
 		cost -= unusedBonus
 	}
 	return cost, choice
--- /dev/null
+++ b/request/place/place_test.go
@@ -0,0 +1,239 @@
+package place
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"quetzalknot/process/fleet"
+	"quetzalknot/version/routes"
+)
+
+var start = time.Unix(1000, 0)
+
+var search = &routes.Route{
+	Name: "search", Idempotent: true, Kind: "safe", Objective: 500 * time.Millisecond, Attempts: 2, Affinity: true,
+	Shares: []routes.Share{{Service: "bokun", Weight: 1}},
+}
+
+// newFleet returns targets in three regions: few in the first, more in the others.
+func newFleet(counts ...int) *fleet.Fleet {
+	f := fleet.New(zerolog.Nop(), func(string, int) bool { return true })
+	n := 0
+	for region, count := range counts {
+		for range count {
+			f.Upsert(fleet.Entry{
+				ID: fmt.Sprint("t", n), Service: "bokun", Addr: "127.0.0.1:1", Slots: 6,
+				Region: fmt.Sprint("region", region), Zone: fmt.Sprint("zone", region), Born: 1, Sequence: 1,
+			}, start)
+			n++
+		}
+	}
+	return f
+}
+
+func newChooser(f *fleet.Fleet, region int) *Chooser {
+	return New(f, Options{
+		Region: fmt.Sprint("region", region), Domain: fmt.Sprint("zone", region),
+		Costs: Costs{CrossDomain: 4 * time.Millisecond, CrossRegion: 10 * time.Millisecond},
+	})
+}
+
+func object(i int) uint64 { return Object("bokun", "search", fmt.Sprint(i)) }
+
+// serve chooses a target for an object and ends the request at once.
+func serve(t *testing.T, c *Chooser, o uint64, now time.Time) string {
+	t.Helper()
+	choice, err := c.Choose(Ask{Route: search, Service: "bokun", Object: o}, now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Done(choice, search, fleet.Outcome{Run: runTime(choice), Load: &fleet.Load{Slots: 6, Pace: 1}}, 4000, now)
+	return choice.ID
+}
+
+// runTime is how long a request runs on a target that was chosen.
+func runTime(choice Choice) time.Duration {
+	if choice.Warm {
+		return 150 * time.Millisecond
+	}
+	return 500 * time.Millisecond
+}
+
+// TestHostsAgreeWithoutAsking sends an object to the same target from all hosts of a region.
+func TestHostsAgreeWithoutAsking(t *testing.T) {
+	a, b := newChooser(newFleet(4, 8, 8), 1), newChooser(newFleet(4, 8, 8), 1)
+	// The bonus of targets without requests is spent first.
+	for i := range 200 {
+		serve(t, a, object(1000+i), start)
+		serve(t, b, object(1000+i), start)
+	}
+	now := start.Add(time.Hour)
+	for i := range 200 {
+		if x, y := serve(t, a, object(i), now), serve(t, b, object(i), now); x != y {
+			t.Errorf("object %d goes to %s and %s", i, x, y)
+		}
+	}
+}
+
+// TestObjectsStayWhenATargetLeaves moves the objects of the target that leaves, and
+// besides at most a few that its region's smaller room moves.
+func TestObjectsStayWhenATargetLeaves(t *testing.T) {
+	f := newFleet(4, 8, 8)
+	c := newChooser(f, 1)
+	for i := range 400 {
+		serve(t, c, object(1000+i), start)
+	}
+	now := start.Add(time.Hour)
+	before := make(map[int]string)
+	for i := range 300 {
+		before[i] = serve(t, c, object(i), now)
+	}
+	gone := before[0]
+	f.Remove(gone, now, 0)
+	now = now.Add(time.Hour)
+	moved := 0
+	for i := range 300 {
+		if after := serve(t, c, object(i), now); before[i] != gone && after != before[i] {
+			moved++
+		}
+	}
+	if moved > 3 {
+		t.Errorf("%d of 300 objects moved that were not at %s", moved, gone)
+	}
+}
+
+// TestRegionWithLittleRoomSpills keeps most objects of a region with room at home, and
+// fewer of one without.
+func TestRegionWithLittleRoomSpills(t *testing.T) {
+	share := func(region int) float64 {
+		c := newChooser(newFleet(2, 9, 9), region)
+		for i := range 400 {
+			serve(t, c, object(10_000+i), start)
+		}
+		now := start.Add(time.Hour)
+		home := 0
+		for i := range 1000 {
+			choice, err := c.Choose(Ask{Route: search, Service: "bokun", Object: object(i)}, now)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if choice.Target.Region == fmt.Sprint("region", region) {
+				home++
+			}
+			c.Done(choice, search, fleet.Outcome{Run: runTime(choice)}, 4000, now)
+		}
+		return float64(home) / 1000
+	}
+	small, large := share(0), share(1)
+	if small > 0.6 || large < 0.7 {
+		t.Errorf("%v of the objects stay in the region with 2 targets, %v in one with 9", small, large)
+	}
+}
+
+// TestCrowdedTargetIsLeftAndComeBackTo spills when the first target is crowded, and
+// goes back afterwards.
+func TestCrowdedTargetIsLeftAndComeBackTo(t *testing.T) {
+	f := newFleet(0, 8, 0)
+	c := newChooser(f, 1)
+	for i := range 100 {
+		serve(t, c, object(1000+i), start)
+	}
+	now := start.Add(time.Hour)
+	o := object(1)
+	first := serve(t, c, o, now)
+	crowd(f, first, now)
+	if second := serve(t, c, o, now); second == first {
+		t.Error("a crowded target is not left")
+	}
+	if again := serve(t, c, o, now.Add(time.Minute)); again != first {
+		t.Errorf("object is at %s a minute later, not at %s", again, first)
+	}
+}
+
+// crowd makes a target report a long queue.
+func crowd(f *fleet.Fleet, id string, now time.Time) {
+	f.Lock()
+	var t *fleet.Target
+	for _, other := range f.Service("bokun") {
+		if other.ID == id {
+			t = other
+		}
+	}
+	n := f.Begin(t, fleet.Work{Run: time.Second, Expected: time.Second}, now)
+	f.Unlock()
+	f.End(t, n, fleet.Outcome{Run: time.Second, Load: &fleet.Load{Running: 6, Waiting: 60, Slots: 6, Pace: 1}}, now)
+}
+
+// TestNoRoomIsToldAtOnce refuses when every target is crowded, and says so apart from
+// having no target.
+func TestNoRoomIsToldAtOnce(t *testing.T) {
+	f := newFleet(0, 3, 0)
+	c := newChooser(f, 1)
+	for i := range 3 {
+		crowd(f, fmt.Sprint("t", i), start)
+	}
+	ask := Ask{Route: search, Service: "bokun", Object: object(1)}
+	if _, err := c.Choose(ask, start); !errors.Is(err, ErrBusy) {
+		t.Errorf("all targets crowded: %v", err)
+	}
+	f.Evacuate("zone1", true, start)
+	if _, err := c.Choose(ask, start); !errors.Is(err, ErrNoTarget) {
+		t.Errorf("all targets evacuated: %v", err)
+	}
+}
+
+// TestHomeRegionsBind never leaves them.
+func TestHomeRegionsBind(t *testing.T) {
+	route := *search
+	route.HomeRegions = []string{"region0"}
+	c := newChooser(newFleet(1, 8, 8), 1)
+	for i := range 200 {
+		choice, err := c.Choose(Ask{Route: &route, Service: "bokun", Object: object(i)}, start)
+		if err != nil {
+			if errors.Is(err, ErrBusy) {
+				continue
+			}
+			t.Fatal(err)
+		}
+		if choice.Target.Region != "region0" {
+			t.Fatalf("a request with homes went to %s", choice.Target.Region)
+		}
+	}
+}
+
+// TestTargetThatJoinsIsUsed sends a request to it soon, though it has nothing warm.
+func TestTargetThatJoinsIsUsed(t *testing.T) {
+	f := newFleet(4, 8, 8)
+	c := newChooser(f, 0)
+	now := start.Add(time.Minute)
+	f.Upsert(fleet.Entry{ID: "new", Service: "bokun", Slots: 6, Region: "region2", Zone: "zone2", Born: 1}, now)
+	used := false
+	for i := range 100 {
+		used = used || serve(t, c, object(i%5), now) == "new"
+	}
+	if !used {
+		t.Error("the target that joined is not used")
+	}
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{20, 100, 500} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			c := newChooser(newFleet(n/5, 2*n/5, 2*n/5), 1)
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				i++
+				choice, err := c.Choose(Ask{Route: search, Service: "bokun", Object: object(i % 300)}, start)
+				if err != nil {
+					b.Fatal(err)
+				}
+				c.Done(choice, search, fleet.Outcome{Run: choice.RunTime}, 4000, start)
+			}
+		})
+	}
+}
