--- a/process/eventlog/eventlog.go
+++ b/process/eventlog/eventlog.go
@@ -57,6 +57,11 @@
 	return events
 }
 
+// timeFormat is the form of the time of each line, to the millisecond.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
+func init() { zerolog.TimeFieldFormat = timeFormat }
+
 // New returns a JSON logger for the named host.
 func New(w io.Writer, host string) zerolog.Logger {
 	return zerolog.New(w).With().Timestamp().Str("host", host).Logger()
--- a/request/serve/finish.go
+++ b/request/serve/finish.go
@@ -125,6 +125,9 @@
 	if len(q.attempts) > 0 {
 		line = line.Array("attempts", attemptArray(q.attempts))
 	}
+	if c := q.considered; c != nil && c.ID != "" {
+		line = line.Str("best", c.ID).Int64("expected_ms", c.Expected.Milliseconds()).Int64("wait_ms", c.Wait.Milliseconds()).Int("usable", c.Usable)
+	}
 	if err != nil {
 		line = line.Str("error", err.Error())
 	}
--- a/request/serve/serve.go
+++ b/request/serve/serve.go
@@ -112,6 +112,8 @@
 	deadline    time.Time
 	tried       []string
 	attempts    []attemptLog
+	// considered is the best target of a choice that was refused.
+	considered *place.Choice
 	// mayHaveRun is set once a target may have run the request.
 	mayHaveRun bool
 }
@@ -228,6 +230,7 @@
 		Left: q.deadline.Sub(now),
 	}, now)
 	if err != nil {
+		q.considered = &choice
 		return choice, err
 	}
 	if len(q.tried) > 0 && !q.h.Budget.Take(q.service, now) {
--- a/tools/cli/explain.go
+++ b/tools/cli/explain.go
@@ -17,7 +17,7 @@
 )
 
 type explainCommand struct {
-	apiFlag
+	API     string        `env:"QUETZAL_API" help:"API address of the entry host that answered, IP:PORT."`
 	Request string        `arg:"" optional:"" help:"Request id, as the answer or the caller's report gives it."`
 	Log     string        `help:"Read log lines from this file in place of asking a host; - means standard input."`
 	Events  bool          `help:"With --log: also what the hosts came to believe around the request."`
@@ -25,7 +25,10 @@
 	JSON    bool          `name:"json" help:"Print the log lines as they are."`
 }
 
-var errNoRequest = errors.New("a request id is needed")
+var (
+	errNoRequest = errors.New("a request id is needed")
+	errNoSource  = errors.New("either --api or --log is needed")
+)
 
 // Run implements the command.
 func (c *explainCommand) Run() error {
@@ -35,6 +38,9 @@
 	if c.Log != "" {
 		return c.fromLog()
 	}
+	if c.API == "" {
+		return errNoSource
+	}
 	resp, err := http.Get("http://" + c.API + "/v1/explain/" + url.PathEscape(c.Request))
 	if err != nil {
 		return err
