--- a/tools/cli/cli.go
+++ b/tools/cli/cli.go
@@ -27,6 +27,7 @@
 type root struct {
 	Ticket  ticketCommands   `cmd:"" help:"Check, submit, show, list and compare change tickets."`
 	Status  statusCommand    `cmd:"" help:"Show the state of a host."`
+	Soak    soakCommand      `cmd:"" help:"Run the real programs under faults and check the promises."`
 	Explain explainCommand   `cmd:"" help:"Tell the story of a request: candidates, choice, attempts, verdict."`
 	Config  configCommands   `cmd:"" help:"Check settings files."`
 	Table   tableCommands    `cmd:"" help:"Make stored block tables."`
--- /dev/null
+++ b/tools/cli/soak.go
@@ -0,0 +1,72 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"quetzalknot/tools/soak"
+)
+
+type soakCommand struct {
+	Program string        `name:"quetzald" default:"bin/quetzald" type:"path" help:"Path of quetzald."`
+	Seed    uint64        `default:"1" help:"Seed of the first run."`
+	Runs    uint64        `default:"1" help:"Number of runs, with a seed more each."`
+	Length  time.Duration `default:"20s" help:"How long faults are brought about in a run."`
+	Hosts   int           `default:"5" help:"Number of hosts, at least 2."`
+	Targets int           `default:"9" help:"Number of targets."`
+	Callers int           `default:"4" help:"Callers for each host."`
+	Keep    bool          `help:"Leave the settings and logs of the hosts behind."`
+	Plan    bool          `help:"Print the faults of the seed and start nothing."`
+}
+
+var errBroken = errors.New("promises were broken")
+
+// Run implements the command.
+func (c *soakCommand) Run() error {
+	if c.Hosts < 2 || c.Targets < 1 {
+		return errors.Newf("%d hosts and %d targets are too few", c.Hosts, c.Targets)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	broken := 0
+	for seed := c.Seed; seed < c.Seed+c.Runs && ctx.Err() == nil; seed++ {
+		if c.Plan {
+			for _, f := range soak.Plan(seed, c.Length) {
+				fmt.Printf("%8.3f s  %-14s for %.3f s  victim %d variant %d\n", f.At.Seconds(), f.Kind, f.For.Seconds(), f.Victim, f.Variant)
+			}
+			continue
+		}
+		result, err := soak.Run(ctx, soak.Options{
+			Program: c.Program, Seed: seed, Length: c.Length, Hosts: c.Hosts, Targets: c.Targets, Callers: c.Callers, Keep: c.Keep,
+		})
+		if err != nil {
+			return errors.Wrapf(err, "seed %d", seed)
+		}
+		printSoak(seed, result, c.Keep)
+		broken += len(result.Broken)
+	}
+	if broken > 0 {
+		return errBroken
+	}
+	return nil
+}
+
+func printSoak(seed uint64, r soak.Result, kept bool) {
+	faults := 0
+	for _, n := range r.Faults {
+		faults += n
+	}
+	fmt.Printf("seed %d: %d faults, %d requests: %d served, %d refused, %d failed, %d cut; %.3f served afterwards; %d promises broken\n",
+		seed, faults, r.Sent, r.Served, r.Refused, r.Failed, r.Cut, r.Recovered, len(r.Broken))
+	for _, b := range r.Broken {
+		fmt.Println("  broken:", b)
+	}
+	if kept {
+		fmt.Println("  settings and logs:", r.Folder)
+	}
+}
