--- a/tools/soak/callers.go
+++ b/tools/soak/callers.go
@@ -37,12 +37,16 @@
 	notRun    map[string]bool
 	unsafe    map[string]bool
 	disturbed []time.Time
+	// stopping are hosts that end as planned.
+	stopping map[int]bool
+	// cutByStop are the requests that were cut on hosts that end as planned.
+	cutByStop []string
 
 	sent, served, refused, broke, cut atomic.Int64
 }
 
 func newChecks(s *site) *checks {
-	return &checks{site: s, notRun: make(map[string]bool), unsafe: make(map[string]bool), disturbed: make([]time.Time, len(s.hosts))}
+	return &checks{site: s, notRun: make(map[string]bool), unsafe: make(map[string]bool), stopping: make(map[int]bool), disturbed: make([]time.Time, len(s.hosts))}
 }
 
 // broken notes a broken promise.
@@ -68,6 +72,23 @@
 	c.disturbed[i] = time.Now()
 }
 
+// stop notes that a host begins or ends a planned stop.
+func (c *checks) stop(i int, on bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopping[i] = on
+}
+
+// lost notes a request whose connection ended without an answer.
+func (c *checks) lost(host int, id string) {
+	c.cut.Add(1)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.stopping[host] {
+		c.cutByStop = append(c.cutByStop, id)
+	}
+}
+
 func (c *checks) calm(i int, since time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -90,7 +111,7 @@
 			}
 			in = bufio.NewReader(conn)
 		}
-		if !c.exchange(conn, in, fmt.Sprintf("%d-%d-%d", host, caller, n), n) {
+		if !c.exchange(conn, in, host, fmt.Sprintf("%d-%d-%d", host, caller, n), n) {
 			_ = conn.Close()
 			conn = nil
 		}
@@ -102,7 +123,7 @@
 
 // exchange sends one request and checks its answer. It returns false when the
 // connection is not to be used again.
-func (c *checks) exchange(conn net.Conn, in *bufio.Reader, id string, n int) bool {
+func (c *checks) exchange(conn net.Conn, in *bufio.Reader, host int, id string, n int) bool {
 	method, path, body := "GET", "/search/1", ""
 	if n%3 == 0 {
 		method, path, body = "POST", "/book/1", strings.Repeat("a booking ", 1+n%2000)
@@ -121,18 +142,18 @@
 	_ = conn.SetDeadline(time.Now().Add(callTimeout))
 	c.sent.Add(1)
 	if err := r.Write(conn); err != nil {
-		c.cut.Add(1)
+		c.lost(host, id)
 		return false
 	}
 	resp, err := http.ReadResponse(in, r)
 	if err != nil {
-		c.cut.Add(1)
+		c.lost(host, id)
 		return false
 	}
 	text, err := io.ReadAll(resp.Body)
 	_ = resp.Body.Close()
 	if err != nil {
-		c.cut.Add(1)
+		c.lost(host, id)
 		return false
 	}
 	c.judge(id, resp, string(text))
@@ -200,6 +221,13 @@
 
 // final checks what targets ran against what callers were told.
 func (c *checks) final() {
+	for _, id := range c.cutByStop {
+		for _, t := range c.site.targets {
+			if t.Ran(id) > 0 {
+				c.broken("request %s was passed on and cut by a planned stop", id)
+			}
+		}
+	}
 	for id := range c.unsafe {
 		runs := 0
 		for _, t := range c.site.targets {
--- a/tools/soak/faults.go
+++ b/tools/soak/faults.go
@@ -85,10 +85,12 @@
 		pause(ctx, f.For)
 		in.checks.failed(in.start(h))
 	case StopHost:
+		in.checks.stop(i, true)
 		h.signal(syscall.SIGTERM)
 		if err := h.wait(); err != nil {
 			in.checks.broken("%s ended with %v after SIGTERM", h.name, err)
 		}
+		in.checks.stop(i, false)
 		in.checks.failed(in.start(h))
 	}
 	in.checks.disturb(i)
--- a/tools/standin/targetd/targetd.go
+++ b/tools/standin/targetd/targetd.go
@@ -99,9 +99,9 @@
 	if s.http == nil {
 		return
 	}
+	s.ledger.crashed() // before callers can see that connections end
 	_ = s.http.Close()
 	s.http = nil
-	s.ledger.crashed()
 }
 
 // Close ends the target.
