--- a/tools/soak/site.go
+++ b/tools/soak/site.go
@@ -114,17 +114,33 @@
 	return h, os.WriteFile(h.settings, []byte(text), 0o600)
 }
 
+const (
+	// firstPort to lastPort lie below the ports that outgoing connections take.
+	firstPort, lastPort = 20_000, 32_000
+	// portsOfProcess keeps soaks that run beside each other apart.
+	portsOfProcess = 64
+)
+
+// nextPort is where the search for free ports goes on.
+var nextPort = firstPort + os.Getpid()*portsOfProcess%(lastPort-firstPort)
+
 func freePorts(n int) ([]int, error) {
 	var ports []int
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for range lastPort - firstPort {
+		nextPort++
+		if nextPort >= lastPort {
+			nextPort = firstPort
+		}
+		l, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", nextPort))
 		if err != nil {
-			return nil, err
+			continue
+		}
+		_ = l.Close()
+		if ports = append(ports, nextPort); len(ports) == n {
+			return ports, nil
 		}
-		defer func() { _ = l.Close() }()
-		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
 	}
-	return ports, nil
+	return nil, errors.New("no free ports")
 }
 
 // start runs a host's process; its log goes to a file beside the settings.
