--- a/entry/follow.go
+++ b/entry/follow.go
@@ -24,7 +24,7 @@
 	feedWait = 20 * time.Second
 	// feedPause is the time between two calls for changes of a table, so that changes
 	// that come together cost one call.
-	feedPause = 600 * time.Millisecond
+	feedPause = 900 * time.Millisecond
 	// retryFirst and retryMost bound the pause after a failed call.
 	retryFirst = 150 * time.Millisecond
 	retryMost  = 1200 * time.Millisecond
