A target that may have turned cold unseen gets at most a part of what it bears

Ruled out: two member lists, liveness checks, a late row. Change: while its store is lost a host sends a target at most a third of what it bears when cold.

--- a/entry/follow.go
+++ b/entry/follow.go
@@ -171,7 +171,25 @@
 			}()
 		}
 		h.setBudgets()
+		if h.link.ok() {
+			h.fleet.Trust()
+		} else {
+			h.fleet.Doubt(h.mostWhileCold)
+		}
+	}
+}
+
+// coldSenders is how many hosts a target usually has requests of.
+const coldSenders = 3
+
+// mostWhileCold returns this host's part of what a cold target of a service bears.
+func (h *Host) mostWhileCold(service string) int {
+	b := h.settings.Load().Bounds
+	bears := 0.0
+	if c := h.config.Load(); c != nil && c.Services[service] != nil {
+		bears = c.Services[service].ColdPerSecond
 	}
+	return max(1, int((bears*b.ColdOverrun+b.ColdSlack)/coldSenders))
 }
 
 func (h *Host) healthPath(service string) string {
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -53,6 +53,10 @@
 	RetryRatio   float64  `toml:"retry_ratio"`
 	RetryExtra   float64  `toml:"retry_extra"`
 	LookupTTLMax Duration `toml:"lookup_ttl_max"`
+	// A cold target may get ColdOverrun times what it bears in a second, and ColdSlack
+	// requests more, from all hosts together.
+	ColdOverrun float64 `toml:"cold_overrun"`
+	ColdSlack   float64 `toml:"cold_slack"`
 }
 
 // Duration is a time in the settings: a number with its unit.
@@ -110,6 +114,9 @@
 	setDefault(&b.Grace, defaultGrace)
 	setDefault(&b.RetryWindow, defaultWindow)
 	setDefault(&b.LookupTTLMax, defaultTTLMax)
+	if b.ColdOverrun <= 0 {
+		b.ColdOverrun = 1
+	}
 }
 
 func setDefault(d *Duration, value time.Duration) {
--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -33,6 +33,9 @@
 	owns func(id string, owners int) bool
 	// since is when the first target was known.
 	since time.Time
+	// most is how many requests of this host a target gets in a second while it is in
+	// doubt whether the reports are new; 0 means that they are.
+	most func(service string) int
 }
 
 // settleTime is how long after the first target others count as known from the start.
@@ -171,12 +174,26 @@
 	if t.Leaving || t.down || f.evacuated[t.Zone] {
 		return false
 	}
+	if f.most != nil && t.sentWithin(time.Second, now) >= f.most(t.Service) {
+		return false
+	}
 	if !t.Cold(now) {
 		return true
 	}
 	return t.mayStart(now) && f.owns(t.ID, coldOwners)
 }
 
+// Doubt says that reports may be old, so that a target may have turned cold unseen. Until
+// Trust is called, a target gets at most so many requests of this host in a second.
+func (f *Fleet) Doubt(most func(service string) int) {
+	f.Lock()
+	defer f.Unlock()
+	f.most = most
+}
+
+// Trust says that reports are new again.
+func (f *Fleet) Trust() { f.Doubt(nil) }
+
 // Introduces reports whether this host is the one that sends the first request to a
 // target that joined lately. The lock must be held.
 func (f *Fleet) Introduces(t *Target, now time.Time) bool {
--- a/process/fleet/fleet_test.go
+++ b/process/fleet/fleet_test.go
@@ -199,3 +199,27 @@
 		t.Errorf("slow %v with three answers overdue", s)
 	}
 }
+
+// TestTargetsMayTurnColdUnseen bounds what a target gets while reports may be old.
+func TestTargetsMayTurnColdUnseen(t *testing.T) {
+	f := newFleet()
+	f.Upsert(entry("t", nil), start)
+	f.Doubt(func(string) int { return 2 })
+	sent := 0
+	for ms := range 3000 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		f.Lock()
+		if target := f.Service("bokun")[0]; f.Usable(target, now) {
+			f.Begin(target, Work{}, now)
+			sent++
+		}
+		f.Unlock()
+	}
+	if sent != 6 {
+		t.Errorf("%d requests in 3 s, want 2 a second", sent)
+	}
+	f.Trust()
+	if n := len(usable(f, start.Add(3*time.Second))); n != 1 {
+		t.Error("the bound stays though reports are new")
+	}
+}
--- a/process/fleet/target.go
+++ b/process/fleet/target.go
@@ -43,6 +43,8 @@
 	probeMost  = 2 * time.Second
 	// coldSpacing is the time between two requests of this host to a cold target.
 	coldSpacing = 1100 * time.Millisecond
+	// sentLimit is how many of the last requests to a target are remembered.
+	sentLimit = 16
 	// coldOwners is how many hosts may send to one cold target.
 	coldOwners = 5
 )
@@ -112,6 +114,9 @@
 	probing     bool
 	coldSentAt  time.Time
 	removeAt    time.Time
+	// sentAt are the times of the last requests, the oldest at the next place.
+	sentAt    [sentLimit]time.Time
+	sentPlace int
 	// joined targets were not there when this host started.
 	joined bool
 
@@ -258,6 +263,8 @@
 	}
 	t.InFlight++
 	t.Sent++
+	t.sentAt[t.sentPlace] = now
+	t.sentPlace = (t.sentPlace + 1) % sentLimit
 	t.meanRun += time.Duration(meanWeight * float64(w.Run-t.meanRun))
 	t.remember(w.Object, now)
 	if t.Cold(now) {
@@ -266,6 +273,17 @@
 	return t.next
 }
 
+// sentWithin returns how many requests were sent in the last span, at most sentLimit.
+func (t *Target) sentWithin(span time.Duration, now time.Time) int {
+	n := 0
+	for _, at := range t.sentAt {
+		if now.Sub(at) < span {
+			n++
+		}
+	}
+	return n
+}
+
 // Outcome is what became of a request at a target.
 type Outcome struct {
 	// Failed requests got no answer, or one that says that the target failed.
--- a/request/place/place.go
+++ b/request/place/place.go
@@ -60,8 +60,6 @@
 	freshCost = 6.0
 	// lateSpread is the relative spread of run times around their expectation.
 	lateSpread = 0.12
-	// foreignPrior scales the prior in other regions.
-	foreignPrior = 0.6
 	// failCost is the cost of a certain failure.
 	failCost = 2 * time.Second
 	// coldFactor is how much longer work takes on a cold target.
--- a/request/serve/attempt.go
+++ b/request/serve/attempt.go
@@ -26,7 +26,6 @@
 	errMoved    = errors.New("another target has the address")
 	errForeign  = errors.New("answer belongs to another request")
 	errUnsigned = errors.New("answer is not the target's")
-	errLarge    = errors.New("answer is larger than its limit")
 )
 
 // result is what an attempt came to.
