The callers' side of the platform's protocol moves to the stand-ins

Cause: tests and the soak wrote the platform's headers and messages themselves, outside platform/. They use standin.Caller, DesiredState and Resolve now; what is checked is the same.

--- a/entry/host_test.go
+++ b/entry/host_test.go
@@ -1,9 +1,7 @@
 package entry
 
 import (
-	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"sync"
 	"testing"
@@ -18,13 +16,13 @@
 	for i, h := range s.hosts {
 		for _, method := range []string{"GET", "POST"} {
 			path := map[string]string{"GET": "/search/1", "POST": "/book/1"}[method]
-			got := send(t.Context(), h.addr(), method, path, fmt.Sprint(method, i), "")
-			if got.status != 200 || got.body != standin.Body || got.header.Get("Response-Stamp") == "" {
+			got := send(h.addr(), method, path, fmt.Sprint(method, i), "")
+			if got.Status != 200 || got.Body != standin.Body || !got.Signed {
 				t.Errorf("%s through host %d: %+v", method, i, got)
 			}
 		}
 	}
-	if got := send(t.Context(), s.hosts[0].addr(), "GET", "/nowhere/", "x", ""); got.status != http.StatusNotFound {
+	if got := send(s.hosts[0].addr(), "GET", "/nowhere/", "x", ""); got.Status != http.StatusNotFound {
 		t.Errorf("a path without a route: %+v", got)
 	}
 }
@@ -58,20 +56,20 @@
 				target.Behave(tc.behaviour, 0)
 			}
 			for i := range 3 {
-				got := send(t.Context(), s.hosts[0].addr(), "GET", "/search/1", fmt.Sprint("safe", i), "")
-				if got.status != tc.safe || (got.status == 200 && got.body != standin.Body) {
+				got := send(s.hosts[0].addr(), "GET", "/search/1", fmt.Sprint("safe", i), "")
+				if got.Status != tc.safe || (got.Status == 200 && got.Body != standin.Body) {
 					t.Errorf("safe: %+v, want status %d", got, tc.safe)
 				}
 				id := fmt.Sprint("unsafe", i)
-				got = send(t.Context(), s.hosts[0].addr(), "POST", "/book/1", id, "a booking")
-				if got.status != tc.unsafe || (got.status == 200 && got.body != standin.Body) {
+				got = send(s.hosts[0].addr(), "POST", "/book/1", id, "a booking")
+				if got.Status != tc.unsafe || (got.Status == 200 && got.Body != standin.Body) {
 					t.Errorf("unsafe: %+v, want status %d", got, tc.unsafe)
 				}
-				if got.status == 503 && got.header.Get("Retry-After") == "" {
+				if got.Status == 503 && !got.ComeBack {
 					t.Error("a request that was not run is not told when to come back")
 				}
-				if runs := s.targets[0].Ran(id) + s.targets[1].Ran(id); runs > 1 || (got.status == 503 && runs > 0) {
-					t.Errorf("unsafe request with status %d ran %d times", got.status, runs)
+				if runs := s.targets[0].Ran(id) + s.targets[1].Ran(id); runs > 1 || (got.Status == 503 && runs > 0) {
+					t.Errorf("unsafe request with status %d ran %d times", got.Status, runs)
 				}
 			}
 		})
@@ -84,8 +82,8 @@
 		s := newSite(t, 2, 1)
 		s.targets[0].Behave(behaviour, 0)
 		for i := range 5 {
-			got := send(t.Context(), s.hosts[0].addr(), "GET", "/search/1", fmt.Sprint(i), "")
-			if got.status != 200 || got.body != standin.Body {
+			got := send(s.hosts[0].addr(), "GET", "/search/1", fmt.Sprint(i), "")
+			if got.Status != 200 || got.Body != standin.Body {
 				t.Errorf("behaviour %d: %+v", behaviour, got)
 			}
 		}
@@ -95,13 +93,13 @@
 // TestLeavingTargetGetsNothing stops sending once the store has the report.
 func TestLeavingTargetGetsNothing(t *testing.T) {
 	s := newSite(t, 2, 2)
-	s.store.Put("servers", "i-0", s.targets[0].Report("bokun", "no-gler", "draining", 2))
+	s.store.PutTarget("i-0", s.targets[0].Report("bokun", "no-gler", "draining", 2))
 	s.eventuallyOnly(1)
-	s.store.Put("op", "evacuate/au-fjord", "{}")
-	s.store.Put("servers", "i-2", s.addTarget("i-2").Report("bokun", "au-fjord", "ready", 2))
-	s.store.Remove("servers", "i-1")
+	s.store.Evacuate("au-fjord")
+	s.store.PutTarget("i-2", s.addTarget("i-2").Report("bokun", "au-fjord", "ready", 2))
+	s.store.RemoveTarget("i-1")
 	s.eventually("no target is left", func() bool {
-		return send(t.Context(), s.hosts[0].addr(), "POST", "/book/1", "none", "").status == 503
+		return send(s.hosts[0].addr(), "POST", "/book/1", "none", "").Status == 503
 	})
 }
 
@@ -114,7 +112,7 @@
 		for _, h := range s.hosts {
 			for range 4 {
 				n++
-				send(s.t.Context(), h.addr(), "GET", "/search/1", fmt.Sprint("only", n), "")
+				send(h.addr(), "GET", "/search/1", fmt.Sprint("only", n), "")
 			}
 		}
 		return s.targets[1-index].Runs() == before
@@ -128,8 +126,8 @@
 		return len(s.hosts[0].group.Alive()) == 2 && len(s.hosts[1].group.Alive()) == 2
 	})
 	s.doors[1].SetFaults(standin.StoreFaults{Refuse: 503})
-	s.store.Put("op", "config", fmt.Sprintf(desiredState, 7))
-	s.store.Put("servers", "i-0", s.targets[0].Report("bokun", "no-gler", "draining", 2))
+	s.store.PutState(standin.DesiredState(7, coldPerSecond))
+	s.store.PutTarget("i-0", s.targets[0].Report("bokun", "no-gler", "draining", 2))
 	for i, h := range s.hosts {
 		s.eventually(fmt.Sprintf("version 7 is in force on host %d", i), func() bool { return h.config.Load().Version == 7 })
 	}
@@ -141,10 +139,10 @@
 func TestStoreTroubles(t *testing.T) {
 	s := newSite(t, 2, 1)
 	s.doors[0].SetFaults(standin.StoreFaults{Refuse: 503})
-	s.store.Put("op", "config", fmt.Sprintf(desiredState, 2))
-	s.store.Put("op", "config", fmt.Sprintf(desiredState, 3))
+	s.store.PutState(standin.DesiredState(2, coldPerSecond))
+	s.store.PutState(standin.DesiredState(3, coldPerSecond))
 	s.store.Compact()
-	if got := send(t.Context(), s.hosts[0].addr(), "GET", "/search/1", "down", ""); got.status != 200 {
+	if got := send(s.hosts[0].addr(), "GET", "/search/1", "down", ""); got.Status != 200 {
 		t.Errorf("with the store down: %+v", got)
 	}
 	s.doors[0].SetFaults(standin.StoreFaults{})
@@ -154,14 +152,13 @@
 // TestUnreadableRowsNameNoTarget harms nothing else.
 func TestUnreadableRowsNameNoTarget(t *testing.T) {
 	s := newSite(t, 1, 1)
-	for i, row := range []string{"", "{", "null", `{"service":5}`, `{"service":"bokun","address":"nowhere","zone":"no-gler","slots":6,"state":"ready","coldRemaining":"0ms","sequence":1}`,
-		`{"service":"bokun","address":"127.0.0.1:1","zone":"no-gler","slots":6,"state":"strange","coldRemaining":"0ms","sequence":1}`} {
-		s.store.Put("servers", fmt.Sprint("bad-", i), row)
+	for i, row := range standin.BadReports {
+		s.store.PutTarget(fmt.Sprint("bad-", i), row)
 	}
-	s.store.Put("op", "config", "{not a desired state")
+	s.store.PutState("{not a desired state")
 	s.addTarget("i-9")
 	s.eventually("the good target is known", func() bool { return s.hosts[0].fleet.Size() == 2 })
-	if got := send(t.Context(), s.hosts[0].addr(), "GET", "/search/1", "x", ""); got.status != 200 {
+	if got := send(s.hosts[0].addr(), "GET", "/search/1", "x", ""); got.Status != 200 {
 		t.Errorf("beside unreadable rows: %+v", got)
 	}
 	if v := s.hosts[0].config.Load().Version; v != 1 {
@@ -178,8 +175,8 @@
 	var callers sync.WaitGroup
 	for i := range 8 {
 		callers.Go(func() {
-			got := send(t.Context(), s.hosts[0].addr(), "POST", "/book/1", fmt.Sprint("stop", i), "a booking")
-			if got.status != 200 {
+			got := send(s.hosts[0].addr(), "POST", "/book/1", fmt.Sprint("stop", i), "a booking")
+			if got.Status != 200 {
 				t.Errorf("during the stop: %+v", got)
 			}
 		})
@@ -191,7 +188,7 @@
 		s.hosts[0].Stop(t.Context())
 	}()
 	s.eventually("the host is not ready", func() bool { return !s.hosts[0].ready() })
-	if got := send(t.Context(), s.hosts[0].addr(), "POST", "/book/1", "late", ""); got.status != 200 || !got.closes {
+	if got := send(s.hosts[0].addr(), "POST", "/book/1", "late", ""); got.Status != 200 || !got.Closes {
 		t.Errorf("on a leaving host: %+v", got)
 	}
 	callers.Wait()
@@ -199,7 +196,7 @@
 	s.eventually("the directory of the other host leaves it out", func() bool {
 		return len(s.resolve(s.hosts[1])) == 1
 	})
-	if _, ok := s.store.Get("hosts", "front-0"); ok {
+	if s.store.HasHost("front-0") {
 		t.Error("the row of the stopped host is still there")
 	}
 }
@@ -215,17 +212,11 @@
 // resolve asks a host's directory.
 func (s *site) resolve(h *Host) []string {
 	s.t.Helper()
-	resp, err := http.Get("http://" + h.settings.Load().Listen.Directory + "/-/resolution?name=bokun.example&region=nordur&zone=no-gler")
+	addrs, err := standin.Resolve(h.settings.Load().Listen.Directory, "nordur", "no-gler")
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	defer func() { _ = resp.Body.Close() }()
-	var answer struct{ Addresses []string }
-	data, _ := io.ReadAll(resp.Body)
-	if err := json.Unmarshal(data, &answer); err != nil {
-		s.t.Fatal(err)
-	}
-	return answer.Addresses
+	return addrs
 }
 
 // TestRequestThatCrashesTargetsIsStopped counts the crashes of several hosts together.
@@ -246,8 +237,8 @@
 	}
 	for i := range 8 {
 		before := crashed()
-		got := send(t.Context(), s.hosts[i%2].addr(), "POST", "/book/1", fmt.Sprint("crash", i), "a bad booking")
-		if got.status == 200 {
+		got := send(s.hosts[i%2].addr(), "POST", "/book/1", fmt.Sprint("crash", i), "a bad booking")
+		if got.Status == 200 {
 			t.Errorf("sending %d: %+v", i, got)
 		}
 		if crashed() > before {
--- a/entry/site_test.go
+++ b/entry/site_test.go
@@ -1,13 +1,9 @@
 package entry
 
 import (
-	"bufio"
-	"context"
 	"fmt"
 	"io"
 	"net"
-	"net/http"
-	"strings"
 	"testing"
 	"time"
 
@@ -27,17 +23,14 @@
 	hosts   []*Host
 }
 
-const desiredState = `{"version":%d,"resources":[
-{"resourceKind":"services","metadata":{"name":"bokun"},"specification":{"healthPath":"/health","connectionLimit":390,"coldStart":"3s","coldPerS":4.9}},
-{"resourceKind":"routes","metadata":{"name":"search"},"specification":{"host":"bokun.example","prefix":"/search/","kind":"safe","timeout":"1500ms","fullCredit":"500ms","priority":2,"attempts":2,"sessionAffinity":true,"service":"bokun"}},
-{"resourceKind":"routes","metadata":{"name":"book"},"specification":{"host":"bokun.example","prefix":"/book/","kind":"unsafe","timeout":"1500ms","fullCredit":"600ms","priority":1,"attempts":2,"sessionAffinity":true,"service":"bokun"}},
-{"resourceKind":"limits","metadata":{},"specification":{"headerBytes":16384,"bodyBytes":67108864,"headerTimeout":"3000ms","idleTimeout":"15000ms"}}]}`
+// coldPerSecond is how many requests a second a cold target of the site bears.
+const coldPerSecond = 4.9
 
 // newSite starts a site and waits until all hosts are ready.
 func newSite(t *testing.T, targets, hosts int) *site {
 	t.Helper()
 	s := &site{t: t, store: standin.NewStore()}
-	s.store.Put("op", "config", fmt.Sprintf(desiredState, 1))
+	s.store.PutState(standin.DesiredState(1, coldPerSecond))
 	for i := range targets {
 		s.addTarget(fmt.Sprintf("i-%d", i))
 	}
@@ -58,7 +51,7 @@
 	}
 	s.t.Cleanup(target.Close)
 	s.targets = append(s.targets, target)
-	s.store.Put("servers", id, target.Report("bokun", "no-gler", "ready", 1))
+	s.store.PutTarget(id, target.Report("bokun", "no-gler", "ready", 1))
 	return target
 }
 
@@ -125,41 +118,19 @@
 	s.t.Fatalf("never: %s", what)
 }
 
-// reply is an answer to a caller; status 0 means that the connection ended without one.
-type reply struct {
-	status int
-	header http.Header
-	body   string
-	// closes says that the connection ends with the answer.
-	closes bool
-	err    error
-}
-
-// send makes one request on a connection of its own.
-func send(ctx context.Context, addr, method, path, id, body string) reply {
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+// send makes one request on a connection of its own; status 0 means that the connection
+// ended without an answer.
+func send(addr, method, path, id, body string) standin.Reply {
+	c, err := standin.Dial(addr, patience)
 	if err != nil {
-		return reply{err: err}
-	}
-	defer func() { _ = conn.Close() }()
-	_ = conn.SetDeadline(time.Now().Add(patience))
-	r, err := http.NewRequestWithContext(ctx, method, "http://bokun.example"+path, strings.NewReader(body))
-	if err != nil {
-		return reply{err: err}
-	}
-	r.Header.Set("Request-Identifier", id)
-	r.Header.Set("Deadline-Milliseconds", "3000")
-	r.Header.Set("Cookie", "Affinity-Key=17")
-	if err := r.Write(conn); err != nil {
-		return reply{err: err}
+		return standin.Reply{}
 	}
-	resp, err := http.ReadResponse(bufio.NewReader(conn), r)
+	defer c.Close()
+	reply, err := c.Send(standin.Call{ID: id, Method: method, Path: path, Body: body, Object: "17", Left: 3 * time.Second}, patience)
 	if err != nil {
-		return reply{err: err}
+		return standin.Reply{}
 	}
-	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(resp.Body)
-	return reply{status: resp.StatusCode, header: resp.Header, body: string(data), closes: resp.Close, err: err}
+	return reply
 }
 
 func (h *Host) addr() string { return h.settings.Load().Listen.Entry }
--- a/tools/soak/callers.go
+++ b/tools/soak/callers.go
@@ -1,11 +1,8 @@
 package soak
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -20,6 +17,8 @@
 	callerPause = 20 * time.Millisecond
 	// callTimeout bounds a request; its route's timeout is shorter.
 	callTimeout = 3 * time.Second
+	// callerWaits is how long callers say that they wait.
+	callerWaits = 2500 * time.Millisecond
 	// inForceWithin is how long a desired state may take to be in force on a host that
 	// is not disturbed.
 	inForceWithin = 5 * time.Second
@@ -98,85 +97,63 @@
 // call sends requests through one host until ctx ends. It keeps its connection until
 // the host closes it.
 func (c *checks) call(ctx context.Context, host, caller int) {
-	addr := c.site.hosts[host].entry
-	var conn net.Conn
-	var in *bufio.Reader
+	var conn *standin.Caller
 	for n := 0; ctx.Err() == nil; n++ {
 		pause(ctx, callerPause)
 		if conn == nil {
 			var err error
-			if conn, err = net.DialTimeout("tcp", addr, time.Second); err != nil {
+			if conn, err = standin.Dial(c.site.hosts[host].entry, time.Second); err != nil {
 				conn = nil
 				continue
 			}
-			in = bufio.NewReader(conn)
 		}
-		if !c.exchange(conn, in, host, fmt.Sprintf("%d-%d-%d", host, caller, n), n) {
-			_ = conn.Close()
+		if !c.exchange(conn, host, fmt.Sprintf("%d-%d-%d", host, caller, n), n) {
+			conn.Close()
 			conn = nil
 		}
 	}
 	if conn != nil {
-		_ = conn.Close()
+		conn.Close()
 	}
 }
 
 // exchange sends one request and checks its answer. It returns false when the
 // connection is not to be used again.
-func (c *checks) exchange(conn net.Conn, in *bufio.Reader, host int, id string, n int) bool {
-	method, path, body := "GET", "/search/1", ""
+func (c *checks) exchange(conn *standin.Caller, host int, id string, n int) bool {
+	call := standin.Call{ID: id, Method: "GET", Path: "/search/1", Object: fmt.Sprint(n % 20), Left: callerWaits}
 	if n%3 == 0 {
-		method, path, body = "POST", "/book/1", strings.Repeat("a booking ", 1+n%2000)
+		call.Method, call.Path, call.Body = "POST", "/book/1", strings.Repeat("a booking ", 1+n%2000)
 		c.mu.Lock()
 		c.unsafe[id] = true
 		c.mu.Unlock()
 	}
-	r, err := http.NewRequest(method, "http://bokun.example"+path, strings.NewReader(body))
-	if err != nil {
-		c.failed(err)
-		return false
-	}
-	r.Header.Set("Request-Identifier", id)
-	r.Header.Set("Deadline-Milliseconds", "2500")
-	r.Header.Set("Cookie", fmt.Sprint("Affinity-Key=", n%20))
-	_ = conn.SetDeadline(time.Now().Add(callTimeout))
 	c.sent.Add(1)
-	if err := r.Write(conn); err != nil {
-		c.lost(host, id)
-		return false
-	}
-	resp, err := http.ReadResponse(in, r)
-	if err != nil {
-		c.lost(host, id)
-		return false
-	}
-	text, err := io.ReadAll(resp.Body)
-	_ = resp.Body.Close()
+	reply, err := conn.Send(call, callTimeout)
 	if err != nil {
 		c.lost(host, id)
 		return false
 	}
-	c.judge(id, resp, string(text))
-	return !resp.Close
+	c.judge(id, reply)
+	return !reply.Closes
 }
 
-func (c *checks) judge(id string, resp *http.Response, body string) {
-	switch resp.StatusCode {
+func (c *checks) judge(id string, reply standin.Reply) {
+	switch reply.Status {
 	case http.StatusOK:
 		c.served.Add(1)
-		if resp.Header.Get("Request-Identifier") != id || body != standin.Body || resp.Header.Get("Response-Stamp") == "" {
-			c.broken("request %s got another answer: %v %q", id, resp.Header, body)
+		if reply.ID != id || reply.Body != standin.Body || !reply.Signed {
+			c.broken("request %s got another answer: %+v", id, reply)
 		}
 	case http.StatusServiceUnavailable:
 		c.refused.Add(1)
 		c.mu.Lock()
 		c.notRun[id] = true
 		c.mu.Unlock()
-		if resp.Header.Get("Retry-After") == "" {
+		if !reply.ComeBack {
 			c.broken("request %s was not run and is not told when to come back", id)
 		}
 	case http.StatusNotFound, http.StatusBadRequest:
-		c.broken("proper request %s got %d", id, resp.StatusCode)
+		c.broken("proper request %s got %d", id, reply.Status)
 	default:
 		c.broke.Add(1)
 	}
@@ -204,19 +181,17 @@
 
 // probe returns the status of a request on the route that names a version, or 0.
 func probe(addr string, version int) int {
-	r, err := http.NewRequest("GET", fmt.Sprintf("http://%s/v%d/x", addr, version), nil)
+	conn, err := standin.Dial(addr, time.Second)
 	if err != nil {
 		return 0
 	}
-	r.Host = "bokun.example"
-	r.Header.Set("Request-Identifier", fmt.Sprint("probe-", version, time.Now().UnixNano()))
-	client := http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
-	resp, err := client.Do(r)
+	defer conn.Close()
+	id := fmt.Sprint("probe-", version, "-", time.Now().UnixNano())
+	reply, err := conn.Send(standin.Call{ID: id, Method: "GET", Path: fmt.Sprintf("/v%d/x", version), Left: callerWaits}, callTimeout)
 	if err != nil {
 		return 0
 	}
-	_ = resp.Body.Close()
-	return resp.StatusCode
+	return reply.Status
 }
 
 // final checks what targets ran against what callers were told.
--- a/tools/soak/site.go
+++ b/tools/soak/site.go
@@ -75,21 +75,18 @@
 	defer s.mu.Unlock()
 	t := s.targets[i]
 	s.sequence[t.ID]++
-	s.store.Put(adapter.TargetTable, t.ID, t.Report("bokun", regionNames[i%len(regionNames)][0], state, s.sequence[t.ID]))
+	s.store.PutTarget(t.ID, t.Report("bokun", regionNames[i%len(regionNames)][0], state, s.sequence[t.ID]))
 }
 
-const stateText = `{"version":%d,"resources":[
-{"resourceKind":"services","metadata":{"name":"bokun"},"specification":{"healthPath":"/health","connectionLimit":390,"coldStart":"1s","coldPerS":50}},
-{"resourceKind":"routes","metadata":{"name":"search"},"specification":{"host":"bokun.example","prefix":"/search/","kind":"safe","timeout":"1500ms","fullCredit":"500ms","priority":2,"attempts":2,"sessionAffinity":true,"service":"bokun"}},
-{"resourceKind":"routes","metadata":{"name":"book"},"specification":{"host":"bokun.example","prefix":"/book/","kind":"unsafe","timeout":"1500ms","fullCredit":"600ms","priority":1,"attempts":2,"sessionAffinity":true,"service":"bokun"}},
-{"resourceKind":"routes","metadata":{"name":"v%d"},"specification":{"host":"bokun.example","prefix":"/v%d/","kind":"safe","timeout":"1500ms","fullCredit":"500ms","priority":2,"attempts":2,"service":"bokun"}}]}`
+// coldPerSecond is how many requests a second a cold target bears.
+const coldPerSecond = 50
 
 // newState puts the next desired state in force; it has a route that names its version.
 func (s *site) newState() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
-	s.store.Put(adapter.OperatorTable, "config", fmt.Sprintf(stateText, s.version, s.version, s.version))
+	s.store.PutState(standin.DesiredState(s.version, coldPerSecond))
 	return s.version
 }
 
