--- a/request/place/place.go
+++ b/request/place/place.go
@@ -157,16 +157,26 @@
 	defer c.mu.Unlock()
 	p := c.profiles[r.Name]
 	if p == nil {
-		fresh := r.Objective
-		if fresh == 0 {
-			fresh = time.Second
-		}
+		fresh := firstRun(r)
 		p = &profile{fresh: fresh, warm: time.Duration(warmFirst * float64(fresh)), answer: 4000}
 		c.profiles[r.Name] = p
 	}
 	return *p
 }
 
+// firstRun is the run time that a route is taken to need until run times have been seen.
+// Operators leave a request at least twice the time that it usually needs.
+func firstRun(r *routes.Route) time.Duration {
+	run := r.Objective
+	if run == 0 {
+		run = time.Second
+	}
+	if r.Timeout > 0 {
+		run = min(run, r.Timeout/2)
+	}
+	return run
+}
+
 // Choose returns the best target of a request and notes that the request is about to
 // be sent there. It returns ErrNoTarget or ErrBusy when it is not to be sent.
 func (c *Chooser) Choose(ask Ask, now time.Time) (Choice, error) {
--- a/request/place/place_test.go
+++ b/request/place/place_test.go
@@ -155,7 +155,10 @@
 }
 
 // crowd makes a target report a long queue.
-func crowd(f *fleet.Fleet, id string, now time.Time) {
+func crowd(f *fleet.Fleet, id string, now time.Time) { report(f, id, 6, 60, now) }
+
+// report makes a target report its load.
+func report(f *fleet.Fleet, id string, running, waiting int, now time.Time) {
 	f.Lock()
 	var t *fleet.Target
 	for _, other := range f.Service("bokun") {
@@ -165,7 +168,7 @@
 	}
 	n := f.Begin(t, fleet.Work{Run: time.Second, Expected: time.Second}, now)
 	f.Unlock()
-	f.End(t, n, fleet.Outcome{Run: time.Second, Load: &fleet.Load{Running: 6, Waiting: 60, Slots: 6, Pace: 1}}, now)
+	f.End(t, n, fleet.Outcome{Run: time.Second, Load: &fleet.Load{Running: running, Waiting: waiting, Slots: 6, Pace: 1}}, now)
 }
 
 // TestNoRoomIsToldAtOnce refuses when every target is crowded, and says so apart from
@@ -186,6 +189,24 @@
 	}
 }
 
+// TestNewRouteIsServedWhileTargetsAreBusy does not refuse a route that was just added for
+// a run time that nobody has seen yet.
+func TestNewRouteIsServedWhileTargetsAreBusy(t *testing.T) {
+	f := newFleet(0, 3, 0)
+	c := newChooser(f, 1)
+	for i := range 3 {
+		busy(f, fmt.Sprint("t", i), start)
+	}
+	route := *search
+	route.Objective, route.Timeout = time.Second, 400*time.Millisecond
+	if _, err := c.Choose(Ask{Route: &route, Service: "bokun", Left: route.Timeout}, start); err != nil {
+		t.Errorf("a new route with a timeout of %v: %v", route.Timeout, err)
+	}
+}
+
+// busy makes a target report that all of its slots are taken.
+func busy(f *fleet.Fleet, id string, now time.Time) { report(f, id, 6, 0, now) }
+
 // TestHomeRegionsBind never leaves them.
 func TestHomeRegionsBind(t *testing.T) {
 	route := *search
