--- a/entry/site_test.go
+++ b/entry/site_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"testing"
 	"time"
 
@@ -100,12 +99,11 @@
 
 func freePort(t *testing.T) int {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	ports, err := standin.FreePorts(1)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).Port
+	return ports[0]
 }
 
 func (s *site) eventually(what string, done func() bool) {
--- a/tools/soak/site.go
+++ b/tools/soak/site.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -91,7 +90,7 @@
 }
 
 func (s *site) newHost(i int) (*host, error) {
-	ports, err := freePorts(4)
+	ports, err := standin.FreePorts(4)
 	if err != nil {
 		return nil, err
 	}
@@ -111,35 +110,6 @@
 	return h, os.WriteFile(h.settings, []byte(text), 0o600)
 }
 
-const (
-	// firstPort to lastPort lie below the ports that outgoing connections take.
-	firstPort, lastPort = 20_000, 32_000
-	// portsOfProcess keeps soaks that run beside each other apart.
-	portsOfProcess = 64
-)
-
-// nextPort is where the search for free ports goes on.
-var nextPort = firstPort + os.Getpid()*portsOfProcess%(lastPort-firstPort)
-
-func freePorts(n int) ([]int, error) {
-	var ports []int
-	for range lastPort - firstPort {
-		nextPort++
-		if nextPort >= lastPort {
-			nextPort = firstPort
-		}
-		l, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", nextPort))
-		if err != nil {
-			continue
-		}
-		_ = l.Close()
-		if ports = append(ports, nextPort); len(ports) == n {
-			return ports, nil
-		}
-	}
-	return nil, errors.New("no free ports")
-}
-
 // start runs a host's process; its log goes to a file beside the settings.
 func (s *site) start(h *host) error {
 	h.mu.Lock()
