Slot credits are removed, with their policy, events, figures and pages

A ticket that was accepted with the policy is routed by the default: TestWithdrawnPolicyRoutesByTheDefault. Before and after: go test ./... green; the platform path does not change.

--- a/node.go
+++ b/node.go
@@ -57,7 +57,6 @@
 	pool     *target.Pool
 	forward  *forward.Handler
 	exchange exchange
-	routing  routing
 
 	servers []*http.Server
 	addrs   Addrs
@@ -121,7 +120,6 @@
 	n.startLookups(ctx)
 	n.startExchange(ctx)
 	n.loops.Go(func() { n.shareLoop(ctx) })
-	n.startRouting()
 	evStarted.Log(n.log).Str("api", n.addrs.API).Str("forward", n.addrs.Forward).Str("peer", n.addrs.Peer).Send()
 	return nil
 }
@@ -133,9 +131,6 @@
 	if err := n.peers.Register(tables.ServiceName, n.lookups.tables.Service()); err != nil {
 		return err
 	}
-	if err := n.routing.credits.Register(n.peers); err != nil {
-		return err
-	}
 	if err := n.listenPeers(); err != nil {
 		return err
 	}
@@ -180,12 +175,10 @@
 // callers have heard of it, and lets everything in flight end. When ctx ends it cuts
 // what is left and returns drain.ErrCut.
 func (n *Node) Stop(ctx context.Context) error {
-	n.leaveGranting(ctx)
 	var err error
 	if n.exchange.callers != nil {
 		err = n.drain(ctx)
 	}
-	n.stopRouting(ctx)
 	n.close()
 	evStopped.Log(n.log).Send()
 	return err
@@ -196,7 +189,6 @@
 	if n.exchange.callers != nil {
 		_ = n.exchange.callers.Close()
 	}
-	n.haltRouting()
 	n.close()
 }
 
--- a/process/slots/slots.go
+++ b/process/slots/slots.go
@@ -52,15 +52,9 @@
 	// Survey fills spots with what Free and InFlight return for each ask. All asks
 	// name targets of one service; both slices have the same length.
 	Survey(asks []Ask, spots []Spot)
-	// Want asks for a slot at one of the targets of asks, which it keeps no
-	// reference to: for a request that found no room, or else ahead of need. A Room
-	// that borrows its slots then tries to borrow one.
-	Want(asks []Ask, waiting bool)
 	// Acquire takes one slot. It returns false when none is free. The caller calls
 	// release once, when the target is known to have ended the request.
 	Acquire(a Ask) (release func(), ok bool)
-	// Hold returns how long a request of the lane may occupy a slot; 0 means any time.
-	Hold(lane Lane) time.Duration
 	// Changed returns a channel that is closed when room at a target of the service
 	// may have appeared since the call.
 	Changed(service string) <-chan struct{}
@@ -114,9 +108,6 @@
 	}
 }
 
-// Want implements Room. Local room appears only when a slot is given back.
-func (l *Local) Want([]Ask, bool) {}
-
 // InFlight implements Room.
 func (l *Local) InFlight(t Target) int {
 	l.mu.Lock()
@@ -165,9 +156,6 @@
 	}
 }
 
-// Hold implements Room. Local room sets no bound.
-func (l *Local) Hold(Lane) time.Duration { return 0 }
-
 // Changed implements Room.
 func (l *Local) Changed(service string) <-chan struct{} {
 	l.mu.Lock()
--- a/request/route/route.go
+++ b/request/route/route.go
@@ -51,7 +51,7 @@
 		return Random{}, true
 	case config.PolicyTwoChoices:
 		return TwoChoices{}, true
-	case config.PolicyTwoChoicesLatency, config.PolicyCredits:
+	case config.PolicyTwoChoicesLatency:
 		return TwoChoicesLatency{}, true
 	default:
 		return nil, false
--- a/request/route/router.go
+++ b/request/route/router.go
@@ -30,18 +30,13 @@
 // ErrNoRoom reports that no target has room for the request now.
 var ErrNoRoom = errors.New("no target has room")
 
-// endMargin is how long after its deadline a target may still hold the slot of an
-// attempt: the grace of the connection and the way there.
-const endMargin = 3 * time.Second
-
 // maxDraws bounds how often a choice is repeated whose slot was taken meanwhile.
 const maxDraws = 3
 
 // Choice is a target with a slot held for one attempt.
 type Choice struct {
 	Target *config.Target
-	// Until is when the attempt must have ended: the request's deadline, or earlier
-	// where the slot is lent for a shorter time.
+	// Until is when the attempt must have ended: the request's deadline.
 	Until time.Time
 	// Done gives the slot back and tells what the attempt showed. The holder calls
 	// it once, when the target is known to have ended the request.
@@ -53,9 +48,6 @@
 // Option changes a Router.
 type Option func(*Router)
 
-// WithCredits lets services with the policy credits take their slots from room.
-func WithCredits(room slots.Room) Option { return func(r *Router) { r.credits = room } }
-
 // WithHealth uses a tracker that others feed as well.
 func WithHealth(t *health.Tracker) Option { return func(r *Router) { r.health = t } }
 
@@ -64,12 +56,11 @@
 
 // Router chooses targets by the policy that a service's ticket names.
 type Router struct {
-	room    slots.Room
-	credits slots.Room
-	health  *health.Tracker
-	runs    *health.Classes
-	region  string
-	log     zerolog.Logger
+	room   slots.Room
+	health *health.Tracker
+	runs   *health.Classes
+	region string
+	log    zerolog.Logger
 
 	chosen *counters
 	plans  atomic.Pointer[map[string]*plan]
@@ -96,7 +87,6 @@
 	spots      []slots.Spot
 	views      []health.View
 	candidates []Candidate
-	asks       []slots.Ask
 }
 
 // usable returns how many more requests a target may get: by room, by its own
@@ -108,30 +98,6 @@
 	return min(s.spots[i].Free, s.views[i].Limit-s.spots[i].InFlight)
 }
 
-// unused returns how many requests could be sent now.
-func (s *scratch) unused(class *classPlan) int {
-	total := 0
-	for i := range s.spots {
-		if inRegion(class.targets[i], s.region) {
-			total += max(0, s.usable(i))
-		}
-	}
-	return total
-}
-
-// wanted returns the asks of the targets that would take one more request if
-// there were room.
-func (s *scratch) wanted(class *classPlan) []slots.Ask {
-	s.asks = s.asks[:0]
-	for i := range s.spots {
-		spare := s.views[i].Limit - s.spots[i].InFlight - max(0, s.spots[i].Free)
-		if s.views[i].Weight > 0 && spare > 0 && inRegion(class.targets[i], s.region) {
-			s.asks = append(s.asks, class.asks[i])
-		}
-	}
-	return s.asks
-}
-
 func newScratch() *scratch {
 	return &scratch{rnd: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
 }
@@ -151,50 +117,29 @@
 // verdict not-run, when none has room.
 func (r *Router) Choose(info *request.Info, snap *state.Snapshot, tried []string) (Choice, error) {
 	p, class := r.plan(info, snap)
-	room := r.roomOf(info.Service)
 	s := r.pool.Get().(*scratch)
 	defer r.pool.Put(s)
 	s.region = info.Region
 	for range maxDraws {
 		now := time.Now()
-		at, probe := r.decide(now, p.policy, class, room, tried, s)
+		at, probe := r.decide(now, p.policy, class, tried, s)
 		if at == None {
 			break
 		}
 		ask := class.asks[at]
-		ask.Until = until(now, info, room, ask.Lane)
-		release, ok := room.Acquire(ask)
+		ask.Until = info.Deadline
+		release, ok := r.room.Acquire(ask)
 		if !ok {
 			continue
 		}
-		if s.unused(class) <= 1 {
-			room.Want(s.wanted(class), false)
-		}
 		r.health.Started(now, &class.ids[at], ask.Lane, probe)
 		r.logChoice(info, snap, class.targets[at], len(class.targets), probe)
 		return r.choice(info, class.targets[at], ask, release), nil
 	}
 	r.chosen.noRoom.Add(1)
-	room.Want(s.wanted(class), true)
 	return Choice{}, verdict.Wrap(verdict.NotRun, "route", ErrNoRoom)
 }
 
-// until returns when an attempt that begins now must have ended.
-func until(now time.Time, info *request.Info, room slots.Room, lane slots.Lane) time.Time {
-	hold := room.Hold(lane)
-	if hold == 0 || info.Deadline.Sub(now) < hold-endMargin {
-		return info.Deadline
-	}
-	return now.Add(hold - endMargin)
-}
-
-func (r *Router) roomOf(svc *config.Service) slots.Room {
-	if r.credits != nil && svc.Policy == config.PolicyCredits {
-		return r.credits
-	}
-	return r.room
-}
-
 func (r *Router) choice(info *request.Info, t *config.Target, ask slots.Ask, release func()) Choice {
 	var once sync.Once
 	done := func(o health.Outcome) {
@@ -220,9 +165,9 @@
 
 // decide returns the index of the chosen target in the plan, and whether the
 // request probes a target that is set aside.
-func (r *Router) decide(now time.Time, policy Policy, class *classPlan, room slots.Room, tried []string, s *scratch) (at int, probe bool) {
+func (r *Router) decide(now time.Time, policy Policy, class *classPlan, tried []string, s *scratch) (at int, probe bool) {
 	s.size(len(class.targets))
-	room.Survey(class.asks, s.spots)
+	r.room.Survey(class.asks, s.spots)
 	r.health.Survey(now, class.ids, s.views)
 	if len(tried) == 0 {
 		if at := probeOf(class, s); at != None {
@@ -310,7 +255,7 @@
 func (r *Router) Changed(service string) <-chan struct{} {
 	plans := *r.plans.Load()
 	if p := plans[service]; p != nil {
-		return r.roomOf(p.service).Changed(service)
+		return r.room.Changed(service)
 	}
 	return closed
 }
--- a/version/config/config.go
+++ b/version/config/config.go
@@ -26,12 +26,11 @@
 	PolicyRandom            = "random"
 	PolicyTwoChoices        = "two-choices"
 	PolicyTwoChoicesLatency = "two-choices-latency"
-	PolicyCredits           = "credits"
 )
 
 // Policies returns the names that a service's policy may have.
 func Policies() []string {
-	return []string{PolicyRoundRobin, PolicyRandom, PolicyTwoChoices, PolicyTwoChoicesLatency, PolicyCredits}
+	return []string{PolicyRoundRobin, PolicyRandom, PolicyTwoChoices, PolicyTwoChoicesLatency}
 }
 
 // Service is the whole state of one service.
