--- a/entry/beliefs.go
+++ b/entry/beliefs.go
@@ -7,7 +7,7 @@
 
 	"quetzalknot/platform/adapter"
 	"quetzalknot/process/eventlog"
-	"quetzalknot/version/mirror"
+	"quetzalknot/process/mirror"
 )
 
 var (
--- a/entry/host.go
+++ b/entry/host.go
@@ -27,12 +27,12 @@
 	"quetzalknot/process/eventlog"
 	"quetzalknot/process/fleet"
 	"quetzalknot/process/metrics"
+	"quetzalknot/process/mirror"
 	"quetzalknot/process/partner"
 	"quetzalknot/process/peer"
 	"quetzalknot/request/budget"
 	"quetzalknot/request/place"
 	"quetzalknot/request/serve"
-	"quetzalknot/version/mirror"
 	"quetzalknot/version/routes"
 )
 
--- a/node.go
+++ b/node.go
@@ -1,10 +1,11 @@
-// Package quetzalknot runs one entry host of the traffic steering system: it
-// answers look-ups, forwards requests to targets and keeps the configuration
-// version in force.
+// Package quetzalknot runs one entry host of the traffic steering system at the
+// product's own surface: it starts, swaps and stops the parts that accept tickets,
+// answer look-ups and forward requests.
 package quetzalknot
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -12,26 +13,25 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/gorilla/mux"
 	"github.com/rs/zerolog"
 
-	"quetzalknot/connection/target"
 	"quetzalknot/platform"
 	"quetzalknot/process/eventlog"
-	"quetzalknot/process/link"
 	"quetzalknot/process/metrics"
 	"quetzalknot/process/settings"
-	"quetzalknot/process/share"
-	"quetzalknot/request/forward"
+	"quetzalknot/request/gateway"
+	"quetzalknot/version/httpapi"
+	"quetzalknot/version/replica"
+	"quetzalknot/version/resolver"
 	"quetzalknot/version/state"
-	"quetzalknot/version/tables"
+	"quetzalknot/version/ticket"
+	"quetzalknot/version/watch"
 )
 
 var (
-	evStarted  = eventlog.Define(1001, zerolog.InfoLevel, "host started")
-	evStopped  = eventlog.Define(1002, zerolog.InfoLevel, "host stopped")
-	evAccepted = eventlog.Define(2001, zerolog.InfoLevel, "ticket accepted")
-	evInForce  = eventlog.Define(2002, zerolog.InfoLevel, "configuration version in force")
-	evBadState = eventlog.Define(2003, zerolog.ErrorLevel, "configuration version refused")
+	evStarted = eventlog.Define(1001, zerolog.InfoLevel, "host started")
+	evStopped = eventlog.Define(1002, zerolog.InfoLevel, "host stopped")
 )
 
 const (
@@ -44,26 +44,19 @@
 // Node is one process of the system.
 type Node struct {
 	settings *settings.Settings
-	platform platform.Platform
 	log      zerolog.Logger
 	recent   *eventlog.Recent
 	metrics  *metrics.Set
 
-	config      state.Holder
-	lookups     lookups
-	sites       sites
-	linkReports linkReports
-	versions
-	pool     *target.Pool
-	forward  *forward.Handler
-	exchange exchange
-
-	servers []*http.Server
-	addrs   Addrs
-	cancel  context.CancelFunc
-	loops   sync.WaitGroup
-	shares  *share.View
-	links   *link.Links
+	replica  *replica.Replica
+	sites    *watch.Sites
+	resolver *resolver.Resolver
+	gateway  *gateway.Gateway
+
+	api    *http.Server
+	addrs  Addrs
+	cancel context.CancelFunc
+	loops  sync.WaitGroup
 }
 
 // Addrs are the addresses that a started node listens on.
@@ -88,17 +81,23 @@
 
 // New returns a node that has not started.
 func New(s *settings.Settings, opts Options) *Node {
-	p := opts.Platform
-	recent := eventlog.NewRecent(opts.Logs, explainedRequests)
-	log := eventlog.New(recent, s.Host.Name)
-	n := &Node{
-		settings: s, platform: p, log: log, recent: recent, metrics: metrics.NewSet(),
-	}
-	n.setUpLinks(opts)
-	n.setUpVersions(opts)
-	n.setUpSites(opts.Dial)
-	n.setUpLookups(n.clients)
-	n.newExchange(n.newAdmitter(n.newRouter()))
+	n := &Node{settings: s, recent: eventlog.NewRecent(opts.Logs, explainedRequests), metrics: metrics.NewSet()}
+	n.log = eventlog.New(n.recent, s.Host.Name)
+	n.replica = replica.New(replica.Options{Settings: s, Platform: opts.Platform, Dial: opts.Dial, Metrics: n.metrics, Log: n.log})
+	config, members, clients := n.replica.Config(), n.replica.Members(), n.replica.Clients()
+	n.sites = watch.New(watch.Options{
+		Host: s.Host, Config: config, Members: members, Caller: clients, Engine: n.replica.Engine(),
+		Dial: opts.Dial, Metrics: n.metrics, Log: n.log,
+	})
+	n.resolver = resolver.New(resolver.Options{
+		Settings: s, Objects: opts.Platform.Objects, Config: config, Members: members, Caller: clients, Sites: n.sites,
+		Keys: gateway.Keys{Claims: s.Claims}, Whole: n.replica.Engine().Whole, Metrics: n.metrics, Log: n.log,
+	})
+	n.gateway = gateway.New(gateway.Options{
+		Settings: s, Table: opts.Platform.Table, Config: config, Members: members, Caller: clients,
+		Fresh: n.replica.Fresh, Home: n.resolver.Region, Dial: opts.Dial, Metrics: n.metrics, Log: n.log,
+	})
+	n.replica.OnForce(n.resolver.InForce)
 	return n
 }
 
@@ -106,7 +105,21 @@
 func (n *Node) Addrs() Addrs { return n.addrs }
 
 // Version returns the largest ticket number in force on this node.
-func (n *Node) Version() uint64 { return n.config.Load().Version }
+func (n *Node) Version() uint64 { return n.replica.Version() }
+
+// Ready reports whether the node is fit to serve callers.
+func (n *Node) Ready() bool { return n.replica.Ready() }
+
+// Status returns what this host knows of itself.
+func (n *Node) Status() replica.Status { return n.replica.Status() }
+
+// Submit accepts a ticket, as replica.Submit does.
+func (n *Node) Submit(ctx context.Context, t *ticket.Ticket) (state.Record, error) {
+	return n.replica.Submit(ctx, t)
+}
+
+// Metrics returns the figures of the node.
+func (n *Node) Metrics() *metrics.Set { return n.metrics }
 
 // Start listens on all addresses and begins to serve.
 func (n *Node) Start(ctx context.Context) error {
@@ -115,70 +128,80 @@
 		_ = n.Stop(ctx)
 		return err
 	}
-	n.startVersions(ctx)
-	n.startSites(ctx)
-	n.startLookups(ctx)
-	n.startExchange(ctx)
-	n.loops.Go(func() { n.shareLoop(ctx) })
+	n.replica.Start(ctx, replica.Addrs{API: n.addrs.API, Forward: n.addrs.Forward})
+	n.loops.Go(func() { n.resolver.Run(ctx) })
+	n.loops.Go(func() { n.gateway.Run(ctx) })
+	if n.settings.Roles.Watch {
+		n.loops.Go(func() { n.sites.Run(ctx) })
+	}
 	evStarted.Log(n.log).Str("api", n.addrs.API).Str("forward", n.addrs.Forward).Str("peer", n.addrs.Peer).Send()
 	return nil
 }
 
 func (n *Node) listen() error {
-	if err := n.registerExchange(); err != nil {
-		return err
-	}
-	if err := n.peers.Register(tables.ServiceName, n.lookups.tables.Service()); err != nil {
+	peers := n.replica.Peers()
+	if err := errors.CombineErrors(n.gateway.Register(peers), n.resolver.Register(peers)); err != nil {
 		return err
 	}
-	if err := n.listenPeers(); err != nil {
+	if err := n.replica.Listen(); err != nil {
 		return err
 	}
-	var err error
-	if n.addrs.API, err = n.serve(n.settings.Listen.API, n.apiRouter()); err != nil {
+	n.addrs.Peer = peers.Addr()
+	if err := n.listenAPI(); err != nil {
 		return err
 	}
 	if !n.settings.Roles.Forward {
 		return nil
 	}
-	n.addrs.Forward, err = n.serveCallers(n.settings.Listen.Forward)
+	var err error
+	n.addrs.Forward, err = n.gateway.Listen(n.settings.Listen.Forward)
 	return err
 }
 
-func (n *Node) serve(addr string, handler http.Handler) (string, error) {
-	l, err := net.Listen("tcp", addr)
+func (n *Node) listenAPI() error {
+	l, err := net.Listen("tcp", n.settings.Listen.API)
 	if err != nil {
-		return "", errors.Wrap(err, "listen")
+		return errors.Wrap(err, "listen")
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
-	n.servers = append(n.servers, server)
-	go func() { _ = server.Serve(l) }()
-	return l.Addr().String(), nil
+	n.addrs.API = l.Addr().String()
+	n.api = &http.Server{Handler: n.apiRouter(), ReadHeaderTimeout: readHeaderTimeout}
+	go func() { _ = n.api.Serve(l) }()
+	return nil
 }
 
-func (n *Node) putInForce() error {
-	n.entering.Lock()
-	defer n.entering.Unlock()
-	snap, err := n.merged.Snapshot()
-	if err != nil {
-		return err
+// apiRouter returns the handler for callers' look-ups, operators and machines.
+func (n *Node) apiRouter() http.Handler {
+	r := mux.NewRouter()
+	if n.settings.Roles.Lookup {
+		n.resolver.Routes(r)
 	}
-	n.config.Store(snap)
-	n.lookups.tables.Want(tables.Wanted{Version: snap.Version, Tables: snap.BlockTables, Blocks: snap.Blocks})
-	n.lookups.configChanged()
-	n.inForceAt = time.Now()
-	evInForce.Log(n.log).Uint64("version", snap.Version).Int("services", len(snap.Services)).Send()
-	return nil
+	n.replica.Routes(r)
+	n.gateway.Routes(r)
+	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
+	r.HandleFunc("/v1/explain/{request}", n.handleExplain).Methods(http.MethodGet)
+	r.Handle("/debug/vars", n.metrics)
+	return r
+}
+
+func (n *Node) handleExplain(w http.ResponseWriter, r *http.Request) {
+	id := mux.Vars(r)["request"]
+	lines := n.recent.Lines(id)
+	if len(lines) == 0 {
+		httpapi.WriteError(w, http.StatusNotFound, errors.Newf("request %q is not known on this host", id))
+		return
+	}
+	story := make([]json.RawMessage, len(lines))
+	for i, line := range lines {
+		story[i] = line
+	}
+	httpapi.Write(w, http.StatusOK, story)
 }
 
 // Stop ends the node without cutting a request: it leaves the look-ups, waits until
 // callers have heard of it, and lets everything in flight end. When ctx ends it cuts
 // what is left and returns drain.ErrCut.
 func (n *Node) Stop(ctx context.Context) error {
-	var err error
-	if n.exchange.callers != nil {
-		err = n.drain(ctx)
-	}
+	err := n.gateway.Drain(ctx)
 	n.close()
 	evStopped.Log(n.log).Send()
 	return err
@@ -186,18 +209,16 @@
 
 // Kill ends the node at once, as a crash would.
 func (n *Node) Kill() {
-	if n.exchange.callers != nil {
-		_ = n.exchange.callers.Close()
-	}
+	n.gateway.Cut()
 	n.close()
 }
 
 func (n *Node) close() {
 	n.cancel()
 	n.loops.Wait()
-	for _, server := range n.servers {
-		_ = server.Close()
+	if n.api != nil {
+		_ = n.api.Close()
 	}
-	n.stopVersions()
-	n.pool.Close()
+	n.replica.Close()
+	n.gateway.Close()
 }
--- a/process/partner/partner.go
+++ b/process/partner/partner.go
@@ -18,8 +18,8 @@
 	"quetzalknot/process/crash"
 	"quetzalknot/process/eventlog"
 	"quetzalknot/process/fleet"
+	"quetzalknot/process/mirror"
 	"quetzalknot/process/peer"
-	"quetzalknot/version/mirror"
 )
 
 var (
--- /dev/null
+++ b/request/gateway/gateway.go
@@ -0,0 +1,209 @@
+// Package gateway takes callers' requests at the product's own surface and carries
+// them to targets: it puts together queues, regions, routing, claims and forwarding.
+//
+// gateway.go starts and stops the parts, links.go bounds what crosses regions, keys.go
+// says which process runs an idempotency key.
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/rs/zerolog"
+
+	"quetzalknot/connection/caller"
+	"quetzalknot/connection/target"
+	"quetzalknot/platform"
+	"quetzalknot/process/drain"
+	"quetzalknot/process/eventlog"
+	"quetzalknot/process/link"
+	"quetzalknot/process/membership"
+	"quetzalknot/process/metrics"
+	"quetzalknot/process/peer"
+	"quetzalknot/process/quarantine"
+	"quetzalknot/process/settings"
+	"quetzalknot/process/share"
+	"quetzalknot/process/slots"
+	"quetzalknot/request/admit"
+	"quetzalknot/request/claim"
+	"quetzalknot/request/forward"
+	"quetzalknot/request/latency"
+	"quetzalknot/request/route"
+	"quetzalknot/request/steer"
+	"quetzalknot/request/trace"
+	"quetzalknot/version/state"
+)
+
+var evManyCallers = eventlog.Define(4006, zerolog.WarnLevel, "connection refused over the limit")
+
+const (
+	// readHeaderTimeout bounds how long a caller may take to send a header.
+	readHeaderTimeout = 10 * time.Second
+	// headerSlack is how much larger a header the server reads than the limit, so that
+	// one over the limit gets an answer with a verdict.
+	headerSlack = 4
+)
+
+// Options are what a Gateway needs.
+type Options struct {
+	Settings *settings.Settings
+	Table    platform.Table
+	Config   *state.Holder
+	Members  *membership.Members
+	Caller   peer.Caller
+	// Fresh reports whether this host can know that its configuration is the newest.
+	Fresh func() bool
+	// Home returns the region of a caller's block, or "".
+	Home func(client netip.Addr) string
+	// Dial replaces net.Dialer. May be nil.
+	Dial    func(ctx context.Context, network, addr string) (net.Conn, error)
+	Metrics *metrics.Set
+	Log     zerolog.Logger
+}
+
+// Gateway serves callers' requests. It is safe for concurrent use.
+type Gateway struct {
+	opts       Options
+	shares     *share.View
+	links      *link.Links
+	pool       *target.Pool
+	forward    *forward.Handler
+	quarantine *quarantine.List
+	spreader   *quarantine.Spreader
+	claims     *claim.Claims
+	recorder   *trace.Recorder
+	// callers is nil until Listen.
+	callers *http.Server
+}
+
+// New returns a gateway that does not listen yet.
+func New(opts Options) *Gateway {
+	g := &Gateway{opts: opts, recorder: trace.NewRecorder(), quarantine: quarantine.New(nil)}
+	g.spreader = quarantine.NewSpreader(g.quarantine, opts.Caller, g.peerAddrs)
+	g.setUpLinks()
+	cfg := opts.Settings.Claims
+	g.claims = claim.New(claim.Options{
+		Self: g.owner, Table: opts.Table, Keep: cfg.Keep(), Keys: cfg.Keys, AnswerBytes: cfg.AnswerBytes,
+		Hosts: func() int { return max(1, len(opts.Members.Live())) },
+	}, opts.Metrics, opts.Log)
+	opts.Metrics.Gauge("quarantine.requests", g.quarantine.Count)
+	g.forward = forward.New(opts.Config, g.newAdmitter(), g.pool, opts.Metrics, opts.Log, forward.Options{
+		Limits: opts.Settings.Limits, Host: opts.Settings.Host.Name, Owners: g, Claims: g.claims,
+		Quarantine: g.quarantine, Spread: g.spreader.Push, Recorder: g.recorder,
+		Leaving: func() bool { return opts.Members.Self().Leaving }, Owned: g.ownsSuspects,
+	})
+	return g
+}
+
+// newAdmitter returns the queues, in front of the choice of a region and of a target.
+func (g *Gateway) newAdmitter() *admit.Admitter {
+	o := g.opts
+	region := o.Settings.Host.Region
+	router := route.NewRouter(slots.NewLocal(), o.Metrics, o.Log, route.WithRegion(region))
+	steerer := steer.New(steer.Options{
+		Next: router, Region: region, Home: o.Home, Fresh: o.Fresh,
+		View: g.shares, LinkRoom: g.linkRoom, Metrics: o.Metrics, Log: o.Log,
+	})
+	return admit.New(steerer, latency.NewTracker(), o.Metrics, o.Log, admit.WithRegions(steerer.Assign))
+}
+
+// Register adds the calls of other hosts.
+func (g *Gateway) Register(s *peer.Server) error {
+	return s.Register(quarantine.ServiceName, quarantine.NewService(g.quarantine, g.spreader.PassOn))
+}
+
+// Routes adds the route of recorded traces.
+func (g *Gateway) Routes(r *mux.Router) {
+	r.Handle("/v1/trace", g.recorder).Methods(http.MethodGet)
+}
+
+// Listen begins to serve callers and returns the address. Other errors than those of
+// listening do not occur.
+func (g *Gateway) Listen(addr string) (string, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return "", err
+	}
+	limits := g.opts.Settings.Limits
+	limited := caller.NewListener(l, limits.Connections)
+	refused := g.opts.Metrics.Counter("forward.refused_connections")
+	limited.OnRefuse = func(remote net.Addr) {
+		refused.Add(1)
+		evManyCallers.Log(g.opts.Log).Stringer("caller", remote).Int("limit", limits.Connections).Send()
+	}
+	g.callers = &http.Server{
+		Handler: g.forward, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: headerSlack * limits.HeaderBytes,
+	}
+	go func() { _ = g.callers.Serve(limited) }()
+	return l.Addr().String(), nil
+}
+
+// Run keeps claims, quarantine and parts of links up to date until ctx ends.
+func (g *Gateway) Run(ctx context.Context) {
+	ended := make(chan struct{}, 2)
+	go func() { g.claims.Run(ctx); ended <- struct{}{} }()
+	go func() { g.spreader.Run(ctx); ended <- struct{}{} }()
+	g.shareLoop(ctx)
+	<-ended
+	<-ended
+}
+
+// ownsSuspects reports whether this host runs suspects on the target at a position of
+// its service. Positions are dealt out in turn, so that each host has some to spare.
+func (g *Gateway) ownsSuspects(position int) bool {
+	self := g.opts.Settings.Host.Name
+	names := []string{self}
+	for _, m := range g.opts.Members.Live() {
+		if m.Host != self {
+			names = append(names, m.Host)
+		}
+	}
+	slices.Sort(names)
+	return names[position%len(names)] == self
+}
+
+// peerAddrs returns the peer addresses of the other hosts that can be reached.
+func (g *Gateway) peerAddrs() []string {
+	var addrs []string
+	for _, m := range g.opts.Members.Reachable() {
+		addrs = append(addrs, m.PeerAddr)
+	}
+	return addrs
+}
+
+// Drain leaves the look-ups, waits until callers have heard of it, and lets every
+// request end. It returns drain.ErrCut when ctx ended first. A gateway that does not
+// listen has nothing to drain.
+func (g *Gateway) Drain(ctx context.Context) error {
+	if g.callers == nil {
+		return nil
+	}
+	stop := g.opts.Settings.Stop
+	return drain.Run(ctx, g.opts.Log, drain.Steps{
+		Leave: func(context.Context) { g.opts.Members.SetLeaving() }, LookupWait: stop.LookupWait(), Limit: stop.Limit(),
+		Close: g.closeCallers, Cut: g.Cut, InFlight: g.forward.InFlight,
+	})
+}
+
+func (g *Gateway) closeCallers(ctx context.Context) error {
+	if err := g.callers.Shutdown(ctx); err != nil {
+		return err
+	}
+	g.claims.Flush(ctx)
+	return nil
+}
+
+// Cut closes the callers' connections at once.
+func (g *Gateway) Cut() {
+	if g.callers != nil {
+		_ = g.callers.Close()
+	}
+}
+
+// Close ends the connections to targets that are not in use.
+func (g *Gateway) Close() { g.pool.Close() }
--- a/node_versions_test.go
+++ b/tickets_test.go
@@ -1,10 +1,11 @@
-package quetzalknot
+package quetzalknot_test
 
 import (
 	"io"
 	"testing"
 	"time"
 
+	"quetzalknot"
 	"quetzalknot/platform/memory"
 	"quetzalknot/process/settings"
 	"quetzalknot/version/store"
@@ -44,12 +45,12 @@
 		t.Fatal(err)
 	}
 	p := memory.New()
-	node := New(s, Options{Platform: p, Logs: io.Discard})
+	node := quetzalknot.New(s, quetzalknot.Options{Platform: p, Logs: io.Discard})
 	if err := node.Start(t.Context()); err != nil {
 		t.Fatal(err)
 	}
 	defer func() { _ = node.Stop(t.Context()) }()
-	for began := time.Now(); !node.Ready() || !node.Fresh(); time.Sleep(time.Millisecond) {
+	for began := time.Now(); !node.Ready() || !node.Status().Fresh; time.Sleep(time.Millisecond) {
 		if time.Since(began) > readyPatience {
 			t.Fatal("the host does not become ready")
 		}
--- a/tools/cli/ticket.go
+++ b/tools/cli/ticket.go
@@ -12,8 +12,9 @@
 
 	"github.com/cockroachdb/errors"
 
-	"quetzalknot"
 	"quetzalknot/process/settings"
+	"quetzalknot/version/httpapi"
+	"quetzalknot/version/replica"
 	"quetzalknot/version/state"
 	"quetzalknot/version/ticket"
 )
@@ -61,7 +62,7 @@
 	if err != nil {
 		return ticket.Surroundings{}, err
 	}
-	return quetzalknot.Surroundings(s.Topology), nil
+	return replica.Surroundings(s.Topology), nil
 }
 
 func readTicket(path string) (*ticket.Ticket, error) {
@@ -129,7 +130,7 @@
 	if err != nil {
 		return err
 	}
-	var list quetzalknot.TicketList
+	var list replica.TicketList
 	if err := decodeReply(resp, &list); err != nil {
 		return err
 	}
@@ -171,7 +172,7 @@
 	if err != nil {
 		return err
 	}
-	var fleet quetzalknot.FleetStatus
+	var fleet replica.FleetStatus
 	if err := decodeReply(resp, &fleet); err != nil {
 		return err
 	}
@@ -182,7 +183,7 @@
 	return nil
 }
 
-func hostLine(h quetzalknot.HostStatus) string {
+func hostLine(h replica.HostStatus) string {
 	line := fmt.Sprintf("%s\t%s\tversion %d for %.0f s\tready %v\tfresh %v", h.Host, h.FailureDomain, h.Version, h.InForceSeconds, h.Ready, h.Fresh)
 	if h.Behind != "" {
 		line += "\t" + h.Behind
@@ -218,7 +219,7 @@
 		return err
 	}
 	if resp.StatusCode != http.StatusOK {
-		var failure quetzalknot.Failure
+		var failure httpapi.Failure
 		if json.Unmarshal(data, &failure) == nil && failure.Error != "" {
 			return errors.New(failure.Error)
 		}
--- a/api_status.go
+++ b/version/replica/status.go
@@ -1,4 +1,4 @@
-package quetzalknot
+package replica
 
 import (
 	"context"
@@ -12,6 +12,7 @@
 	"github.com/gorilla/mux"
 
 	"quetzalknot/process/membership"
+	"quetzalknot/version/httpapi"
 	"quetzalknot/version/state"
 )
 
@@ -74,26 +75,26 @@
 	Error string `json:"error,omitempty"`
 }
 
-func (n *Node) statusRoutes(r *mux.Router) {
-	r.HandleFunc("/v1/status", n.handleStatus).Methods(http.MethodGet)
-	r.HandleFunc("/readyz", n.handleReady).Methods(http.MethodGet)
+func (r *Replica) statusRoutes(router *mux.Router) {
+	router.HandleFunc("/v1/status", r.handleStatus).Methods(http.MethodGet)
+	router.HandleFunc("/readyz", r.handleReady).Methods(http.MethodGet)
 }
 
 // Status returns what this host knows of itself.
-func (n *Node) Status() Status {
-	self := n.members.Self()
-	unready := n.unready()
+func (r *Replica) Status() Status {
+	self := r.members.Self()
+	unready := r.unready()
 	s := Status{
-		Host: n.settings.Host.Name, Region: self.Region, FailureDomain: self.FailureDomain,
-		Incarnation: self.Incarnation, Version: n.Version(), InForceSeconds: n.inForceFor().Seconds(),
-		Digest: fmt.Sprintf("%016x", n.merged.Sum()), Fresh: n.Fresh(), FreshAgeSeconds: -1,
-		NotInForce: n.merged.Faults(), Ready: unready == "", Unready: unready,
-		LeaseValid: n.members.Lease().Valid(time.Now()),
+		Host: r.settings.Host.Name, Region: self.Region, FailureDomain: self.FailureDomain,
+		Incarnation: self.Incarnation, Version: r.Version(), InForceSeconds: r.inForceFor().Seconds(),
+		Digest: fmt.Sprintf("%016x", r.merged.Sum()), Fresh: r.Fresh(), FreshAgeSeconds: -1,
+		NotInForce: r.merged.Faults(), Ready: unready == "", Unready: unready,
+		LeaseValid: r.members.Lease().Valid(time.Now()),
 	}
-	for _, row := range n.tickets.Unreadable() {
+	for _, row := range r.tickets.Unreadable() {
 		s.NotInForce = append(s.NotInForce, state.Fault{Error: "row " + row + " cannot be decoded"})
 	}
-	if age, known := n.engine.FreshAge(); known {
+	if age, known := r.engine.FreshAge(); known {
 		s.FreshAgeSeconds = age.Seconds()
 	}
 	if !s.Fresh {
@@ -102,8 +103,8 @@
 	if !s.LeaseValid {
 		s.Unknown = append(s.Unknown, "whether other hosts count this one as alive: none confirmed it lately")
 	}
-	s.Members = membership.Hosts(n.members.Live())
-	for _, e := range n.members.All() {
+	s.Members = membership.Hosts(r.members.Live())
+	for _, e := range r.members.All() {
 		switch {
 		case e.Status != membership.Alive:
 			s.Away = append(s.Away, e.Member.Host+": "+e.Status.String())
@@ -114,28 +115,28 @@
 	return s
 }
 
-func (n *Node) inForceFor() time.Duration {
-	n.entering.Lock()
-	defer n.entering.Unlock()
-	if n.inForceAt.IsZero() {
+func (r *Replica) inForceFor() time.Duration {
+	r.entering.Lock()
+	defer r.entering.Unlock()
+	if r.inForceAt.IsZero() {
 		return 0
 	}
-	return time.Since(n.inForceAt)
+	return time.Since(r.inForceAt)
 }
 
-func (n *Node) handleStatus(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Query().Get("all") == "" {
-		writeJSON(w, http.StatusOK, n.Status())
+func (r *Replica) handleStatus(w http.ResponseWriter, req *http.Request) {
+	if req.URL.Query().Get("all") == "" {
+		httpapi.Write(w, http.StatusOK, r.Status())
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), statusTotal)
+	ctx, cancel := context.WithTimeout(req.Context(), statusTotal)
 	defer cancel()
-	writeJSON(w, http.StatusOK, n.fleetStatus(ctx))
+	httpapi.Write(w, http.StatusOK, r.fleetStatus(ctx))
 }
 
 // fleetStatus asks every known host, a few at once.
-func (n *Node) fleetStatus(ctx context.Context) FleetStatus {
-	entries := n.members.All()
+func (r *Replica) fleetStatus(ctx context.Context) FleetStatus {
+	entries := r.members.All()
 	entries = entries[:min(len(entries), maxStatuses)]
 	fleet := FleetStatus{Hosts: make([]HostStatus, len(entries))}
 	slots := make(chan struct{}, statusAtOnce)
@@ -144,7 +145,7 @@
 		slots <- struct{}{}
 		asking.Go(func() {
 			defer func() { <-slots }()
-			fleet.Hosts[i] = n.statusOf(ctx, e)
+			fleet.Hosts[i] = r.statusOf(ctx, e)
 		})
 	}
 	asking.Wait()
@@ -157,10 +158,10 @@
 	return fleet
 }
 
-func (n *Node) statusOf(ctx context.Context, e membership.Entry) HostStatus {
+func (r *Replica) statusOf(ctx context.Context, e membership.Entry) HostStatus {
 	m := e.Member
-	if m.Host == n.settings.Host.Name {
-		return HostStatus{Status: n.Status()}
+	if m.Host == r.settings.Host.Name {
+		return HostStatus{Status: r.Status()}
 	}
 	known := HostStatus{Status: Status{Host: m.Host, Region: m.Region, FailureDomain: m.FailureDomain, Incarnation: m.Incarnation}}
 	if e.Status == membership.Dead {
@@ -170,7 +171,7 @@
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
 	var reply Status
-	if err := n.clients.Call(ctx, m.PeerAddr, statusService+".Get", &StatusArgs{}, &reply); err != nil {
+	if err := r.clients.Call(ctx, m.PeerAddr, statusService+".Get", &StatusArgs{}, &reply); err != nil {
 		known.Error = "no answer: " + err.Error()
 		return known
 	}
@@ -197,17 +198,17 @@
 type StatusArgs struct{}
 
 // peerStatus answers other hosts' questions for the status.
-type peerStatus struct{ node *Node }
+type peerStatus struct{ replica *Replica }
 
 // Get returns the status without the lists of members.
 func (p *peerStatus) Get(_ *StatusArgs, reply *Status) error {
-	*reply = p.node.Status()
+	*reply = p.replica.Status()
 	return nil
 }
 
-func (n *Node) handleReady(w http.ResponseWriter, _ *http.Request) {
-	if why := n.unready(); why != "" {
-		writeError(w, http.StatusServiceUnavailable, errors.New(why))
+func (r *Replica) handleReady(w http.ResponseWriter, _ *http.Request) {
+	if why := r.unready(); why != "" {
+		httpapi.WriteError(w, http.StatusServiceUnavailable, errors.New(why))
 		return
 	}
 	_, _ = io.WriteString(w, "ready\n")
--- a/api_status_test.go
+++ b/version/replica/status_test.go
@@ -1,4 +1,4 @@
-package quetzalknot
+package replica
 
 import (
 	"net/http"
--- a/api_lookup.go
+++ b/version/resolver/handlers.go
@@ -1,4 +1,4 @@
-package quetzalknot
+package resolver
 
 import (
 	"encoding/json"
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/gorilla/mux"
 
+	"quetzalknot/version/httpapi"
 	"quetzalknot/version/lookup"
 )
 
@@ -23,10 +24,10 @@
 	maxNameBytes = 200
 )
 
-// lookupRoutes adds the routes of callers' look-ups.
-func (n *Node) lookupRoutes(r *mux.Router) {
-	r.HandleFunc("/v1/lookup", n.handleLookup).Methods(http.MethodGet)
-	r.HandleFunc("/v1/lookups", n.handleLookups).Methods(http.MethodPost)
+// Routes adds the routes of callers' look-ups.
+func (l *Resolver) Routes(r *mux.Router) {
+	r.HandleFunc("/v1/lookup", l.handleLookup).Methods(http.MethodGet)
+	r.HandleFunc("/v1/lookups", l.handleLookups).Methods(http.MethodPost)
 }
 
 // LookupQuery is one look-up of a batch.
@@ -67,12 +68,12 @@
 }
 
 // handleLookup answers GET /v1/lookup.
-func (n *Node) handleLookup(w http.ResponseWriter, r *http.Request) {
+func (l *Resolver) handleLookup(w http.ResponseWriter, r *http.Request) {
 	remote := remoteAddr(r)
-	if !n.allowLookups(w, remote, 1) {
+	if !l.allowLookups(w, remote, 1) {
 		return
 	}
-	if !n.readyForLookups(w) {
+	if !l.readyForLookups(w) {
 		return
 	}
 	form := r.URL.Query()
@@ -80,25 +81,25 @@
 	if !form.Has("client") {
 		q.Client = remote.String()
 	}
-	view := n.lookups.view.Load()
-	answer, bad := n.answer(view, q)
+	view := l.view.Load()
+	answer, bad := l.answer(view, q)
 	if bad != nil {
-		n.metrics.Counter("lookup.refused_calls").Add(1)
-		writeError(w, bad.status, bad.err)
+		l.opts.Metrics.Counter("lookup.refused_calls").Add(1)
+		httpapi.WriteError(w, bad.status, bad.err)
 		return
 	}
-	tag := `"` + view.TagText() + "." + n.keyPeriod() + `"`
+	tag := `"` + view.TagText() + "." + l.opts.Keys.Period() + `"`
 	w.Header().Set("ETag", tag)
 	w.Header().Set("Cache-Control", fmt.Sprintf("private, max-age=%d", answer.TTLMS/time.Second.Milliseconds()))
 	if strings.Contains(r.Header.Get("If-None-Match"), tag) {
 		w.WriteHeader(http.StatusNotModified)
 		return
 	}
-	writeJSON(w, http.StatusOK, answer)
+	httpapi.Write(w, http.StatusOK, answer)
 }
 
 // answer answers one look-up from one view.
-func (n *Node) answer(view *lookup.View, q LookupQuery) (*lookup.Answer, *queryError) {
+func (l *Resolver) answer(view *lookup.View, q LookupQuery) (*lookup.Answer, *queryError) {
 	switch {
 	case q.Service == "" || len(q.Service) > maxNameBytes:
 		return nil, badQuery("service", cut(q.Service), "a service name of 1 to 200 bytes")
@@ -117,10 +118,10 @@
 		return nil, &queryError{status: http.StatusServiceUnavailable, err: errors.New("no entry host takes new work")}
 	}
 	for i := range entries {
-		entries[i].KeyPrefix = n.keyPrefix(entries[i])
+		entries[i].KeyPrefix = l.opts.Keys.Prefix(entries[i])
 	}
-	n.metrics.Counter("lookup.answered_calls").Add(1)
-	evLookup.Log(n.log).Str("service", q.Service).Stringer("client", client).Uint64("version", view.Version()).
+	l.opts.Metrics.Counter("lookup.answered_calls").Add(1)
+	evLookup.Log(l.opts.Log).Str("service", q.Service).Stringer("client", client).Uint64("version", view.Version()).
 		Str("entry", entries[0].Name).Str("region", entries[0].Region).Int("entries", len(entries)).Send()
 	return &lookup.Answer{
 		Service: q.Service, Version: view.Version(), TTLMS: choice.TTL.Milliseconds(), Entries: entries,
@@ -137,61 +138,61 @@
 }
 
 // handleLookups answers POST /v1/lookups.
-func (n *Node) handleLookups(w http.ResponseWriter, r *http.Request) {
+func (l *Resolver) handleLookups(w http.ResponseWriter, r *http.Request) {
 	var batch LookupBatch
 	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBatchBytes))
 	dec.DisallowUnknownFields()
 	var tooLarge *http.MaxBytesError
 	switch err := dec.Decode(&batch); {
 	case errors.As(err, &tooLarge):
-		writeError(w, http.StatusRequestEntityTooLarge, errors.Newf("the body has more than %d bytes", maxBatchBytes))
+		httpapi.WriteError(w, http.StatusRequestEntityTooLarge, errors.Newf("the body has more than %d bytes", maxBatchBytes))
 		return
 	case err != nil:
-		writeError(w, http.StatusBadRequest, errors.Wrap(err, "look-ups"))
+		httpapi.WriteError(w, http.StatusBadRequest, errors.Wrap(err, "look-ups"))
 		return
 	case len(batch.Lookups) == 0 || len(batch.Lookups) > maxBatch:
-		writeError(w, http.StatusBadRequest, errors.Newf("lookups has %d items: give 1 to %d", len(batch.Lookups), maxBatch))
+		httpapi.WriteError(w, http.StatusBadRequest, errors.Newf("lookups has %d items: give 1 to %d", len(batch.Lookups), maxBatch))
 		return
 	}
-	if !n.allowLookups(w, remoteAddr(r), len(batch.Lookups)) {
+	if !l.allowLookups(w, remoteAddr(r), len(batch.Lookups)) {
 		return
 	}
-	if !n.readyForLookups(w) {
+	if !l.readyForLookups(w) {
 		return
 	}
-	view := n.lookups.view.Load()
+	view := l.view.Load()
 	answers := BatchAnswers{Version: view.Version(), Answers: make([]BatchAnswer, len(batch.Lookups))}
 	for i, q := range batch.Lookups {
-		answer, bad := n.answer(view, q)
+		answer, bad := l.answer(view, q)
 		answers.Answers[i].Answer = answer
 		if bad != nil {
 			answers.Answers[i].Error = bad.err.Error()
 		}
 	}
-	writeJSON(w, http.StatusOK, answers)
+	httpapi.Write(w, http.StatusOK, answers)
 }
 
 // allowLookups answers 429 and returns false when an address asks for too much.
-func (n *Node) allowLookups(w http.ResponseWriter, addr netip.Addr, count int) bool {
-	if n.lookups.limits.allow(addr, count, time.Now()) {
+func (l *Resolver) allowLookups(w http.ResponseWriter, addr netip.Addr, count int) bool {
+	if l.limits.allow(addr, count, time.Now()) {
 		return true
 	}
-	n.metrics.Counter("lookup.limited_calls").Add(1)
+	l.opts.Metrics.Counter("lookup.limited_calls").Add(1)
 	w.Header().Set("Retry-After", "1")
-	writeError(w, http.StatusTooManyRequests, errors.Newf("%s asks for more than %g look-ups a second", addr, n.settings.Lookup.PerCaller))
+	httpapi.WriteError(w, http.StatusTooManyRequests, errors.Newf("%s asks for more than %g look-ups a second", addr, l.opts.Settings.Lookup.PerCaller))
 	return false
 }
 
 // readyForLookups answers 503, so that the caller asks another host, and returns
 // false while this host can't answer.
-func (n *Node) readyForLookups(w http.ResponseWriter) bool {
-	reason := n.lookups.unready()
+func (l *Resolver) readyForLookups(w http.ResponseWriter) bool {
+	reason := l.unready()
 	if reason == "" {
 		return true
 	}
-	n.metrics.Counter("lookup.unready_calls").Add(1)
+	l.opts.Metrics.Counter("lookup.unready_calls").Add(1)
 	w.Header().Set("Retry-After", "1")
-	writeError(w, http.StatusServiceUnavailable, errors.New(reason))
+	httpapi.WriteError(w, http.StatusServiceUnavailable, errors.New(reason))
 	return false
 }
 
--- a/api_lookup_test.go
+++ b/version/resolver/handlers_test.go
@@ -1,28 +1,41 @@
-package quetzalknot
+package resolver
 
 import (
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
 
-	"quetzalknot/platform/memory"
+	"github.com/gorilla/mux"
+	"github.com/rs/zerolog"
+
+	"quetzalknot/process/membership"
+	"quetzalknot/process/metrics"
 	"quetzalknot/process/settings"
 	"quetzalknot/version/config"
 	"quetzalknot/version/lookup"
+	"quetzalknot/version/state"
 )
 
-func newLookupNode(t *testing.T, perCaller float64) *Node {
+// noKeys are the keys of callers that use none.
+type noKeys struct{}
+
+func (noKeys) Prefix(lookup.Host) string { return "" }
+func (noKeys) Period() string            { return "1" }
+
+func newTestResolver(t *testing.T, perCaller float64) *Resolver {
 	t.Helper()
-	s := &settings.Settings{Host: settings.Host{Name: "h1", Region: "a", FailureDomain: "a-1"}, Lookup: settings.Lookup{PerCaller: perCaller}, Roles: settings.Roles{Lookup: true}}
-	n := New(s, Options{Platform: memory.New(), Logs: io.Discard})
-	n.lookups.view.Store(versionView(t, 1))
-	n.lookups.unready = func() string { return "" }
-	return n
+	s := &settings.Settings{Host: settings.Host{Name: "h1", Region: "a", FailureDomain: "a-1"}, Lookup: settings.Lookup{PerCaller: perCaller}}
+	l := New(Options{
+		Settings: s, Config: new(state.Holder), Members: membership.New(), Keys: noKeys{},
+		Whole: func() bool { return false }, Metrics: metrics.NewSet(), Log: zerolog.Nop(),
+	})
+	l.view.Store(versionView(t, 1))
+	l.unready = func() string { return "" }
+	return l
 }
 
 // versionView returns a view whose hosts, table and region all bear its version.
@@ -40,18 +53,20 @@
 	return lookup.NewView(in)
 }
 
-func ask(n *Node, method, url, body string, header ...string) *httptest.ResponseRecorder {
+func ask(l *Resolver, method, url, body string, header ...string) *httptest.ResponseRecorder {
 	r := httptest.NewRequest(method, url, strings.NewReader(body))
 	for i := 0; i+1 < len(header); i += 2 {
 		r.Header.Set(header[i], header[i+1])
 	}
 	w := httptest.NewRecorder()
-	n.apiRouter().ServeHTTP(w, r)
+	router := mux.NewRouter()
+	l.Routes(router)
+	router.ServeHTTP(w, r)
 	return w
 }
 
 func TestLookupAnswersAndRefusals(t *testing.T) {
-	n := newLookupNode(t, 1000)
+	l := newTestResolver(t, 1000)
 	batch := func(size int) string {
 		return `{"lookups":[` + strings.TrimSuffix(strings.Repeat(`{"service":"bokun","client":"10.0.0.1"},`, size), ",") + `]}`
 	}
@@ -78,7 +93,7 @@
 		{"POST", "/v1/lookups", `{"other":1}`, 400, `unknown field`},
 		{"POST", "/v1/lookups", `{"lookups":["` + strings.Repeat("x", maxBatchBytes) + `"]}`, 413, `more than`},
 	} {
-		w := ask(n, tc.method, tc.url, tc.body)
+		w := ask(l, tc.method, tc.url, tc.body)
 		if w.Code != tc.status || !strings.Contains(w.Body.String(), tc.want) {
 			t.Errorf("%s %.60s: got %d %.200s, want %d %s", tc.method, tc.url, w.Code, w.Body, tc.status, tc.want)
 		}
@@ -86,29 +101,29 @@
 }
 
 func TestLookupCachingHeaders(t *testing.T) {
-	n := newLookupNode(t, 1000)
+	l := newTestResolver(t, 1000)
 	url := "/v1/lookup?service=bokun&client=10.0.0.1"
-	w := ask(n, "GET", url, "")
+	w := ask(l, "GET", url, "")
 	tag := w.Header().Get("ETag")
 	if cc := w.Header().Get("Cache-Control"); cc != "private, max-age=4" && cc != "private, max-age=5" || tag == "" {
 		t.Fatalf("ETag %q, Cache-Control %q", tag, cc)
 	}
-	if w = ask(n, "GET", url, "", "If-None-Match", tag); w.Code != http.StatusNotModified || w.Body.Len() > 0 {
+	if w = ask(l, "GET", url, "", "If-None-Match", tag); w.Code != http.StatusNotModified || w.Body.Len() > 0 {
 		t.Errorf("the same version again: got %d with %d bytes", w.Code, w.Body.Len())
 	}
-	n.lookups.view.Store(versionView(t, 2))
-	if w = ask(n, "GET", url, "", "If-None-Match", tag); w.Code != http.StatusOK {
+	l.view.Store(versionView(t, 2))
+	if w = ask(l, "GET", url, "", "If-None-Match", tag); w.Code != http.StatusOK {
 		t.Errorf("after a new version: got %d", w.Code)
 	}
 }
 
 // TestOneCallerCannotStarveAnother lets one address ask without end.
 func TestOneCallerCannotStarveAnother(t *testing.T) {
-	n := newLookupNode(t, 0.001)
+	l := newTestResolver(t, 0.001)
 	url := "/v1/lookup?service=bokun&client=10.0.0.1"
 	var last *httptest.ResponseRecorder
 	for range maxBatch + 1 {
-		last = ask(n, "GET", url, "")
+		last = ask(l, "GET", url, "")
 	}
 	if last.Code != http.StatusTooManyRequests || last.Header().Get("Retry-After") == "" {
 		t.Errorf("after %d look-ups: got %d", maxBatch+1, last.Code)
@@ -116,7 +131,9 @@
 	r := httptest.NewRequest("GET", url, nil)
 	r.RemoteAddr = "198.51.100.9:1000"
 	w := httptest.NewRecorder()
-	n.apiRouter().ServeHTTP(w, r)
+	router := mux.NewRouter()
+	l.Routes(router)
+	router.ServeHTTP(w, r)
 	if w.Code != http.StatusOK {
 		t.Errorf("another caller got %d", w.Code)
 	}
@@ -125,7 +142,7 @@
 // TestLookupsSeeOneWholeVersion swaps versions while look-ups and batches run:
 // version, hosts and region of every answer must belong together.
 func TestLookupsSeeOneWholeVersion(t *testing.T) {
-	n := newLookupNode(t, 1e9)
+	l := newTestResolver(t, 1e9)
 	views := make([]*lookup.View, 8)
 	for i := range views {
 		views[i] = versionView(t, uint64(i+1))
@@ -135,14 +152,14 @@
 	go func() {
 		defer close(done)
 		for i := 0; !stop.Load(); i++ {
-			n.lookups.view.Store(views[i%len(views)])
+			l.view.Store(views[i%len(views)])
 		}
 	}()
 	body := `{"lookups":[` + strings.TrimSuffix(strings.Repeat(`{"service":"bokun","client":"10.0.0.1"},`, 20), ",") + `]}`
 	seen := make(map[uint64]bool)
 	for i := 0; i < 300 || len(seen) < 2 && i < 100_000; i++ {
 		var got BatchAnswers
-		if err := json.Unmarshal(ask(n, "POST", "/v1/lookups", body).Body.Bytes(), &got); err != nil {
+		if err := json.Unmarshal(ask(l, "POST", "/v1/lookups", body).Body.Bytes(), &got); err != nil {
 			t.Fatal(err)
 		}
 		seen[got.Version] = true
@@ -163,15 +180,15 @@
 // caller that is told of an unknown service gives up, one that gets 503 goes on to
 // another host.
 func TestStartingHostRefusesInsteadOfNotFound(t *testing.T) {
-	n := newLookupNode(t, 1000)
-	n.lookups.unready = n.lookupsUnready
-	n.lookups.view.Store(lookup.NewView(lookup.Inputs{}))
+	l := newTestResolver(t, 1000)
+	l.unready = l.notLoaded
+	l.view.Store(lookup.NewView(lookup.Inputs{}))
 	for url, body := range map[string]string{"/v1/lookup?service=bokun&client=10.0.0.1": "", "/v1/lookups": `{"lookups":[{"service":"bokun","client":"10.0.0.1"}]}`} {
 		method := "GET"
 		if body != "" {
 			method = "POST"
 		}
-		if w := ask(n, method, url, body); w.Code != http.StatusServiceUnavailable || w.Header().Get("Retry-After") == "" {
+		if w := ask(l, method, url, body); w.Code != http.StatusServiceUnavailable || w.Header().Get("Retry-After") == "" {
 			t.Errorf("%s %s: got %d %s", method, url, w.Code, w.Body)
 		}
 	}
--- a/limits.go
+++ b/version/resolver/limits.go
@@ -1,4 +1,4 @@
-package quetzalknot
+package resolver
 
 import (
 	"net/netip"
--- a/node_lookup.go
+++ b/version/resolver/resolver.go
@@ -1,22 +1,31 @@
-package quetzalknot
+// Package resolver answers callers' look-ups: which entry hosts they should use.
+//
+// resolver.go keeps the view that answers follow from, handlers.go serves the calls,
+// limits.go bounds them for each caller.
+package resolver
 
 import (
 	"context"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"quetzalknot/platform"
 	"quetzalknot/process/eventlog"
 	"quetzalknot/process/membership"
+	"quetzalknot/process/metrics"
 	"quetzalknot/process/peer"
 	"quetzalknot/process/settings"
 	"quetzalknot/version/config"
 	"quetzalknot/version/lookup"
 	"quetzalknot/version/state"
 	"quetzalknot/version/tables"
+	"quetzalknot/version/watch"
 )
 
 var (
@@ -30,8 +39,32 @@
 // reportsInterval is how often the view is made again for reports that grow old.
 const reportsInterval = 10 * time.Second
 
-// lookups is the part of a node that answers look-ups.
-type lookups struct {
+// Keys says how the idempotency keys of callers begin.
+type Keys interface {
+	// Prefix returns the beginning of the keys that an entry host's process runs, or "".
+	Prefix(h lookup.Host) string
+	// Period names the time in which a cached answer may be used for new keys.
+	Period() string
+}
+
+// Options are what a Resolver needs.
+type Options struct {
+	Settings *settings.Settings
+	Objects  platform.Objects
+	Config   *state.Holder
+	Members  *membership.Members
+	Caller   peer.Caller
+	Sites    *watch.Sites
+	Keys     Keys
+	// Whole reports whether this host has all tickets that were accepted when it started.
+	Whole   func() bool
+	Metrics *metrics.Set
+	Log     zerolog.Logger
+}
+
+// Resolver answers look-ups. It is safe for concurrent use.
+type Resolver struct {
+	opts      Options
 	tables    *tables.Keeper
 	view      atomic.Pointer[lookup.View]
 	limits    *callerLimits
@@ -56,17 +89,33 @@
 	reports uint64
 }
 
-// setUpLookups makes the parts without starting them.
-func (n *Node) setUpLookups(caller peer.Caller) {
-	n.lookups.tables = tables.New(tables.Options{
-		Objects: n.platform.Objects, Caller: caller, Peers: n.tablePeers, Metrics: n.metrics, Log: n.log,
+// New returns a resolver that has no view yet.
+func New(opts Options) *Resolver {
+	l := &Resolver{
+		opts: opts, changed: make(chan struct{}, 1), limits: newCallerLimits(opts.Settings.Lookup.PerCaller),
+		latencies: configuredLatencies(opts.Settings.Lookup),
+	}
+	l.tables = tables.New(tables.Options{
+		Objects: opts.Objects, Caller: opts.Caller, Peers: l.tablePeers, Metrics: opts.Metrics, Log: opts.Log,
 	})
-	n.lookups.view.Store(lookup.NewView(lookup.Inputs{}))
-	n.lookups.changed = make(chan struct{}, 1)
-	n.lookups.unready = n.lookupsUnready
-	n.lookups.limits = newCallerLimits(n.settings.Lookup.PerCaller)
-	n.lookups.latencies = configuredLatencies(n.settings.Lookup)
-	n.metrics.Gauge("lookup.entry_hosts", func() int64 { return int64(n.lookups.view.Load().Size()) })
+	l.view.Store(lookup.NewView(lookup.Inputs{}))
+	l.unready = l.notLoaded
+	opts.Metrics.Gauge("lookup.entry_hosts", func() int64 { return int64(l.view.Load().Size()) })
+	return l
+}
+
+// Register adds the calls by which other hosts fetch tables.
+func (l *Resolver) Register(s *peer.Server) error {
+	return s.Register(tables.ServiceName, l.tables.Service())
+}
+
+// Region returns the region of a caller's block, or "".
+func (l *Resolver) Region(client netip.Addr) string {
+	table := l.tables.Table()
+	if table == nil || !client.IsValid() {
+		return ""
+	}
+	return table.Region(client)
 }
 
 func configuredLatencies(s settings.Lookup) map[lookup.Pair]time.Duration {
@@ -78,23 +127,23 @@
 }
 
 // tablePeers returns other hosts in random order, those of this region first.
-func (n *Node) tablePeers() []string {
-	members := slices.Clone(n.members.Live())
+func (l *Resolver) tablePeers() []string {
+	members := slices.Clone(l.opts.Members.Live())
 	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
 	slices.SortStableFunc(members, func(a, b membership.Member) int {
-		return n.distance(a) - n.distance(b)
+		return l.distance(a) - l.distance(b)
 	})
 	var addrs []string
 	for _, m := range members {
-		if m.Host != n.settings.Host.Name {
+		if m.Host != l.opts.Settings.Host.Name {
 			addrs = append(addrs, m.PeerAddr)
 		}
 	}
 	return addrs
 }
 
-func (n *Node) distance(m membership.Member) int {
-	if m.Region == n.settings.Host.Region {
+func (l *Resolver) distance(m membership.Member) int {
+	if m.Region == l.opts.Settings.Host.Region {
 		return 0
 	}
 	return 1
@@ -104,45 +153,48 @@
 // block table. Later it answers without, since no other host may be better off.
 const tableGrace = 30 * time.Second
 
-// lookupsUnready returns why this host can't answer look-ups yet, or "". A host
+// notLoaded returns why this host can't answer look-ups yet, or "". A host
 // that does not have the state yet must not say that a service is unknown, nor
 // send callers to far regions while its block table is on its way.
-func (n *Node) lookupsUnready() string {
+func (l *Resolver) notLoaded() string {
 	switch {
-	case n.lookups.view.Load().Version() > 0 && n.lookups.tables.Loaded():
+	case l.view.Load().Version() > 0 && l.tables.Loaded():
 		return ""
-	case !n.engine.Whole():
+	case !l.opts.Whole():
 		return "the state is not loaded yet"
-	case n.Version() > 0 && time.Since(n.lookups.started) < tableGrace:
+	case l.opts.Config.Load().Version > 0 && time.Since(l.started) < tableGrace:
 		return "the block table is not loaded yet"
 	default:
 		return ""
 	}
 }
 
-// startLookups begins to load tables and to renew the view.
-func (n *Node) startLookups(ctx context.Context) {
-	n.lookups.started = time.Now()
-	n.loops.Go(func() { n.lookups.tables.Run(ctx) })
-	n.loops.Go(func() { n.viewLoop(ctx) })
+// Run loads tables and renews the view until ctx ends.
+func (l *Resolver) Run(ctx context.Context) {
+	l.started = time.Now()
+	var loading sync.WaitGroup
+	loading.Go(func() { l.tables.Run(ctx) })
+	l.viewLoop(ctx)
+	loading.Wait()
 }
 
-func (n *Node) viewLoop(ctx context.Context) {
+func (l *Resolver) viewLoop(ctx context.Context) {
 	ticker := time.NewTicker(viewInterval)
 	defer ticker.Stop()
 	for {
-		n.renewView(time.Now())
+		l.renewView(time.Now())
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-		case <-n.lookups.changed:
+		case <-l.changed:
 		}
 	}
 }
 
-// configChanged makes the look-ups follow a new configuration version at once.
-func (l *lookups) configChanged() {
+// InForce makes the look-ups follow a new configuration version at once.
+func (l *Resolver) InForce(snap *state.Snapshot) {
+	l.tables.Want(tables.Wanted{Version: snap.Version, Tables: snap.BlockTables, Blocks: snap.Blocks})
 	select {
 	case l.changed <- struct{}{}:
 	default:
@@ -150,22 +202,22 @@
 }
 
 // renewView puts a new view in place of the last one when an input changed.
-func (n *Node) renewView(now time.Time) {
+func (l *Resolver) renewView(now time.Time) {
 	next := viewInputs{
-		config: n.config.Load(), table: n.lookups.tables.Table(), members: n.members.Live(),
-		second: now.Truncate(reportsInterval), reports: n.sites.reports.Sum(),
+		config: l.opts.Config.Load(), table: l.tables.Table(), members: l.opts.Members.Live(),
+		second: now.Truncate(reportsInterval), reports: l.opts.Sites.Sum(),
 	}
 	if len(next.config.Shifts) > 0 {
 		next.second = now.Truncate(time.Second)
 	}
-	if next.equal(n.lookups.last) {
+	if next.equal(l.last) {
 		return
 	}
-	n.lookups.last = next
-	view := lookup.NewView(n.viewInputs(next, now))
-	before := n.lookups.view.Swap(view)
+	l.last = next
+	view := lookup.NewView(l.viewInputs(next, now))
+	before := l.view.Swap(view)
 	if view.Tag() != before.Tag() {
-		evView.Log(n.log).Uint64("version", view.Version()).Int("hosts", view.Size()).Str("tag", view.TagText()).Send()
+		evView.Log(l.opts.Log).Uint64("version", view.Version()).Int("hosts", view.Size()).Str("tag", view.TagText()).Send()
 	}
 }
 
@@ -174,14 +226,14 @@
 	return same && slices.Equal(a.members, b.members)
 }
 
-func (n *Node) viewInputs(from viewInputs, now time.Time) lookup.Inputs {
+func (l *Resolver) viewInputs(from viewInputs, now time.Time) lookup.Inputs {
 	in := lookup.Inputs{
 		Version: from.config.Version, Table: from.table,
 		Placements: from.config.Placements, Shifts: from.config.Shifts,
-		Weights:    n.regionWeights(from.config, from.members),
-		Latency:    lookup.Latencies{Settings: n.lookups.latencies, Measured: n.measuredLatencies(from.members)}.Between,
+		Weights:    l.opts.Sites.Weights(from.config, from.members),
+		Latency:    lookup.Latencies{Settings: l.latencies, Measured: l.opts.Sites.Latencies(from.members)}.Between,
 		ShiftShare: shiftShareAt(now),
-		Previous:   n.lookups.view.Load(),
+		Previous:   l.view.Load(),
 	}
 	for name := range from.config.Services {
 		in.Services = append(in.Services, name)
--- /dev/null
+++ b/version/watch/links.go
@@ -0,0 +1,75 @@
+package watch
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"quetzalknot/process/digest"
+	"quetzalknot/process/eventlog"
+	"quetzalknot/process/membership"
+	"quetzalknot/version/tables"
+)
+
+var evLink = eventlog.Define(1502, zerolog.InfoLevel, "latency to a region reported")
+
+// linkTimeout bounds one measurement of a latency.
+const linkTimeout = 2 * time.Second
+
+// regionsOf returns the members by region.
+func regionsOf(members []membership.Member) map[string][]membership.Member {
+	byRegion := make(map[string][]membership.Member)
+	for _, m := range members {
+		byRegion[m.Region] = append(byRegion[m.Region], m)
+	}
+	return byRegion
+}
+
+// watchLinks measures the latency to the regions that this host has the duty for.
+func (s *Sites) watchLinks(ctx context.Context) {
+	members := s.opts.Members.Live()
+	hosts := watchHosts(members)
+	for region, there := range regionsOf(members) {
+		link := digest.Link{From: s.opts.Host.Region, To: region}
+		if link.From == link.To || !slices.Contains(digest.LinkWatchersOf(link, hosts), s.opts.Host.Name) {
+			delete(s.linkReporters, link)
+			continue
+		}
+		if trip, ok := s.roundTrip(ctx, there[rand.IntN(len(there))]); ok {
+			s.reportLink(link, trip)
+		}
+	}
+}
+
+// roundTrip times a call to another host over a connection that is open.
+func (s *Sites) roundTrip(ctx context.Context, to membership.Member) (time.Duration, bool) {
+	ctx, cancel := context.WithTimeout(ctx, linkTimeout)
+	defer cancel()
+	var took time.Duration
+	for range 2 {
+		began := time.Now()
+		if err := s.opts.Caller.Call(ctx, to.PeerAddr, tables.ServiceName+".Ping", &tables.PingArgs{}, &tables.PingReply{}); err != nil {
+			return 0, false
+		}
+		took = time.Since(began)
+	}
+	return took, true
+}
+
+func (s *Sites) reportLink(link digest.Link, trip time.Duration) {
+	r := s.linkReporters[link]
+	if r == nil {
+		r = &digest.LinkReporter{}
+		s.linkReporters[link] = r
+	}
+	level, publish := r.Next(trip, time.Now())
+	if !publish {
+		return
+	}
+	evLink.Log(s.opts.Log).Str("from", link.From).Str("to", link.To).Dur("one_way_ms", digest.LatencyOf(level)).Send()
+	s.opts.Metrics.Counter("sites.published_reports").Add(1)
+	s.opts.Engine.Publish(digest.Topic, s.reports.Own(link.Name(), s.opts.Host.Name, digest.Level{Own: level}))
+}
--- /dev/null
+++ b/version/watch/settle.go
@@ -0,0 +1,45 @@
+package watch
+
+import (
+	"time"
+
+	"quetzalknot/process/digest"
+	"quetzalknot/process/membership"
+	"quetzalknot/version/lookup"
+	"quetzalknot/version/state"
+)
+
+// Weights settles the reports about all sites into weights of regions.
+func (s *Sites) Weights(snap *state.Snapshot, members []membership.Member) map[string]lookup.Weight {
+	levels := make(map[string][]digest.Level)
+	for site, watchers := range s.watchers.of(snap, members) {
+		level := digest.Settle(s.reports.About(site.Name()), watchers)
+		levels[site.Region] = append(levels[site.Region], level)
+	}
+	weights := make(map[string]lookup.Weight, len(levels))
+	for region, all := range levels {
+		l := digest.Combine(all)
+		weights[region] = lookup.Weight{Own: l.Own, Other: l.Other}
+	}
+	return weights
+}
+
+// Latencies returns the latencies between regions that fresh reports agree on.
+func (s *Sites) Latencies(members []membership.Member) map[lookup.Pair]time.Duration {
+	measured := make(map[lookup.Pair]time.Duration)
+	hosts := watchHosts(members)
+	byRegion := regionsOf(members)
+	for from := range byRegion {
+		for to := range byRegion {
+			link := digest.Link{From: from, To: to}
+			reports := s.reports.About(link.Name())
+			if from == to || len(reports) == 0 {
+				continue
+			}
+			if latency, ok := digest.SettleLink(reports, digest.LinkWatchersOf(link, hosts)); ok {
+				measured[lookup.Pair{From: from, To: to}] = latency
+			}
+		}
+	}
+	return measured
+}
