--- a/entry/follow.go
+++ b/entry/follow.go
@@ -171,6 +171,7 @@
 			}()
 		}
 		h.setBudgets()
+		h.noteReadiness()
 		if h.link.ok() {
 			h.fleet.Trust()
 		} else {
--- a/entry/host.go
+++ b/entry/host.go
@@ -42,6 +42,10 @@
 	evStopped = eventlog.Define(1013, zerolog.InfoLevel, "entry host stopped")
 	evReload  = eventlog.Define(1014, zerolog.InfoLevel, "settings read again")
 	evBad     = eventlog.Define(1015, zerolog.ErrorLevel, "settings refused")
+	evDropped = eventlog.Define(1016, zerolog.WarnLevel, "log lines dropped")
+	evReady   = eventlog.Define(1017, zerolog.InfoLevel, "readiness changed")
+	evStop    = eventlog.Define(1018, zerolog.WarnLevel, "request quarantined")
+	evBudget  = eventlog.Define(1019, zerolog.InfoLevel, "retry budget changed")
 )
 
 // Prices of ways, as time that is worth as much for each kilobyte.
@@ -75,6 +79,8 @@
 	applying sync.Mutex
 
 	leaving atomic.Bool
+	// unready is why the host was not ready when that was looked at last.
+	unready string
 	entry   *http.Server
 	servers []*http.Server
 	cancel  context.CancelFunc
@@ -83,7 +89,7 @@
 
 // New returns a host that has not started. Path is where its settings are read again.
 func New(s *Settings, path string, logs io.Writer) *Host {
-	h := &Host{path: path, metrics: metrics.NewSet(), mirror: mirror.New(), lines: eventlog.NewAsync(logs)}
+	h := &Host{path: path, unready: "the host starts", metrics: metrics.NewSet(), mirror: mirror.New(), lines: eventlog.NewAsync(logs)}
 	h.settings.Store(s)
 	h.log = eventlog.New(h.lines, s.Host.Name)
 	h.self = partner.Member{
@@ -94,12 +100,18 @@
 	h.store.Calls = func(call string, status int) {
 		h.metrics.Counter("store." + call + "." + strconv.Itoa(status)).Add(1)
 	}
+	h.lines.OnDropped(func(lines int64) {
+		evDropped.Log(h.log).Int64("lines", lines).Int64("total", h.lines.Dropped()).Send()
+	})
 	h.crashes = crash.New(s.Host.Name)
+	h.crashes.OnStop = func(fingerprint uint64, crashes int) {
+		evStop.Log(h.log).Uint64("fingerprint", fingerprint).Int("crashes", crashes).Send()
+	}
 	h.clients = peer.NewClients(nil, h.dial)
 	h.peers = peer.NewServer(nil)
 	h.group = partner.New(partner.Options{
 		Self: h.self, Tables: adapter.Tables(), Mirror: h.mirror, Apply: h.apply, Crashes: h.crashes,
-		Caller: h.clients, Log: h.log, Now: time.Now,
+		Caller: h.clients, Metrics: h.metrics, Log: h.log, Now: time.Now,
 	})
 	h.fleet = fleet.New(h.log, h.group.Owns)
 	h.chooser = place.New(h.fleet, place.Options{
@@ -108,6 +120,9 @@
 	})
 	h.pool = target.NewPool(h.dialTarget)
 	h.budgets = budget.NewWindows(time.Duration(s.Bounds.RetryWindow), 0, 0)
+	h.budgets.OnChange = func(c budget.Change) {
+		evBudget.Log(h.log).Str("service", c.Service).Bool("used_up", c.UsedUp).Int("requests", c.Requests).Int("retries", c.Extra).Send()
+	}
 	h.setBudgets()
 	h.handler = serve.New(serve.Options{
 		Config: h.config.Load, Chooser: h.chooser, Fleet: h.fleet, Pool: h.pool, Budget: h.budgets, Crashes: h.crashes,
@@ -159,6 +174,9 @@
 		return nil
 	}
 	h.metrics.Gauge("serve.in_flight_requests", h.handler.InFlight)
+	for _, state := range fleet.States {
+		h.metrics.Gauge("targets."+state, func() int64 { return h.fleet.Count(state, time.Now()) })
+	}
 	h.metrics.Gauge("targets.known", func() int64 { return int64(h.fleet.Size()) })
 	h.metrics.Gauge("partners.alive", func() int64 { return int64(len(h.group.Alive())) })
 	h.metrics.Gauge("log.dropped_lines", h.lines.Dropped)
--- a/entry/site_test.go
+++ b/entry/site_test.go
@@ -20,6 +20,8 @@
 	doors   []*standin.Door
 	targets []*standin.Target
 	hosts   []*Host
+	// logs takes the log lines of hosts that are added.
+	logs io.Writer
 }
 
 // coldPerSecond is how many requests a second a cold target of the site bears.
@@ -28,7 +30,7 @@
 // newSite starts a site and waits until all hosts are ready.
 func newSite(t *testing.T, targets, hosts int) *site {
 	t.Helper()
-	s := &site{t: t, store: standin.NewStore()}
+	s := &site{t: t, store: standin.NewStore(), logs: io.Discard}
 	s.store.PutState(standin.DesiredState(1, coldPerSecond))
 	for i := range targets {
 		s.addTarget(fmt.Sprintf("i-%d", i))
@@ -63,7 +65,7 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	h := New(settings, "", io.Discard)
+	h := New(settings, "", s.logs)
 	if err := h.Start(s.t.Context()); err != nil {
 		s.t.Fatal(err)
 	}
--- a/entry/surface.go
+++ b/entry/surface.go
@@ -14,7 +14,31 @@
 }
 
 // ready reports whether this host takes callers' requests.
-func (h *Host) ready() bool { return !h.leaving.Load() && h.config.Load() != nil && h.fleet.Size() > 0 }
+func (h *Host) ready() bool { return h.whyUnready() == "" }
+
+// whyUnready returns why this host takes no requests, or "".
+func (h *Host) whyUnready() string {
+	switch {
+	case h.leaving.Load():
+		return "the host leaves"
+	case h.config.Load() == nil:
+		return "no desired state is known"
+	case h.fleet.Size() == 0:
+		return "no target is known"
+	default:
+		return ""
+	}
+}
+
+// noteReadiness logs a change of readiness. Only the tick calls it.
+func (h *Host) noteReadiness() {
+	why := h.whyUnready()
+	if why == h.unready {
+		return
+	}
+	h.unready = why
+	evReady.Log(h.log).Bool("ready", why == "").Str("reason", why).Send()
+}
 
 // directory returns the entry addresses for callers of a place: those of their region,
 // or else all that are alive.
--- a/process/crash/crash.go
+++ b/process/crash/crash.go
@@ -30,6 +30,10 @@
 
 // Counts knows the requests that crashed targets. It is safe for concurrent use.
 type Counts struct {
+	// OnStop is told of each request that has crashed too many targets. It is set before
+	// the first call. May be nil.
+	OnStop func(fingerprint uint64, crashes int)
+
 	host string
 
 	mu       sync.Mutex
@@ -51,11 +55,20 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := c.request(fingerprint, now)
+	before := r.total()
 	r.byHost[c.host]++
 	r.at = now
+	c.crossed(fingerprint, before, r)
 	return r.total()
 }
 
+// crossed tells of a request whose count reached the limit.
+func (c *Counts) crossed(fingerprint uint64, before int, r *requestCounts) {
+	if total := r.total(); before < Limit && total >= Limit && c.OnStop != nil {
+		c.OnStop(fingerprint, total)
+	}
+}
+
 // Succeeded notes that a target answered a request: it does not crash targets.
 func (c *Counts) Succeeded(fingerprint uint64) {
 	c.mu.Lock()
@@ -81,8 +94,10 @@
 		}
 		r := c.request(other.Fingerprint, now)
 		if other.Crashes > r.byHost[other.Host] {
+			before := r.total()
 			r.byHost[other.Host] = other.Crashes
 			r.at = now
+			c.crossed(other.Fingerprint, before, r)
 		}
 	}
 }
--- a/process/crash/crash_test.go
+++ b/process/crash/crash_test.go
@@ -58,3 +58,22 @@
 		t.Error("a request is stopped for ever")
 	}
 }
+
+// TestStopIsToldOnce tells of a request when its count reaches the limit, and not again.
+func TestStopIsToldOnce(t *testing.T) {
+	c := New("a")
+	told := 0
+	c.OnStop = func(fingerprint uint64, crashes int) {
+		told++
+		if fingerprint != 7 || crashes != Limit {
+			t.Errorf("told of request %d with %d crashes", fingerprint, crashes)
+		}
+	}
+	c.Merge([]Count{{Fingerprint: 7, Host: "b", Crashes: Limit - 1}}, start)
+	for range 3 {
+		c.Crashed(7, start)
+	}
+	if told != 1 {
+		t.Errorf("told %d times", told)
+	}
+}
--- a/process/eventlog/async_test.go
+++ b/process/eventlog/async_test.go
@@ -4,8 +4,11 @@
 	"bytes"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/rs/zerolog"
 )
 
 // stuck is a writer that takes nothing until it is let go.
@@ -45,7 +48,7 @@
 	if written+dropped != lines {
 		t.Errorf("%d lines written and %d dropped of %d", written, dropped, lines)
 	}
-	if most := int64(2 * asyncBytes / len(line)); written == 0 || written > most+1 {
+	if most := int64(2 * ordinaryBytes / len(line)); written == 0 || written > most+1 {
 		t.Errorf("%d lines waited, at most %d have room", written, most)
 	}
 }
@@ -69,3 +72,31 @@
 		t.Errorf("%d bytes of 800 lines", len(text))
 	}
 }
+
+// TestFailuresFindRoomInAFlood writes lines of failures after ordinary ones have taken
+// all the room that they get.
+func TestFailuresFindRoomInAFlood(t *testing.T) {
+	next := &stuck{open: make(chan struct{})}
+	a := NewAsync(next)
+	var told atomic.Int64
+	a.OnDropped(func(lines int64) { told.Add(lines) })
+	log := New(a, "h1")
+	ordinary := Event{Number: 1, Level: zerolog.InfoLevel, Message: "ordinary"}
+	failure := Event{Number: 2, Level: zerolog.WarnLevel, Message: "failure"}
+	for range 20_000 {
+		ordinary.Log(log).Str("fact", strings.Repeat("x", 100)).Send()
+	}
+	const failures = 200
+	for range failures {
+		failure.Log(log).Send()
+	}
+	close(next.open)
+	a.Close()
+	text := next.got.String()
+	if got := strings.Count(text, `"failure"`); got != failures {
+		t.Errorf("%d of %d lines of failures were kept", got, failures)
+	}
+	if a.Dropped() == 0 || told.Load() != a.Dropped() {
+		t.Errorf("%d lines were dropped, %d were told of", a.Dropped(), told.Load())
+	}
+}
--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -244,6 +244,22 @@
 	return len(f.targets)
 }
 
+// States are the names of the states that Count counts.
+var States = []string{"ready", "cold", "down", "leaving", "missing"}
+
+// Count returns how many targets are in a state.
+func (f *Fleet) Count(state string, now time.Time) int64 {
+	f.Lock()
+	defer f.Unlock()
+	n := int64(0)
+	for _, t := range f.targets {
+		if f.stateName(t, now) == state {
+			n++
+		}
+	}
+	return n
+}
+
 func (f *Fleet) logState(t *Target, now time.Time) {
 	evTarget.Log(f.log).Str("target", t.ID).Str("service", t.Service).Str("addr", t.Addr).
 		Str("state", f.stateName(t, now)).Int64("sequence", t.Sequence).Int64("born", t.Born).
--- a/process/partner/partner.go
+++ b/process/partner/partner.go
@@ -18,6 +18,7 @@
 	"quetzalknot/process/crash"
 	"quetzalknot/process/eventlog"
 	"quetzalknot/process/fleet"
+	"quetzalknot/process/metrics"
 	"quetzalknot/process/mirror"
 	"quetzalknot/process/peer"
 )
@@ -80,6 +81,7 @@
 	Apply   func(d mirror.Delta)
 	Crashes *crash.Counts
 	Caller  peer.Caller
+	Metrics *metrics.Set
 	Log     zerolog.Logger
 	Now     func() time.Time
 }
@@ -227,6 +229,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	delta := new(mirror.Delta)
+	g.opts.Metrics.Counter("partners.pulls").Add(1)
 	if err := g.opts.Caller.Call(ctx, from.Peer, serviceName+".Pull", &Pull{Table: name, After: own}, delta); err != nil {
 		return
 	}
@@ -260,9 +263,12 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	beat, reply := g.beat(), new(Beat)
-	if err := g.opts.Caller.Call(ctx, m.Peer, serviceName+".Beat", &beat, reply); err == nil {
-		g.heard(reply)
+	g.opts.Metrics.Counter("partners.beats").Add(1)
+	if err := g.opts.Caller.Call(ctx, m.Peer, serviceName+".Beat", &beat, reply); err != nil {
+		g.opts.Metrics.Counter("partners.failed_beats").Add(1)
+		return
 	}
+	g.heard(reply)
 }
 
 // expire marks hosts that were not heard of as lost, and forgets those of long ago.
--- a/request/budget/window.go
+++ b/request/budget/window.go
@@ -16,11 +16,23 @@
 	fixed    float64
 	bucket   time.Duration
 	services map[string]*window
+	// OnChange is told when the extra attempts of a service are used up, and when there
+	// are some again. It is set before the first call. May be nil.
+	OnChange func(c Change)
+}
+
+// Change is a service whose extra attempts were used up or are there again.
+type Change struct {
+	Service string
+	UsedUp  bool
+	// Requests and Extra are the counts of the window.
+	Requests, Extra int
 }
 
 type window struct {
 	requests, extra [buckets + 1]int
 	at              int64
+	usedUp          bool
 }
 
 // NewWindows returns budgets without counts. Extra attempts in a span of length are at
@@ -69,7 +81,12 @@
 		requests += s.requests[i]
 		extra += s.extra[i]
 	}
-	if float64(extra+1) > w.ratio*float64(requests)+w.fixed {
+	usedUp := float64(extra+1) > w.ratio*float64(requests)+w.fixed
+	if usedUp != s.usedUp && w.OnChange != nil {
+		w.OnChange(Change{Service: name, UsedUp: usedUp, Requests: requests, Extra: extra})
+	}
+	s.usedUp = usedUp
+	if usedUp {
 		return false
 	}
 	s.extra[s.at%(buckets+1)]++
--- a/request/budget/window_test.go
+++ b/request/budget/window_test.go
@@ -46,3 +46,18 @@
 	}
 	return n
 }
+
+// TestChangesOfTheBudgetAreTold uses a budget up and lets the window pass.
+func TestChangesOfTheBudgetAreTold(t *testing.T) {
+	w := NewWindows(10*time.Second, 0, 2)
+	var told []bool
+	w.OnChange = func(c Change) { told = append(told, c.UsedUp) }
+	now := time.Unix(1000, 0)
+	for range 5 {
+		w.Take("bokun", now)
+	}
+	w.Take("bokun", now.Add(11*time.Second))
+	if len(told) != 2 || !told[0] || told[1] {
+		t.Errorf("told %v, want used up and then not", told)
+	}
+}
--- a/request/serve/serve.go
+++ b/request/serve/serve.go
@@ -234,6 +234,7 @@
 		return choice, err
 	}
 	if len(q.tried) > 0 && !q.h.Budget.Take(q.service, now) {
+		q.h.Metrics.Counter("serve.retries_refused").Add(1)
 		q.h.Chooser.Done(choice, q.route, fleet.Outcome{Cancelled: true}, 0, now)
 		return choice, errNoBudget
 	}
