Callers are sent to the strongest few hosts of a region

Change: hosts tell their capacity (link, processor) and their rate in rows and beats; the directory names the strongest that carry the demand twice over, three at least, over several failure domains (partner.Carriers). Cold targets are owned by hosts that carry requests.

--- a/entry/follow.go
+++ b/entry/follow.go
@@ -170,6 +170,7 @@
 				h.fleet.Checked(c, adapter.Check(ctx, h.pool, c, h.healthPath(c.Service)), time.Now())
 			}()
 		}
+		h.rate.note(h.handler.Taken(), now)
 		h.setBudgets()
 		h.noteReadiness()
 		if h.link.ok() {
--- a/entry/host.go
+++ b/entry/host.go
@@ -78,6 +78,7 @@
 	handler  *serve.Handler
 	applying sync.Mutex
 
+	rate    rate
 	leaving atomic.Bool
 	// unready is why the host was not ready when that was looked at last.
 	unready string
@@ -94,7 +95,7 @@
 	h.log = eventlog.New(h.lines, s.Host.Name)
 	h.self = partner.Member{
 		Name: s.Host.Name, Incarnation: time.Now().UnixNano(), Region: s.Host.Region, Domain: s.Host.FailureDomain,
-		Peer: peerAddr(s), Entry: s.Listen.Entry,
+		Peer: peerAddr(s), Entry: s.Listen.Entry, Capacity: s.Host.Capacity(),
 	}
 	h.store = adapter.NewStore(s.Store.Address, h.dial)
 	h.store.Calls = func(call string, status int) {
@@ -111,7 +112,7 @@
 	h.peers = peer.NewServer(nil)
 	h.group = partner.New(partner.Options{
 		Self: h.self, Tables: adapter.Tables(), Mirror: h.mirror, Apply: h.apply, Crashes: h.crashes,
-		Caller: h.clients, Metrics: h.metrics, Log: h.log, Now: time.Now,
+		Rate: h.rate.perSecond, Caller: h.clients, Metrics: h.metrics, Log: h.log, Now: time.Now,
 	})
 	h.fleet = fleet.New(h.log, h.group.Owns)
 	h.chooser = place.New(h.fleet, place.Options{
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -27,6 +27,28 @@
 	Region        string `toml:"region"`
 	FailureDomain string `toml:"failure_domain"`
 	IP            string `toml:"ip"`
+	// LinkMbps is the bandwidth of the host's link in Mbit/s; 0 means not known.
+	LinkMbps float64 `toml:"link_mbps"`
+	// CPUShare is the part of each of its Cores that the process gets; 0 means not known.
+	CPUShare float64 `toml:"cpu_share"`
+	Cores    float64 `toml:"cores"`
+}
+
+const (
+	// requestBytes is what a usual request and its answer take on a link, in bytes.
+	requestBytes = 20_000
+	// requestCPU is the processor time that a request takes, in seconds.
+	requestCPU = 0.0005
+)
+
+// Capacity returns how many requests a second the host can carry; 0 means not known.
+func (h *HostSettings) Capacity() float64 {
+	link := h.LinkMbps * 1e6 / 8 / requestBytes
+	cpu := h.CPUShare * max(1, h.Cores) / requestCPU
+	if link == 0 || cpu == 0 {
+		return max(link, cpu)
+	}
+	return min(link, cpu)
 }
 
 // ListenSettings are the addresses to listen on, each an IP address and port.
--- a/entry/surface.go
+++ b/entry/surface.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"quetzalknot/process/partner"
 )
 
 // lookupTTLWanted is how long callers may use an answer of the directory.
@@ -40,23 +38,12 @@
 	evReady.Log(h.log).Bool("ready", why == "").Str("reason", why).Send()
 }
 
-// directory returns the entry addresses for callers of a place: those of their region,
-// or else all that are alive.
+// directory returns the entry addresses for callers of a place.
 func (h *Host) directory(region, _ string) []string {
-	alive := h.group.Alive()
-	near := entries(alive, func(m partner.Member) bool { return m.Region == region })
-	if len(near) > 0 {
-		return near
-	}
-	return entries(alive, func(partner.Member) bool { return true })
-}
-
-func entries(members []partner.Member, wanted func(partner.Member) bool) []string {
-	var addrs []string
-	for _, m := range members {
-		if wanted(m) {
-			addrs = append(addrs, m.Entry)
-		}
+	members := h.group.Carriers(region)
+	addrs := make([]string, len(members))
+	for i, m := range members {
+		addrs[i] = m.Entry
 	}
 	return addrs
 }
--- /dev/null
+++ b/process/partner/carriers_test.go
@@ -0,0 +1,75 @@
+package partner
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+// hosts returns n hosts of a capacity, spread over two failure domains.
+func hosts(prefix string, n int, capacity float64) []Member {
+	var members []Member
+	for i := range n {
+		members = append(members, Member{
+			Name: fmt.Sprint(prefix, i), Domain: fmt.Sprint("d", i%2), Region: "r", Capacity: capacity,
+		})
+	}
+	return members
+}
+
+func TestCarriers(t *testing.T) {
+	strong, weak := hosts("strong-", 4, 1250), hosts("weak-", 5, 62)
+	all := slices.Concat(weak, strong)
+	for _, tc := range []struct {
+		name    string
+		members []Member
+		demand  float64
+		want    []string
+	}{
+		{"few hosts all carry", hosts("h", 2, 600), 0, []string{"h0", "h1"}},
+		{"the strongest carry, over both domains", all, 500, []string{"strong-0", "strong-1", "strong-2"}},
+		{"more for more demand", all, 2000, []string{"strong-0", "strong-1", "strong-2", "strong-3"}},
+		{"weak hosts would lower what an equal part may be", all, 9000, []string{"strong-0", "strong-1", "strong-2", "strong-3"}},
+		{"all where all are needed", hosts("h", 5, 100), 240, []string{"h0", "h1", "h2", "h3", "h4"}},
+		{"capacities that nobody knows", hosts("h", 4, 0), 10, []string{"h0", "h1", "h2", "h3"}},
+		{"none", nil, 10, nil},
+	} {
+		got := names(Carriers(tc.members, tc.demand))
+		slices.Sort(got)
+		if !slices.Equal(got, tc.want) {
+			t.Errorf("%s: %v, want %v", tc.name, got, tc.want)
+		}
+	}
+}
+
+// TestCarriersAreSpreadOverFailureDomains: three of one domain and one of another that
+// is a little weaker.
+func TestCarriersAreSpreadOverFailureDomains(t *testing.T) {
+	members := hosts("a", 4, 1000)
+	for i := range members {
+		members[i].Domain = "d0"
+	}
+	members = append(members, Member{Name: "b", Domain: "d1", Capacity: 700})
+	if got := names(Carriers(members, 0)); !slices.Contains(got, "b") {
+		t.Errorf("all carriers are in one failure domain: %v", got)
+	}
+}
+
+// TestOwnersCarryRequests: a host that callers are not sent to owns no cold target.
+func TestOwnersCarryRequests(t *testing.T) {
+	weak := hosts("weak-", 5, 62)
+	for _, self := range []Member{weak[0], hosts("strong-", 4, 1250)[0]} {
+		g := New(Options{Self: self, Now: time.Now})
+		g.Learn(slices.Concat(weak, hosts("strong-", 4, 1250)))
+		owned := 0
+		for key := range 30 {
+			if g.Owns(fmt.Sprint("i-", key), 2) {
+				owned++
+			}
+		}
+		if carries := self.Capacity > 100; (owned > 0) != carries {
+			t.Errorf("%s owns %d of 30 keys", self.Name, owned)
+		}
+	}
+}
--- a/process/partner/partner.go
+++ b/process/partner/partner.go
@@ -55,6 +55,8 @@
 	Domain      string
 	// Peer is the address for calls between hosts; Entry the one that callers use.
 	Peer, Entry string
+	// Capacity is how many requests a second the host can carry; 0 means not known.
+	Capacity float64
 }
 
 // Beat is what a host tells a partner.
@@ -64,6 +66,8 @@
 	// Positions are the revisions up to which tables are mirrored.
 	Positions map[string]uint64
 	Crashes   []crash.Count
+	// Rate is how many requests a second the sender got lately.
+	Rate float64
 }
 
 // Pull asks for what a host lacks of a table.
@@ -80,6 +84,8 @@
 	// Apply takes in records of a partner.
 	Apply   func(d mirror.Delta)
 	Crashes *crash.Counts
+	// Rate returns how many requests a second this host got lately.
+	Rate    func() float64
 	Caller  peer.Caller
 	Metrics *metrics.Set
 	Log     zerolog.Logger
@@ -102,6 +108,7 @@
 	known   time.Time
 	alive   bool
 	leaving bool
+	rate    float64
 }
 
 // New returns a group that knows only its own host.
@@ -130,7 +137,7 @@
 
 func (g *Group) beat() Beat {
 	now := g.opts.Now()
-	b := Beat{From: g.opts.Self, Positions: make(map[string]uint64), Crashes: g.opts.Crashes.Recent(crashReport, now)}
+	b := Beat{From: g.opts.Self, Positions: make(map[string]uint64), Rate: g.opts.Rate(), Crashes: g.opts.Crashes.Recent(crashReport, now)}
 	for _, name := range g.opts.Tables {
 		b.Positions[name] = g.opts.Mirror.Position(name)
 	}
@@ -172,6 +179,7 @@
 	g.mu.Lock()
 	s := g.learn(b.From, now)
 	if s != nil {
+		s.rate = b.Rate
 		g.mark(s, b.Leaving, now)
 	}
 	g.mu.Unlock()
@@ -355,17 +363,19 @@
 	return len(g.members) + 1
 }
 
-// Owns reports whether this host is among the first owners of a key. Hosts that are
-// known but not heard of count, so that a partition does not add owners.
+// Owns reports whether this host is among the first owners of a key. Owners are hosts
+// that carry requests. Hosts that are known but not heard of count, so that a partition
+// does not add owners.
 func (g *Group) Owns(id string, owners int) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if len(g.members) < owners {
-		return true
+	strong := g.strong()
+	if !strong[g.opts.Self.Name] || len(strong) <= owners {
+		return strong[g.opts.Self.Name]
 	}
 	own := fleet.Score(ownerSalt, id+"/"+g.opts.Self.Name)
 	before := 0
-	for name := range g.members {
+	for name := range strong {
 		if fleet.Score(ownerSalt, id+"/"+name) > own {
 			before++
 		}
--- a/request/serve/serve.go
+++ b/request/serve/serve.go
@@ -59,6 +59,7 @@
 type Handler struct {
 	Options
 	inFlight atomic.Int64
+	taken    atomic.Int64
 	// turn spreads the requests of weighted routes.
 	turn atomic.Uint64
 }
@@ -66,12 +67,16 @@
 // New returns a handler.
 func New(opts Options) *Handler { return &Handler{Options: opts} }
 
+// Taken returns how many requests came since the start.
+func (h *Handler) Taken() int64 { return h.taken.Load() }
+
 // InFlight returns how many requests are under way.
 func (h *Handler) InFlight() int64 { return h.inFlight.Load() }
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.inFlight.Add(1)
+	h.taken.Add(1)
 	defer h.inFlight.Add(-1)
 	q := &request{h: h, w: w, r: r, started: time.Now()}
 	if h.Leaving() {
