A few hosts of a region read the store for the others

Change: the three hosts of a region that carry requests read the store and tell the others at once; a host reads the store itself while no partner has said for 1.5 s that it does. Freshness and trouble of the store travel in beats. Sites with three hosts a region or fewer read as before. Ruled out: hosts that learn only by the beat of a second (too close to the bound of 2.5 s for a desired state).

--- a/entry/follow.go
+++ b/entry/follow.go
@@ -11,12 +11,14 @@
 
 	"quetzalknot/platform/adapter"
 	"quetzalknot/process/eventlog"
+	"quetzalknot/process/partner"
 )
 
 var (
 	evStoreLost  = eventlog.Define(1801, zerolog.WarnLevel, "store lost")
 	evStoreFound = eventlog.Define(1802, zerolog.InfoLevel, "store regained")
 	evHistory    = eventlog.Define(1803, zerolog.InfoLevel, "table read whole")
+	evReads      = eventlog.Define(1804, zerolog.InfoLevel, "reading of the store changed")
 )
 
 const (
@@ -32,6 +34,8 @@
 	troubleSpan = 3 * time.Second
 	// meetInterval is the time between two readings of the hosts' rows.
 	meetInterval = 20 * time.Second
+	// readPoll is the time between two looks whether this host has to read the store.
+	readPoll = 100 * time.Millisecond
 	// tickInterval is the time between two looks at what has fallen due.
 	tickInterval = 100 * time.Millisecond
 )
@@ -45,6 +49,13 @@
 	lastAt time.Time
 }
 
+// begin reports whether this is the first answer since this host began to read.
+func (l *storeLink) begin() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.known
+}
+
 // answered notes an answer and returns whether the store was lost before.
 func (l *storeLink) answered(now time.Time) bool {
 	l.mu.Lock()
@@ -63,6 +74,16 @@
 	return lost
 }
 
+// rest notes that this host does not read the store any more. It returns false when
+// that was noted before.
+func (l *storeLink) rest() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	was := l.known
+	l.known, l.down = false, false
+	return was
+}
+
 // ok reports whether the store answered the last call.
 func (l *storeLink) ok() bool {
 	l.mu.Lock()
@@ -82,6 +103,13 @@
 	wait := retryFirst
 	whole := h.mirror.Position(table) == 0
 	for ctx.Err() == nil {
+		if !whole && !h.reads(time.Now()) {
+			if h.link.rest() {
+				evReads.Log(h.log).Bool("reads", false).Send()
+			}
+			pause(ctx, readPoll)
+			continue
+		}
 		var err error
 		if whole {
 			err = h.readWhole(ctx, table)
@@ -124,10 +152,28 @@
 	}
 	h.apply(delta)
 	h.storeAnswered()
+	if len(delta.Records) > 0 {
+		h.group.Tell(ctx)
+	}
 	return nil
 }
 
+// reads reports whether this host has to read the store itself.
+func (h *Host) reads(now time.Time) bool { return h.group.Reads() || !h.group.Fresh(now) }
+
+// reading returns what this host knows of the store at first hand.
+func (h *Host) reading() partner.Reading {
+	return partner.Reading{Fresh: h.link.ok(), Troubled: h.link.troubled(time.Now())}
+}
+
+// fresh reports whether this host's beliefs are those of the store, as it or a partner
+// has read them.
+func (h *Host) fresh() bool { return h.link.ok() || h.group.Fresh(time.Now()) }
+
 func (h *Host) storeAnswered() {
+	if h.link.begin() {
+		evReads.Log(h.log).Bool("reads", true).Send()
+	}
 	if h.link.answered(time.Now()) {
 		evStoreFound.Log(h.log).Send()
 	}
@@ -141,13 +187,18 @@
 
 // meet announces this host and reads the others' rows from time to time.
 func (h *Host) meet(ctx context.Context) {
-	announced := false
+	announced, knows := false, false
 	wait := retryFirst
 	for ctx.Err() == nil {
 		if !announced && !h.leaving.Load() {
 			announced = h.store.Announce(ctx, h.self) == nil
 		}
+		if announced && knows && !h.reads(time.Now()) {
+			pause(ctx, meetInterval)
+			continue
+		}
 		members, err := h.store.Hosts(ctx)
+		knows = knows || err == nil
 		if err == nil {
 			h.group.Learn(members)
 		}
@@ -173,7 +224,7 @@
 		h.rate.note(h.handler.Taken(), now)
 		h.setBudgets()
 		h.noteReadiness()
-		if h.link.ok() {
+		if h.fresh() {
 			h.fleet.Trust()
 		} else {
 			h.fleet.Doubt(h.mostWhileCold)
--- a/entry/host.go
+++ b/entry/host.go
@@ -112,7 +112,7 @@
 	h.peers = peer.NewServer(nil)
 	h.group = partner.New(partner.Options{
 		Self: h.self, Tables: adapter.Tables(), Mirror: h.mirror, Apply: h.apply, Crashes: h.crashes,
-		Rate: h.rate.perSecond, Caller: h.clients, Metrics: h.metrics, Log: h.log, Now: time.Now,
+		Rate: h.rate.perSecond, Reading: h.reading, Caller: h.clients, Metrics: h.metrics, Log: h.log, Now: time.Now,
 	})
 	h.fleet = fleet.New(h.log, h.group.Owns)
 	h.chooser = place.New(h.fleet, place.Options{
@@ -127,7 +127,7 @@
 	h.setBudgets()
 	h.handler = serve.New(serve.Options{
 		Config: h.config.Load, Chooser: h.chooser, Fleet: h.fleet, Pool: h.pool, Budget: h.budgets, Crashes: h.crashes,
-		Wire: adapter.Wire{}, Fresh: h.link.ok, Leaving: h.leaving.Load, Metrics: h.metrics, Log: h.log,
+		Wire: adapter.Wire{}, Fresh: h.fresh, Leaving: h.leaving.Load, Metrics: h.metrics, Log: h.log,
 	})
 	return h
 }
--- a/process/partner/partner.go
+++ b/process/partner/partner.go
@@ -68,6 +68,14 @@
 	Crashes   []crash.Count
 	// Rate is how many requests a second the sender got lately.
 	Rate float64
+	// Fresh says that the sender reads the store itself and gets answers; Troubled that
+	// the store failed it a short time ago.
+	Fresh, Troubled bool
+}
+
+// Reading is what a host knows of the store at first hand.
+type Reading struct {
+	Fresh, Troubled bool
 }
 
 // Pull asks for what a host lacks of a table.
@@ -85,7 +93,9 @@
 	Apply   func(d mirror.Delta)
 	Crashes *crash.Counts
 	// Rate returns how many requests a second this host got lately.
-	Rate    func() float64
+	Rate func() float64
+	// Reading returns what this host knows of the store at first hand.
+	Reading func() Reading
 	Caller  peer.Caller
 	Metrics *metrics.Set
 	Log     zerolog.Logger
@@ -100,6 +110,8 @@
 	members map[string]*state
 	leaving bool
 	pulling map[string]bool
+	// freshAt and troubledAt are when a partner last said so.
+	freshAt, troubledAt time.Time
 }
 
 type state struct {
@@ -137,7 +149,8 @@
 
 func (g *Group) beat() Beat {
 	now := g.opts.Now()
-	b := Beat{From: g.opts.Self, Positions: make(map[string]uint64), Rate: g.opts.Rate(), Crashes: g.opts.Crashes.Recent(crashReport, now)}
+	reading := g.opts.Reading()
+	b := Beat{Fresh: reading.Fresh, Troubled: reading.Troubled, From: g.opts.Self, Positions: make(map[string]uint64), Rate: g.opts.Rate(), Crashes: g.opts.Crashes.Recent(crashReport, now)}
 	for _, name := range g.opts.Tables {
 		b.Positions[name] = g.opts.Mirror.Position(name)
 	}
@@ -180,6 +193,7 @@
 	s := g.learn(b.From, now)
 	if s != nil {
 		s.rate = b.Rate
+		g.noteReading(b, now)
 		g.mark(s, b.Leaving, now)
 	}
 	g.mu.Unlock()
@@ -230,7 +244,9 @@
 		g.pulling[name] = false
 		g.mu.Unlock()
 	}()
-	time.Sleep(pullDelay)
+	if g.opts.Reading().Fresh {
+		time.Sleep(pullDelay)
+	}
 	if now := g.opts.Mirror.Position(name); now > own {
 		return
 	}
--- a/process/partner/partner_test.go
+++ b/process/partner/partner_test.go
@@ -56,7 +56,7 @@
 	g := New(Options{
 		Self:   Member{Name: name, Incarnation: incarnation, Region: region, Peer: name, Entry: "entry-" + name},
 		Tables: []string{table}, Mirror: m, Apply: func(d mirror.Delta) { m.Apply(d) },
-		Crashes: crash.New(name), Rate: func() float64 { return 0 }, Caller: caller{n, name}, Metrics: metrics.NewSet(), Log: zerolog.Nop(), Now: time.Now,
+		Crashes: crash.New(name), Rate: func() float64 { return 0 }, Reading: func() Reading { return Reading{} }, Caller: caller{n, name}, Metrics: metrics.NewSet(), Log: zerolog.Nop(), Now: time.Now,
 	})
 	n.mu.Lock()
 	n.groups[name] = g
