Targets that may be warm are compared first; removals are doubted by what a host itself has seen

Change: the order of an object is kept until targets change, targets that may have it warm are compared first, and the others only when one of them could cost less. TestFewTargetsSufficeForTheSameChoice: alike with comparing all, over random histories.

--- a/entry/beliefs.go
+++ b/entry/beliefs.go
@@ -58,7 +58,7 @@
 func (h *Host) applyTarget(r mirror.Record, now time.Time) {
 	if r.Removed {
 		hold := time.Duration(0)
-		if h.link.troubled(now) || h.group.Troubled(now) {
+		if h.reportsMissing(now) {
 			hold = missingHold
 		}
 		h.fleet.Remove(r.Key, now, hold)
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -24,6 +24,9 @@
 const (
 	// feedWait is how long the store holds a call that waits for changes.
 	feedWait = 20 * time.Second
+	// firstWait is the same for the first call after a failure, so that a store that is
+	// back is known to be before something changes there.
+	firstWait = 200 * time.Millisecond
 	// feedPause is the time between two calls for changes of a table, so that changes
 	// that come together cost one call.
 	feedPause = 900 * time.Millisecond
@@ -146,7 +149,11 @@
 }
 
 func (h *Host) readChanges(ctx context.Context, table string) error {
-	delta, err := h.store.Feed(ctx, table, h.mirror.Position(table), feedWait)
+	wait := feedWait
+	if !h.link.ok() {
+		wait = firstWait
+	}
+	delta, err := h.store.Feed(ctx, table, h.mirror.Position(table), wait)
 	if err != nil {
 		return err
 	}
@@ -166,6 +173,12 @@
 	return partner.Reading{Fresh: h.link.ok(), Troubled: h.link.troubled(time.Now())}
 }
 
+// reportsMissing reports whether the reports of live targets may be missing for a while,
+// by what this host has seen of the store, or a partner that reads it for this host.
+func (h *Host) reportsMissing(now time.Time) bool {
+	return h.link.troubled(now) || (!h.link.ok() && h.group.Troubled(now))
+}
+
 // fresh reports whether this host's beliefs are those of the store, as it or a partner
 // has read them.
 func (h *Host) fresh() bool { return h.link.ok() || h.group.Fresh(time.Now()) }
--- a/entry/readers_test.go
+++ b/entry/readers_test.go
@@ -64,3 +64,36 @@
 	}
 	return true
 }
+
+// TestStoreIsKnownToBeBackBeforeAChange: a host that lost the store trusts its beliefs
+// again soon after the store is back, though nothing changes there.
+func TestStoreIsKnownToBeBackBeforeAChange(t *testing.T) {
+	s := newSite(t, 1, 1)
+	h := s.hosts[0]
+	s.doors[0].SetFaults(standin.StoreFaults{Refuse: 503})
+	s.store.PutState(standin.DesiredState(2, coldPerSecond))
+	s.store.PutTarget("i-0", s.targets[0].Report("bokun", "no-gler", "ready", 2))
+	s.eventually("the store is lost", func() bool { return !h.link.ok() })
+	s.doors[0].SetFaults(standin.StoreFaults{})
+	s.eventually("all have the version", func() bool { return s.allHave(2) })
+	s.doors[0].SetFaults(standin.StoreFaults{Refuse: 503})
+	s.doors[0].Drop()
+	s.eventually("the store is lost again", func() bool { return !h.link.ok() })
+	s.doors[0].SetFaults(standin.StoreFaults{})
+	s.eventually("the store is back", h.link.ok)
+}
+
+// TestTroubleOfAPartnerIsNoTroubleOfAReader: a target whose report is removed is gone at
+// once at a host that reads the store itself, whatever a partner says of its own link.
+func TestTroubleOfAPartnerIsNoTroubleOfAReader(t *testing.T) {
+	s := newSite(t, 2, 2)
+	s.eventually("the hosts know each other", func() bool {
+		return len(s.hosts[0].group.Alive()) == 2 && len(s.hosts[1].group.Alive()) == 2
+	})
+	s.doors[1].SetFaults(standin.StoreFaults{Refuse: 503})
+	s.doors[1].Drop()
+	s.eventually("the partner is in trouble", func() bool { return s.hosts[0].group.Troubled(time.Now()) })
+	if s.hosts[0].reportsMissing(time.Now()) {
+		t.Error("a reader doubts removals because of its partner's link")
+	}
+}
--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -31,6 +31,10 @@
 	evacuated map[string]bool
 	// owns reports whether this host may send to a cold target.
 	owns func(id string, owners int) bool
+	// generation changes with the targets, their slots and what leaves.
+	generation uint64
+	// newcomersUntil is until when a target that joined may want its first request.
+	newcomersUntil time.Time
 	// since is when the first target was known.
 	since time.Time
 	// most is how many requests of this host a target gets in a second while it is in
@@ -41,6 +45,9 @@
 // settleTime is how long after the first target others count as known from the start.
 const settleTime = 5 * time.Second
 
+// introduceFor is how long after it joined, and is warm, a target may be introduced.
+const introduceFor = 15 * time.Second
+
 // New returns a fleet without targets. owns reports whether this host is among the
 // given number of owners of a target.
 func New(log zerolog.Logger, owns func(id string, owners int) bool) *Fleet {
@@ -68,13 +75,17 @@
 
 func (f *Fleet) replace(e Entry, now time.Time) {
 	if old := f.targets[e.ID]; old != nil {
+		old.Leaving = true
 		f.unlist(old)
 	}
+	f.generation++
 	t := newTarget(e, now)
 	if f.since.IsZero() {
 		f.since = now
 	}
-	t.joined = now.Sub(f.since) > settleTime
+	if t.joined = now.Sub(f.since) > settleTime; t.joined {
+		f.newcomersUntil = now.Add(introduceFor + e.Cold)
+	}
 	f.targets[e.ID] = t
 	f.byService[e.Service] = append(f.byService[e.Service], t)
 	f.logState(t, now)
@@ -86,6 +97,9 @@
 		f.replace(e, now)
 		return
 	}
+	if t.Leaving != e.Leaving || t.Slots != e.Slots {
+		f.generation++
+	}
 	t.Entry = e
 	t.removeAt = time.Time{}
 	if e.Cold > 0 {
@@ -115,6 +129,7 @@
 
 func (f *Fleet) drop(t *Target, now time.Time) {
 	t.Leaving = true
+	f.generation++
 	delete(f.targets, t.ID)
 	f.unlist(t)
 	f.logState(t, now)
@@ -169,6 +184,14 @@
 // be changed.
 func (f *Fleet) Service(name string) []*Target { return f.byService[name] }
 
+// Generation returns a number that changes whenever targets come, go or leave, or their
+// slots change. The lock must be held.
+func (f *Fleet) Generation() uint64 { return f.generation }
+
+// Newcomers reports whether targets that joined lately may want their first request.
+// The lock must be held.
+func (f *Fleet) Newcomers(now time.Time) bool { return now.Before(f.newcomersUntil) }
+
 // Usable reports whether new requests may be sent to the target. The lock must be held.
 func (f *Fleet) Usable(t *Target, now time.Time) bool {
 	if t.Leaving || t.down || f.evacuated[t.Zone] {
@@ -197,7 +220,7 @@
 // Introduces reports whether this host is the one that sends the first request to a
 // target that joined lately. The lock must be held.
 func (f *Fleet) Introduces(t *Target, now time.Time) bool {
-	return t.joined && t.Sent == 0 && !t.Cold(now) && f.owns(t.ID, 1)
+	return f.Newcomers(now) && t.joined && t.Sent == 0 && !t.Cold(now) && f.owns(t.ID, 1)
 }
 
 // Begin notes that a request is about to be sent, and returns its number at the target.
@@ -208,8 +231,11 @@
 func (f *Fleet) End(t *Target, number uint64, o Outcome, now time.Time) {
 	f.Lock()
 	defer f.Unlock()
-	wasDown := t.down
+	wasDown, slots := t.down, t.Slots
 	t.end(number, o, now)
+	if t.Slots != slots {
+		f.generation++
+	}
 	if t.down != wasDown {
 		f.logState(t, now)
 	}
--- a/process/fleet/probe.go
+++ b/process/fleet/probe.go
@@ -44,6 +44,9 @@
 	t := c.Target
 	t.probing = false
 	if h.Load != nil {
+		if h.Load.Slots > 0 && h.Load.Slots != t.Slots {
+			f.generation++
+		}
 		t.report(*h.Load, now)
 	}
 	if !h.Reachable || !h.Healthy {
--- a/request/place/place_test.go
+++ b/request/place/place_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"pgregory.net/rapid"
 
 	"quetzalknot/process/fleet"
 	"quetzalknot/version/routes"
@@ -14,7 +15,7 @@
 
 var start = time.Unix(1000, 0)
 
-var search = &routes.Route{
+var searchRoute = &routes.Route{
 	Name: "search", Idempotent: true, Kind: "safe", Objective: 500 * time.Millisecond, Attempts: 2, Affinity: true,
 	Shares: []routes.Share{{Service: "bokun", Weight: 1}},
 }
@@ -47,11 +48,11 @@
 // serve chooses a target for an object and ends the request at once.
 func serve(t *testing.T, c *Chooser, o uint64, now time.Time) string {
 	t.Helper()
-	choice, err := c.Choose(Ask{Route: search, Service: "bokun", Object: o}, now)
+	choice, err := c.Choose(Ask{Route: searchRoute, Service: "bokun", Object: o}, now)
 	if err != nil {
 		t.Fatal(err)
 	}
-	c.Done(choice, search, fleet.Outcome{Run: runTime(choice), Load: &fleet.Load{Slots: 6, Pace: 1}}, 4000, now)
+	c.Done(choice, searchRoute, fleet.Outcome{Run: runTime(choice), Load: &fleet.Load{Slots: 6, Pace: 1}}, 4000, now)
 	return choice.ID
 }
 
@@ -117,14 +118,14 @@
 		now := start.Add(time.Hour)
 		home := 0
 		for i := range 1000 {
-			choice, err := c.Choose(Ask{Route: search, Service: "bokun", Object: object(i)}, now)
+			choice, err := c.Choose(Ask{Route: searchRoute, Service: "bokun", Object: object(i)}, now)
 			if err != nil {
 				t.Fatal(err)
 			}
 			if choice.Target.Region == fmt.Sprint("region", region) {
 				home++
 			}
-			c.Done(choice, search, fleet.Outcome{Run: runTime(choice)}, 4000, now)
+			c.Done(choice, searchRoute, fleet.Outcome{Run: runTime(choice)}, 4000, now)
 		}
 		return float64(home) / 1000
 	}
@@ -179,7 +180,7 @@
 	for i := range 3 {
 		crowd(f, fmt.Sprint("t", i), start)
 	}
-	ask := Ask{Route: search, Service: "bokun", Object: object(1)}
+	ask := Ask{Route: searchRoute, Service: "bokun", Object: object(1)}
 	if _, err := c.Choose(ask, start); !errors.Is(err, ErrBusy) {
 		t.Errorf("all targets crowded: %v", err)
 	}
@@ -197,7 +198,7 @@
 	for i := range 3 {
 		busy(f, fmt.Sprint("t", i), start)
 	}
-	route := *search
+	route := *searchRoute
 	route.Objective, route.Timeout = time.Second, 400*time.Millisecond
 	if _, err := c.Choose(Ask{Route: &route, Service: "bokun", Left: route.Timeout}, start); err != nil {
 		t.Errorf("a new route with a timeout of %v: %v", route.Timeout, err)
@@ -209,7 +210,7 @@
 
 // TestHomeRegionsBind never leaves them.
 func TestHomeRegionsBind(t *testing.T) {
-	route := *search
+	route := *searchRoute
 	route.HomeRegions = []string{"region0"}
 	c := newChooser(newFleet(1, 8, 8), 1)
 	for i := range 200 {
@@ -245,16 +246,74 @@
 	for _, n := range []int{20, 100, 500} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			c := newChooser(newFleet(n/5, 2*n/5, 2*n/5), 1)
+			objects := make([]uint64, 300)
+			for i := range objects {
+				objects[i] = object(i)
+			}
 			b.ReportAllocs()
 			i := 0
 			for b.Loop() {
 				i++
-				choice, err := c.Choose(Ask{Route: search, Service: "bokun", Object: object(i % 300)}, start)
+				choice, err := c.Choose(Ask{Route: searchRoute, Service: "bokun", Object: objects[i%len(objects)]}, start)
 				if err != nil {
 					b.Fatal(err)
 				}
-				c.Done(choice, search, fleet.Outcome{Run: choice.RunTime}, 4000, start)
+				c.Done(choice, searchRoute, fleet.Outcome{Run: runTime(choice)}, 4000, start)
 			}
 		})
 	}
 }
+
+// TestFewTargetsSufficeForTheSameChoice: a chooser that compares all targets and one
+// that looks at those first that may have the object warm choose alike, while targets
+// answer, fail, report loads, join and leave.
+func TestFewTargetsSufficeForTheSameChoice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var choosers [2]*Chooser
+		var fleets [2]*fleet.Fleet
+		for i := range choosers {
+			fleets[i] = newFleet(2, 4, 4)
+			choosers[i] = newChooser(fleets[i], 1)
+			choosers[i].whole = i == 1
+		}
+		var open [2][]Choice
+		now := start
+		fewer := false
+		for step := range rapid.IntRange(1, 120).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "pause")) * time.Millisecond)
+			ask := Ask{Route: searchRoute, Service: "bokun", Object: object(rapid.IntRange(0, 5).Draw(t, "object")), Left: 3 * time.Second}
+			outcome := fleet.Outcome{
+				Run: time.Duration(rapid.IntRange(50, 900).Draw(t, "run")) * time.Millisecond,
+				Load: &fleet.Load{
+					Running: rapid.IntRange(0, 6).Draw(t, "running"), Waiting: rapid.IntRange(0, 4).Draw(t, "waiting"),
+					Slots: 6, Pace: rapid.Float64Range(0.3, 3).Draw(t, "pace"),
+				},
+				Shed: rapid.IntRange(0, 9).Draw(t, "shed") == 0,
+			}
+			end := rapid.IntRange(0, 3).Draw(t, "end")
+			leaver := rapid.IntRange(0, 40).Draw(t, "leaver")
+			var got [2]string
+			for i, c := range choosers {
+				choice, err := c.Choose(ask, now)
+				got[i] = fmt.Sprint(choice.ID, err)
+				if err == nil {
+					open[i] = append(open[i], choice)
+					fewer = fewer || i == 0 && choice.Considered < 5
+				}
+				if len(open[i]) > end {
+					c.Done(open[i][0], searchRoute, outcome, 4000, now)
+					open[i] = open[i][1:]
+				}
+				if leaver < 10 {
+					fleets[i].Upsert(fleet.Entry{
+						ID: fmt.Sprint("t", leaver), Service: "bokun", Addr: "127.0.0.1:1", Slots: 6, Region: "region1", Zone: "zone1",
+						Born: 1, Sequence: int64(2 + step), Leaving: true,
+					}, now)
+				}
+			}
+			if got[0] != got[1] {
+				t.Fatalf("step %d: %s, but of all targets %s", step, got[0], got[1])
+			}
+		}
+	})
+}
--- a/request/serve/attempt.go
+++ b/request/serve/attempt.go
@@ -54,13 +54,13 @@
 
 // attemptLog is one attempt for the log line of the request.
 type attemptLog struct {
-	target   string
-	expected time.Duration
-	wait     time.Duration
-	warm     bool
-	usable   int
-	took     time.Duration
-	outcome  string
+	target     string
+	expected   time.Duration
+	wait       time.Duration
+	warm       bool
+	considered int
+	took       time.Duration
+	outcome    string
 }
 
 // attempt sends the request to a chosen target.
@@ -74,7 +74,7 @@
 	q.h.Chooser.Done(choice, q.route, outcome, len(res.body), now)
 	q.mayHaveRun = q.mayHaveRun || res.verdict != verdict.NotRun
 	entry := attemptLog{
-		target: choice.ID, expected: choice.Expected, wait: choice.Wait, warm: choice.Warm, usable: choice.Usable,
+		target: choice.ID, expected: choice.Expected, wait: choice.Wait, warm: choice.Warm, considered: choice.Considered,
 		took: outcome.Run, outcome: res.verdict.String(),
 	}
 	if res.err != nil {
--- a/request/serve/finish.go
+++ b/request/serve/finish.go
@@ -126,7 +126,7 @@
 		line = line.Array("attempts", attemptArray(q.attempts))
 	}
 	if c := q.considered; c != nil && c.ID != "" {
-		line = line.Str("best", c.ID).Int64("expected_ms", c.Expected.Milliseconds()).Int64("wait_ms", c.Wait.Milliseconds()).Int("usable", c.Usable)
+		line = line.Str("best", c.ID).Int64("expected_ms", c.Expected.Milliseconds()).Int64("wait_ms", c.Wait.Milliseconds()).Int("considered", c.Considered)
 	}
 	if err != nil {
 		line = line.Str("error", err.Error())
@@ -186,7 +186,7 @@
 // MarshalZerologObject implements zerolog.LogObjectMarshaler.
 func (a attemptLog) MarshalZerologObject(e *zerolog.Event) {
 	e.Str("target", a.target).Int64("expected_ms", a.expected.Milliseconds()).Int64("wait_ms", a.wait.Milliseconds()).
-		Bool("warm", a.warm).Int("usable", a.usable).Int64("took_us", a.took.Microseconds()).Str("outcome", a.outcome)
+		Bool("warm", a.warm).Int("considered", a.considered).Int64("took_us", a.took.Microseconds()).Str("outcome", a.outcome)
 }
 
 // hopHeaders concern only one connection.
