Trouble of some readers of the store is no trouble while one reads it soundly

Change: Group.Troubled is false while a partner reads the store without trouble. Ruled out: a shorter hold; reports of live targets take two seconds to be back. Test: TestOthersReadWhileNoReaderIsFresh, extended first and seen to fail.

--- a/process/partner/partner.go
+++ b/process/partner/partner.go
@@ -110,8 +110,9 @@
 	members map[string]*state
 	leaving bool
 	pulling map[string]bool
-	// freshAt and troubledAt are when a partner last said so.
-	freshAt, troubledAt time.Time
+	// freshAt, soundAt and troubledAt are when a partner last said that it reads the
+	// store, that it does without trouble, and that it had trouble.
+	freshAt, soundAt, troubledAt time.Time
 }
 
 type state struct {
--- a/process/partner/readers.go
+++ b/process/partner/readers.go
@@ -50,11 +50,13 @@
 	return !g.freshAt.IsZero() && now.Sub(g.freshAt) < freshFor
 }
 
-// Troubled reports whether the store has failed a partner lately.
+// Troubled reports whether the store has failed partners lately, and none reads it
+// without trouble.
 func (g *Group) Troubled(now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return !g.troubledAt.IsZero() && now.Sub(g.troubledAt) < troubledFor
+	sound := !g.soundAt.IsZero() && now.Sub(g.soundAt) < freshFor
+	return !sound && !g.troubledAt.IsZero() && now.Sub(g.troubledAt) < troubledFor
 }
 
 // noteReading takes in what a partner knows of the store. The lock must be held.
@@ -62,6 +64,9 @@
 	if b.Fresh {
 		g.freshAt = now
 	}
+	if b.Fresh && !b.Troubled {
+		g.soundAt = now
+	}
 	if b.Troubled {
 		g.troubledAt = now
 	}
--- a/process/partner/readers_test.go
+++ b/process/partner/readers_test.go
@@ -55,9 +55,14 @@
 		if !last.Fresh(time.Now()) || last.Troubled(time.Now()) {
 			t.Error("the word of a reader does not count")
 		}
-		last.heard(&Beat{From: from, Troubled: true})
+		last.heard(&Beat{From: groups[1].opts.Self, Troubled: true})
+		if last.Troubled(time.Now()) {
+			t.Error("the trouble of one reader counts though another one has none")
+		}
+		time.Sleep(freshFor)
+		last.heard(&Beat{From: from, Fresh: true, Troubled: true})
 		if !last.Troubled(time.Now()) {
-			t.Error("the trouble of a reader is not known")
+			t.Error("the trouble of all readers is not known")
 		}
 		time.Sleep(freshFor)
 		if last.Fresh(time.Now()) {
