--- a/entry/host_test.go
+++ b/entry/host_test.go
@@ -249,3 +249,31 @@
 		t.Errorf("%d targets crashed, want 3", n)
 	}
 }
+
+// TestForgottenIdleConnections: targets reset connections that were idle when the next
+// request comes. Safe requests are served by another target or connection, unsafe ones
+// run once at most, and nothing that may have run is said not to have.
+func TestForgottenIdleConnections(t *testing.T) {
+	s := newSite(t, 2, 1)
+	for _, target := range s.targets {
+		target.Behave(standin.Forgets, 0)
+	}
+	unsafe := 0
+	for i := range 40 {
+		if got := send(s.hosts[0].addr(), "GET", "/search/1", fmt.Sprint("safe", i), ""); got.Status != 200 && got.Status != 502 {
+			t.Errorf("safe: %+v", got)
+		}
+		id := fmt.Sprint("unsafe", i)
+		got := send(s.hosts[0].addr(), "POST", "/book/1", id, "a booking")
+		runs := s.targets[0].Ran(id) + s.targets[1].Ran(id)
+		if runs > 1 || (got.Status == 200 && runs != 1) || (got.Status == 503 && runs > 0) {
+			t.Errorf("unsafe request with status %d ran %d times", got.Status, runs)
+		}
+		if got.Status == 200 {
+			unsafe++
+		}
+	}
+	if unsafe == 0 {
+		t.Error("no unsafe request was served")
+	}
+}
--- a/process/fleet/fleet_test.go
+++ b/process/fleet/fleet_test.go
@@ -223,3 +223,88 @@
 		t.Error("the bound stays though reports are new")
 	}
 }
+
+// TestFlappingTargetIsUsedOnlyWhileItIsUp lets a target fall and come back by turns: it
+// gets nothing while it is down, and is found to be up again within the longest pause
+// between checks, however often it fell.
+func TestFlappingTargetIsUsedOnlyWhileItIsUp(t *testing.T) {
+	f := newFleet()
+	f.Upsert(entry("t", nil), start)
+	f.Lock()
+	target := f.Service("bokun")[0]
+	f.Unlock()
+	now := start
+	for turn := range 6 {
+		f.Fell(target, now)
+		for range 30 { // three seconds down
+			now = now.Add(100 * time.Millisecond)
+			if ids := usable(f, now); len(ids) > 0 {
+				t.Fatalf("turn %d: used while it is down", turn)
+			}
+			for _, c := range f.Due(now) {
+				f.Checked(c, Health{}, now)
+			}
+		}
+		up := now
+		for len(usable(f, now)) == 0 {
+			now = now.Add(100 * time.Millisecond)
+			for _, c := range f.Due(now) {
+				f.Checked(c, Health{Reachable: true, Healthy: true}, now)
+			}
+			if now.Sub(up) > probeMost {
+				t.Fatalf("turn %d: not used %v after it is up", turn, now.Sub(up))
+			}
+		}
+		now = now.Add(time.Second)
+	}
+}
+
+// TestCheckThatLiesWellDoesNotHideFailures: a target whose checks are good while it
+// fails requests is known by its answers.
+func TestCheckThatLiesWellDoesNotHideFailures(t *testing.T) {
+	f := newFleet()
+	f.Upsert(entry("t", nil), start)
+	f.Lock()
+	target := f.Service("bokun")[0]
+	f.Unlock()
+	for i := range 20 {
+		now := start.Add(time.Duration(i) * 100 * time.Millisecond)
+		f.Lock()
+		n := f.Begin(target, Work{}, now)
+		f.Unlock()
+		f.End(target, n, Outcome{Failed: true}, now)
+	}
+	if share := target.FailShare(start.Add(2 * time.Second)); share < 0.75 {
+		t.Errorf("the share of failures is taken to be %v", share)
+	}
+	if due := f.Due(start.Add(time.Minute)); len(due) > 0 {
+		t.Errorf("%d checks of a target that answers", len(due))
+	}
+}
+
+// TestCheckThatLiesIllKeepsOnlyFallenTargetsOut: a target that never fell is used whatever
+// a check would say, and one that fell comes back with the first good check.
+func TestCheckThatLiesIllKeepsOnlyFallenTargetsOut(t *testing.T) {
+	f := newFleet()
+	f.Upsert(entry("t", nil), start)
+	now := start.Add(time.Second)
+	if due := f.Due(now); len(due) > 0 || len(usable(f, now)) != 1 {
+		t.Fatalf("%d checks of a target that never fell", len(due))
+	}
+	f.Lock()
+	target := f.Service("bokun")[0]
+	f.Unlock()
+	f.Fell(target, now)
+	for range 5 {
+		now = now.Add(probeMost)
+		f.Checked(f.Due(now)[0], Health{Reachable: true}, now)
+	}
+	if ids := usable(f, now); len(ids) > 0 {
+		t.Errorf("%v are used though they say that they are not healthy", ids)
+	}
+	now = now.Add(probeMost)
+	f.Checked(f.Due(now)[0], Health{Reachable: true, Healthy: true}, now)
+	if len(usable(f, now)) != 1 {
+		t.Error("a good check does not bring the target back")
+	}
+}
