Soak: the ways to targets and power loss of many hosts

Change: a loopback proxy in front of each target (delay, reset, one way, silence), power loss of up to half of the hosts. A seed gives other faults than before, as the list of kinds grew.

--- a/tools/soak/faults.go
+++ b/tools/soak/faults.go
@@ -57,6 +57,10 @@
 		in.harmProcess(ctx, f)
 	case TargetBreaks, TargetSlow, TargetLeaves:
 		in.harmTarget(ctx, f)
+	case PowerLoss:
+		in.losePower(ctx, f)
+	case WayDelay, WayReset, WayOneWay, WaySilent:
+		in.harmWay(ctx, f)
 	case NewState:
 		in.checks.expectVersion(in.newState())
 	default:
@@ -96,6 +100,47 @@
 	in.checks.disturb(i)
 }
 
+// losePower kills up to half of the hosts at once and starts them again.
+func (in *injector) losePower(ctx context.Context, f Fault) {
+	var lost []int
+	for n := range len(in.hosts) / 2 {
+		if i, ok := in.claim(f.Victim + n); ok {
+			lost = append(lost, i)
+		}
+	}
+	for _, i := range lost {
+		in.checks.disturb(i)
+		in.hosts[i].signal(syscall.SIGKILL)
+	}
+	for _, i := range lost {
+		_ = in.hosts[i].wait() // it was killed
+	}
+	pause(ctx, f.For)
+	for _, i := range lost {
+		in.checks.failed(in.start(in.hosts[i]))
+		in.checks.disturb(i)
+		in.release(i)
+	}
+}
+
+// harmWay harms the connections of all hosts to a target.
+func (in *injector) harmWay(ctx context.Context, f Fault) {
+	way := in.ways[f.Victim%len(in.ways)]
+	switch f.Kind {
+	case WayDelay:
+		way.set(harm{delay: 200 * time.Millisecond})
+	case WayReset:
+		way.reset()
+	case WayOneWay:
+		way.set(harm{dropUp: f.Variant%2 == 0, dropDown: f.Variant%2 == 1})
+	case WaySilent:
+		way.set(harm{dropUp: true, dropDown: true})
+	}
+	pause(ctx, f.For)
+	way.set(harm{})
+	way.reset()
+}
+
 func (in *injector) harmTarget(ctx context.Context, f Fault) {
 	i := f.Victim % len(in.targets)
 	t := in.targets[i]
--- a/tools/soak/plan.go
+++ b/tools/soak/plan.go
@@ -34,12 +34,18 @@
 	TargetSlow   Kind = "target-slow"
 	TargetLeaves Kind = "target-leaves"
 	NewState     Kind = "new-state"
+	PowerLoss    Kind = "power-loss"
+	WayDelay     Kind = "way-delay"
+	WayReset     Kind = "way-reset"
+	WayOneWay    Kind = "way-one-way"
+	WaySilent    Kind = "way-silent"
 )
 
 // kinds is in the order in which a seed draws from it.
 var kinds = []Kind{
 	KillHost, PauseHost, StopHost, ReloadHost, StoreRefuse, StoreSlow, StoreLose, StoreForget,
 	LinkDelay, LinkReset, LinkOneWay, LinkSilent, TargetBreaks, TargetSlow, TargetLeaves, NewState,
+	PowerLoss, WayDelay, WayReset, WayOneWay, WaySilent,
 }
 
 // Fault is one fault of a plan.
--- a/tools/soak/site.go
+++ b/tools/soak/site.go
@@ -38,6 +38,8 @@
 	store   *standin.Store
 	hosts   []*host
 	targets []*standin.Target
+	// ways are the proxies in front of the targets.
+	ways    []*proxy
 	version int
 
 	mu       sync.Mutex
@@ -53,6 +55,11 @@
 			return s, err
 		}
 		s.targets = append(s.targets, t)
+		way, err := newProxy(t.Addr())
+		if err != nil {
+			return s, err
+		}
+		s.ways = append(s.ways, way)
 		s.report(i, "ready")
 	}
 	for i := range hosts {
@@ -74,7 +81,7 @@
 	defer s.mu.Unlock()
 	t := s.targets[i]
 	s.sequence[t.ID]++
-	s.store.PutTarget(t.ID, t.Report("bokun", regionNames[i%len(regionNames)][0], state, s.sequence[t.ID]))
+	s.store.PutTarget(t.ID, t.ReportVia(s.ways[i].addr(), "bokun", regionNames[i%len(regionNames)][0], state, s.sequence[t.ID]))
 }
 
 // coldPerSecond is how many requests a second a cold target bears.
@@ -164,6 +171,9 @@
 		h.link.close()
 		h.door.Close()
 	}
+	for _, way := range s.ways {
+		way.close()
+	}
 	for _, t := range s.targets {
 		t.Close()
 	}
