--- a/tools/cli/lab.go
+++ b/tools/cli/lab.go
@@ -11,6 +11,7 @@
 
 	"quetzalknot/tools/lab/demo"
 	"quetzalknot/tools/lab/experiment"
+	"quetzalknot/tools/lab/placement"
 	"quetzalknot/tools/lab/report"
 )
 
@@ -21,6 +22,7 @@
 	Replay     labReplay     `cmd:"" help:"Replay recorded traces against stated outcomes."`
 	Load       labLoad       `cmd:"" help:"Send open-loop load to running entry hosts."`
 	Experiment labExperiment `cmd:"" help:"Compare policies under load and faults, and write a report."`
+	Placement  labPlacement  `cmd:"" help:"Compare policies that choose targets, on an emulated clock."`
 	Table      labTable      `cmd:"" help:"Make a stored block table of generated blocks."`
 	Capacity   labCapacity   `cmd:"" help:"Measure what a host spends at the design size, and write docs/CAPACITY.md."`
 	Spread     labSpread     `cmd:"" help:"Measure the spread of tickets and members between hosts."`
@@ -92,6 +94,19 @@
 	return err
 }
 
+type labPlacement struct {
+	File string `arg:"" type:"existingfile" help:"Experiment in TOML, such as experiments/placement.toml."`
+}
+
+// Run implements the command.
+func (c *labPlacement) Run() error {
+	f, err := placement.Load(c.File)
+	if err != nil {
+		return err
+	}
+	return placement.Write(os.Stdout, placement.Run(f))
+}
+
 type labDemo struct {
 	Logs string `type:"path" help:"File for the hosts' log lines."`
 }
