--- a/process/partner/partner.go
+++ b/process/partner/partner.go
@@ -35,6 +35,9 @@
 	serviceName = "Partner"
 	// beatInterval is the time between two beats to a partner.
 	beatInterval = time.Second
+	// heardLately is how long after a partner was heard of it gets no beat: its own, or
+	// its answer, has levelled both. So of two partners one calls the other.
+	heardLately = 700 * time.Millisecond
 	// callTimeout bounds one call.
 	callTimeout = 800 * time.Millisecond
 	// aliveFor is how long a partner counts as alive after it was heard of.
@@ -280,10 +283,21 @@
 func (g *Group) round(ctx context.Context) {
 	g.expire()
 	for _, m := range g.partners() {
-		go g.call(ctx, m)
+		if !g.heardOf(m) {
+			go g.call(ctx, m)
+		}
 	}
 }
 
+// heardOf reports whether a partner was heard of a short time ago.
+func (g *Group) heardOf(m Member) bool {
+	now := g.opts.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.members[m.Name]
+	return s != nil && !s.heard.IsZero() && now.Sub(s.heard) < heardLately
+}
+
 func (g *Group) call(ctx context.Context, m Member) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -351,7 +365,9 @@
 	g.mu.Lock()
 	g.leaving = true
 	g.mu.Unlock()
-	g.round(ctx)
+	for _, m := range g.partners() {
+		go g.call(ctx, m)
+	}
 }
 
 // Alive returns the hosts that are alive and do not leave, this one included unless it
--- a/process/partner/partner_test.go
+++ b/process/partner/partner_test.go
@@ -228,3 +228,35 @@
 		}
 	})
 }
+
+// TestOfTwoPartnersOneCalls counts the calls of a group that starts at different times.
+func TestOfTwoPartnersOneCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const hosts, span = 4, 20
+		n := &network{groups: make(map[string]*Group), cut: make(map[string]bool)}
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		var groups []*Group
+		var members []Member
+		for i := range hosts {
+			g := n.add(fmt.Sprint("h", i), "r", 1)
+			groups, members = append(groups, g), append(members, g.opts.Self)
+		}
+		for _, g := range groups {
+			g.Learn(members)
+			go g.Run(ctx)
+			time.Sleep(130 * time.Millisecond)
+		}
+		time.Sleep(span * beatInterval)
+		calls := int64(0)
+		for _, g := range groups {
+			calls += g.opts.Metrics.Counter("partners.beats").Value()
+			if got := len(g.Alive()); got != hosts {
+				t.Errorf("%s counts %d hosts as alive", g.opts.Self.Name, got)
+			}
+		}
+		if pairs := int64(hosts * (hosts - 1) / 2); calls > pairs*(span+2) {
+			t.Errorf("%d calls in %d s of %d pairs", calls, span, pairs)
+		}
+	})
+}
