--- a/request/place/place.go
+++ b/request/place/place.go
@@ -177,6 +177,7 @@
 	if !s.settled() {
 		s.others(targets)
 	}
+	s.best.Considered, s.fastest.Considered = s.considered, s.considered
 	best := s.best
 	if best.Target == nil {
 		return Choice{}, ErrNoTarget
@@ -187,7 +188,6 @@
 		}
 		best = s.fastest
 	}
-	best.Considered = s.considered
 	best.rtt, best.bytes = best.Target.RTT, ask.Bytes
 	best.number = c.fleet.Begin(best.Target, fleet.Work{Object: ask.Object, Run: best.usual, Expected: best.Expected}, now)
 	m.sentTo(best.Target)
