The owners of targets are worked out when members change, not at each choice

Ruled out: the choice itself (flat from 20 to 500 targets). Change: the names are kept until a member comes or goes.

--- a/process/partner/carriers.go
+++ b/process/partner/carriers.go
@@ -104,6 +104,13 @@
 // strong returns the known hosts that carry requests while little is asked for, by
 // name, whether they are alive or not. The lock must be held.
 func (g *Group) strong() map[string]bool {
+	if g.strongNames == nil {
+		g.strongNames = g.findStrong()
+	}
+	return g.strongNames
+}
+
+func (g *Group) findStrong() map[string]bool {
 	byRegion := map[string][]Member{g.opts.Self.Region: {g.opts.Self}}
 	for _, s := range g.members {
 		byRegion[s.Region] = append(byRegion[s.Region], s.Member)
--- a/process/partner/carriers_test.go
+++ b/process/partner/carriers_test.go
@@ -73,3 +73,17 @@
 		}
 	}
 }
+
+// BenchmarkOwns asks for owners among the hosts of the design size.
+func BenchmarkOwns(b *testing.B) {
+	g := New(Options{Self: Member{Name: "h000", Region: "r0", Capacity: 100}, Now: time.Now})
+	var members []Member
+	for i := 1; i < 910; i++ {
+		members = append(members, Member{Name: fmt.Sprintf("h%03d", i), Region: fmt.Sprint("r", i%6), Domain: fmt.Sprint("d", i%22), Capacity: 100})
+	}
+	g.Learn(members)
+	b.ReportAllocs()
+	for b.Loop() {
+		g.Owns("i-1", 5)
+	}
+}
--- a/process/partner/partner.go
+++ b/process/partner/partner.go
@@ -113,6 +113,8 @@
 	members map[string]*state
 	leaving bool
 	pulling map[string]bool
+	// strongNames are the hosts that strong returns; nil when members have come or gone.
+	strongNames map[string]bool
 	// freshAt, soundAt and troubledAt are when a partner last said that it reads the
 	// store, that it does without trouble, and that it had trouble.
 	freshAt, soundAt, troubledAt time.Time
@@ -182,6 +184,7 @@
 	if s == nil || m.Incarnation > s.Incarnation {
 		s = &state{Member: m, known: now}
 		g.members[m.Name] = s
+		g.strongNames = nil
 	}
 	if m.Incarnation < s.Incarnation {
 		return nil
@@ -323,6 +326,7 @@
 		}
 		if !s.alive && now.Sub(s.known) > forgetAfter {
 			delete(g.members, name)
+			g.strongNames = nil
 		}
 	}
 }
