--- a/process/fleet/fleet_test.go
+++ b/process/fleet/fleet_test.go
@@ -22,6 +22,13 @@
 	return e
 }
 
+// first returns the target that was added first.
+func first(f *Fleet) *Target {
+	f.Lock()
+	defer f.Unlock()
+	return f.Service("bokun")[0]
+}
+
 // usable returns the ids of the targets that may be sent to.
 func usable(f *Fleet, now time.Time) []string {
 	f.Lock()
@@ -230,9 +237,7 @@
 func TestFlappingTargetIsUsedOnlyWhileItIsUp(t *testing.T) {
 	f := newFleet()
 	f.Upsert(entry("t", nil), start)
-	f.Lock()
-	target := f.Service("bokun")[0]
-	f.Unlock()
+	target := first(f)
 	now := start
 	for turn := range 6 {
 		f.Fell(target, now)
@@ -264,9 +269,7 @@
 func TestCheckThatLiesWellDoesNotHideFailures(t *testing.T) {
 	f := newFleet()
 	f.Upsert(entry("t", nil), start)
-	f.Lock()
-	target := f.Service("bokun")[0]
-	f.Unlock()
+	target := first(f)
 	for i := range 20 {
 		now := start.Add(time.Duration(i) * 100 * time.Millisecond)
 		f.Lock()
@@ -291,9 +294,7 @@
 	if due := f.Due(now); len(due) > 0 || len(usable(f, now)) != 1 {
 		t.Fatalf("%d checks of a target that never fell", len(due))
 	}
-	f.Lock()
-	target := f.Service("bokun")[0]
-	f.Unlock()
+	target := first(f)
 	f.Fell(target, now)
 	for range 5 {
 		now = now.Add(probeMost)
