--- a/process/partner/carriers.go
+++ b/process/partner/carriers.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 )
 
@@ -25,10 +26,11 @@
 func Carriers(members []Member, demand float64) []Member {
 	ranked := rank(members)
 	best, most := len(ranked), 0.0
-	weakest := 0.0
+	weakest := math.Inf(1)
 	for i, m := range ranked {
 		n := i + 1
-		if weakest = least(weakest, m.Capacity, i); n < carriersLeast && n < len(ranked) {
+		weakest = min(weakest, m.Capacity)
+		if n < carriersLeast && n < len(ranked) {
 			continue
 		}
 		carried := fillMost * weakest * float64(n)
@@ -42,13 +44,6 @@
 	return ranked[:best]
 }
 
-func least(weakest, capacity float64, i int) float64 {
-	if i == 0 {
-		return capacity
-	}
-	return min(weakest, capacity)
-}
-
 // rank orders hosts by capacity, taking comparable ones from the failure domains in turn.
 func rank(members []Member) []Member {
 	left := slices.Clone(members)
@@ -78,13 +73,18 @@
 // alive there, or else all that are alive anywhere.
 func (g *Group) Carriers(region string) []Member {
 	alive := g.Alive()
-	near := slices.DeleteFunc(slices.Clone(alive), func(m Member) bool { return m.Region != region })
+	near := inRegion(alive, region)
 	if len(near) == 0 {
 		return alive
 	}
 	return Carriers(near, g.demand(region))
 }
 
+// inRegion returns the members of a region.
+func inRegion(members []Member, region string) []Member {
+	return slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return m.Region != region })
+}
+
 // demand returns how many requests a second the hosts of a region got lately.
 func (g *Group) demand(region string) float64 {
 	total := 0.0
@@ -117,9 +117,15 @@
 	}
 	names := make(map[string]bool)
 	for _, members := range byRegion {
-		for _, m := range Carriers(members, 0) {
-			names[m.Name] = true
-		}
+		addBase(names, members)
 	}
 	return names
 }
+
+// addBase adds the names of the hosts of one region that carry requests while little is
+// asked for.
+func addBase(names map[string]bool, members []Member) {
+	for _, m := range Carriers(members, 0) {
+		names[m.Name] = true
+	}
+}
--- a/process/partner/partner.go
+++ b/process/partner/partner.go
@@ -285,8 +285,13 @@
 
 func (g *Group) round(ctx context.Context) {
 	g.expire()
+	g.callEach(ctx, func(m Member) bool { return !g.heardOf(m) })
+}
+
+// callEach beats to the partners that are wanted.
+func (g *Group) callEach(ctx context.Context, wanted func(Member) bool) {
 	for _, m := range g.partners() {
-		if !g.heardOf(m) {
+		if wanted(m) {
 			go g.call(ctx, m)
 		}
 	}
@@ -369,9 +374,7 @@
 	g.mu.Lock()
 	g.leaving = true
 	g.mu.Unlock()
-	for _, m := range g.partners() {
-		go g.call(ctx, m)
-	}
+	g.callEach(ctx, func(Member) bool { return true })
 }
 
 // Alive returns the hosts that are alive and do not leave, this one included unless it
--- a/process/partner/readers.go
+++ b/process/partner/readers.go
@@ -19,16 +19,8 @@
 
 // readers returns the names of the hosts of this region that read the store.
 func (g *Group) readers() map[string]bool {
-	var near []Member
-	for _, m := range g.Alive() {
-		if m.Region == g.opts.Self.Region {
-			near = append(near, m)
-		}
-	}
 	names := make(map[string]bool)
-	for _, m := range Carriers(near, 0) {
-		names[m.Name] = true
-	}
+	addBase(names, inRegion(g.Alive(), g.opts.Self.Region))
 	return names
 }
 
@@ -36,11 +28,7 @@
 // this host has read changes.
 func (g *Group) Tell(ctx context.Context) {
 	readers := g.readers()
-	for _, m := range g.partners() {
-		if m.Region == g.opts.Self.Region && !readers[m.Name] {
-			go g.call(ctx, m)
-		}
-	}
+	g.callEach(ctx, func(m Member) bool { return m.Region == g.opts.Self.Region && !readers[m.Name] })
 }
 
 // Fresh reports whether a partner has said lately that it reads the store.
--- a/process/slots/slots.go
+++ b/process/slots/slots.go
@@ -2,10 +2,7 @@
 // and bounds them.
 package slots
 
-import (
-	"sync"
-	"time"
-)
+import "sync"
 
 // Target identifies a target.
 type Target struct {
@@ -30,8 +27,6 @@
 	Slots int
 	// LongSlots is how many of them long work may hold.
 	LongSlots int
-	// Until is when the request ends at the latest: its deadline.
-	Until time.Time
 }
 
 // Spot is what a Room knows about one target.
--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/netip"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -145,12 +146,11 @@
 
 // Run keeps claims, quarantine and parts of links up to date until ctx ends.
 func (g *Gateway) Run(ctx context.Context) {
-	ended := make(chan struct{}, 2)
-	go func() { g.claims.Run(ctx); ended <- struct{}{} }()
-	go func() { g.spreader.Run(ctx); ended <- struct{}{} }()
+	var loops sync.WaitGroup
+	loops.Go(func() { g.claims.Run(ctx) })
+	loops.Go(func() { g.spreader.Run(ctx) })
 	g.shareLoop(ctx)
-	<-ended
-	<-ended
+	loops.Wait()
 }
 
 // ownsSuspects reports whether this host runs suspects on the target at a position of
--- a/request/gateway/keys.go
+++ b/request/gateway/keys.go
@@ -4,7 +4,6 @@
 	"strconv"
 	"time"
 
-	"quetzalknot/process/membership"
 	"quetzalknot/process/settings"
 	"quetzalknot/request/claim"
 	"quetzalknot/version/lookup"
@@ -46,8 +45,7 @@
 
 // owner returns this process as the owner of keys. Its host is empty before the
 // process is a member.
-func (g *Gateway) owner() claim.Owner { return ownerOf(g.opts.Members.Self()) }
-
-func ownerOf(m membership.Member) claim.Owner {
-	return claim.Owner{Host: m.Host, Incarnation: m.Incarnation}
+func (g *Gateway) owner() claim.Owner {
+	self := g.opts.Members.Self()
+	return claim.Owner{Host: self.Host, Incarnation: self.Incarnation}
 }
--- a/request/route/router.go
+++ b/request/route/router.go
@@ -127,7 +127,6 @@
 			break
 		}
 		ask := class.asks[at]
-		ask.Until = info.Deadline
 		release, ok := r.room.Acquire(ask)
 		if !ok {
 			continue
@@ -150,7 +149,7 @@
 			r.observeClass(info, o)
 		})
 	}
-	return Choice{Target: t, Until: ask.Until, Done: done, Release: func() { done(health.Outcome{Cancelled: true}) }}
+	return Choice{Target: t, Until: info.Deadline, Done: done, Release: func() { done(health.Outcome{Cancelled: true}) }}
 }
 
 func (r *Router) logChoice(info *request.Info, snap *state.Snapshot, t *config.Target, candidates int, probe bool) {
