Known red: look-ups wait for the discovery of the other hosts; a push waits for the pushes in flight

Cause of fail_processes: a host whose own row was not written yet, or was the first one, had read no other row and answered look-ups with itself alone; callers cached that and had no other host when it was killed. Cause of fail_crashing_request: two requests crash with one target; the push of the first takes the marks of both, and the push of the second returned at once with none to send, so its response went out before the mark had arrived. Now it waits for the pushes in flight. Ruled out: reading the rows at each poll until another host is known.

--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -97,7 +97,8 @@
 
 // Members is this host's replica of the member table. It is safe for concurrent use.
 type Members struct {
-	lease *Lease
+	lease     *Lease
+	discovery Discovery
 
 	mu     sync.Mutex
 	self   string
@@ -135,6 +136,13 @@
 // Lease returns the lease of this process.
 func (m *Members) Lease() *Lease { return m.lease }
 
+// Discovery returns the discovery of the other hosts by this process.
+func (m *Members) Discovery() *Discovery { return &m.discovery }
+
+// Discovered reports whether this process has found the other hosts since it started, or
+// knows that there are none.
+func (m *Members) Discovered() bool { return m.discovery.Done(len(m.Live())) }
+
 // Self returns the member of this process, or a zero Member before Start.
 func (m *Members) Self() Member {
 	m.mu.Lock()
--- a/process/quarantine/quarantine_test.go
+++ b/process/quarantine/quarantine_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"pgregory.net/rapid"
@@ -161,3 +162,66 @@
 		t.Errorf("%d rounds of pulls until all hosts had the mark", rounds)
 	}
 }
+
+// slowNetwork delivers pushes when it is released.
+type slowNetwork struct {
+	fakeNetwork
+	released chan struct{}
+}
+
+// Call implements peer.RPCClient.
+func (n *slowNetwork) Call(ctx context.Context, addr, method string, args, reply any) error {
+	<-n.released
+	return n.fakeNetwork.Call(ctx, addr, method, args, reply)
+}
+
+// TestPushWaitsForPushInFlight: two requests crash with one target and their marks leave in
+// the first push. The second push must not return before the other host has its mark,
+// since the response that follows lets the caller send the request to that host.
+func TestPushWaitsForPushInFlight(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		remote, local := New(nil), New(nil)
+		net := &slowNetwork{fakeNetwork: fakeNetwork{lists: map[string]*List{"remote": remote}, onChange: map[string]func(){}}, released: make(chan struct{})}
+		replicator := NewReplicator(local, net, func() []string { return []string{"remote"} })
+		local.RecordCrash(1, Clear)
+		local.RecordCrash(2, Clear)
+		replicator.PushAsync()
+		synctest.Wait() // the first push has taken both marks
+		go func() {
+			time.Sleep(15 * time.Millisecond)
+			close(net.released)
+		}()
+		replicator.Push(t.Context())
+		if got := remote.State(2); got != Suspect {
+			t.Errorf("the push returned while the other host has state %v of the request", got)
+		}
+	})
+}
+
+// TestPushIsBounded: hosts that do not reply must delay each of many pushes by pushTimeout
+// at most.
+func TestPushIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		local := New(nil)
+		replicator := NewReplicator(local, hangingNetwork{}, func() []string { return []string{"remote"} })
+		start := time.Now()
+		var pushes sync.WaitGroup
+		for i := range 20 {
+			local.RecordCrash(uint64(i), Clear)
+			pushes.Go(func() { replicator.Push(t.Context()) })
+		}
+		pushes.Wait()
+		if took := time.Since(start); took > pushTimeout {
+			t.Errorf("20 pushes took %v, want at most %v", took, pushTimeout)
+		}
+	})
+}
+
+// hangingNetwork never replies.
+type hangingNetwork struct{}
+
+// Call implements peer.RPCClient.
+func (hangingNetwork) Call(ctx context.Context, _, _ string, _, _ any) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
--- a/process/quarantine/replicator.go
+++ b/process/quarantine/replicator.go
@@ -74,6 +74,9 @@
 
 	mu        sync.Mutex
 	pushedSeq uint64
+	// lastPush is closed when the last Push and all before it have ended; nil before the
+	// first.
+	lastPush chan struct{}
 	// pulledSeq holds the change number up to which the marks of each host, by address,
 	// were pulled.
 	pulledSeq map[string]uint64
@@ -88,17 +91,34 @@
 func (r *Replicator) PushAsync() { go r.Push(context.Background()) }
 
 // Push sends the marks that changed since the last Push to up to fanOut random hosts,
-// and waits until all have replied or pushTimeout has passed.
+// and waits until all have replied or pushTimeout has passed. It also waits for the
+// pushes in flight, which may carry the caller's mark.
 func (r *Replicator) Push(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), pushTimeout)
+	defer cancel()
 	r.mu.Lock()
 	marks, next := r.list.Delta(r.pushedSeq, maxMarksPerMessage)
 	r.pushedSeq = next
+	earlier, done := r.lastPush, make(chan struct{})
+	r.lastPush = done
 	r.mu.Unlock()
+	defer close(done)
+	r.send(ctx, marks)
+	if earlier == nil {
+		return
+	}
+	select {
+	case <-earlier:
+	case <-ctx.Done():
+	}
+}
+
+// send sends marks to up to fanOut random hosts and waits until all have replied or ctx
+// has ended.
+func (r *Replicator) send(ctx context.Context, marks []Mark) {
 	if len(marks) == 0 {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), pushTimeout)
-	defer cancel()
 	var calls sync.WaitGroup
 	for _, addr := range randomSample(r.peerAddrs(), fanOut) {
 		calls.Go(func() {
--- a/version/replica/replica.go
+++ b/version/replica/replica.go
@@ -89,6 +89,9 @@
 	r.engine = spread.New(spread.Config{Members: r.members, Client: r.peerClients, Metrics: opts.Metrics, Log: r.log})
 	r.engine.Register(spread.TicketsTopic, r.tickets)
 	r.registerGauges(opts.Metrics)
+	if opts.Settings.Platform.URL == "" {
+		r.members.Discovery().StandAlone()
+	}
 	return r
 }
 
@@ -213,6 +216,8 @@
 	switch {
 	case !r.engine.Complete():
 		return "the state is neither read from the table service nor from hosts in two failure domains"
+	case !r.members.Discovered():
+		return "the other hosts are not discovered yet"
 	case r.members.Lease().Revoked():
 		return "another process runs as this host"
 	case r.members.Self().Leaving:
--- a/version/resolver/resolver.go
+++ b/version/resolver/resolver.go
@@ -74,7 +74,10 @@
 	// unreadyReason returns why look-ups cannot be answered yet, or "".
 	unreadyReason func() string
 	started       time.Time
-	lastInputs    viewInputs
+	// discovered is true once the view was made from members among which the other hosts
+	// had been discovered.
+	discovered atomic.Bool
+	lastInputs viewInputs
 	// configChanged wakes viewLoop when a new configuration version is in force.
 	configChanged chan struct{}
 }
@@ -159,9 +162,13 @@
 
 // notLoadedReason returns why this host cannot answer look-ups yet, or "". A host that has not
 // loaded the state must not report a service as unknown, nor send callers to distant
-// regions while its block table is being loaded.
+// regions while its block table is being loaded. A host that has not discovered the others
+// must not name itself alone, since callers cache the answer and need another host when
+// the first fails.
 func (l *Resolver) notLoadedReason() string {
 	switch {
+	case !l.discovered.Load():
+		return "the other hosts are not discovered yet"
 	case l.view.Load().Version() > 0 && l.tables.Loaded():
 		return ""
 	case !l.opts.HasAllTickets():
@@ -207,6 +214,8 @@
 
 // renewView replaces the view if an input changed.
 func (l *Resolver) renewView(now time.Time) {
+	discovered := l.opts.Members.Discovered() // asked before the members that it speaks of are read
+	defer func() { l.discovered.Store(discovered) }()
 	next := viewInputs{
 		config: l.opts.Config.Load(), table: l.tables.Table(), members: l.opts.Members.Live(),
 		timeStep: now.Truncate(reportsRefreshInterval), reportsSum: l.opts.Sites.Sum(),
--- a/version/spread/poller.go
+++ b/version/spread/poller.go
@@ -130,7 +130,7 @@
 		return err
 	}
 	p.polls++
-	if p.polls%memberReadPolls == 1 {
+	if p.polls%memberReadPolls == 1 || p.confirmsAlone(time.Now()) {
 		if err := p.readMembers(ctx); err != nil {
 			return err
 		}
@@ -139,6 +139,12 @@
 	return nil
 }
 
+// confirmsAlone reports whether the member rows have to be read now because this host knows
+// no other.
+func (p *Poller) confirmsAlone(now time.Time) bool {
+	return !p.engine.Members.Discovered() && p.engine.Members.Discovery().ConfirmationDue(now)
+}
+
 // isPoller reports whether this host is one of the pollers of its failure domain.
 func (p *Poller) isPoller() bool {
 	self := p.engine.Members.Self()
@@ -229,6 +235,7 @@
 
 // readMembers merges the member rows written since the last read.
 func (p *Poller) readMembers(ctx context.Context) error {
+	began := time.Now()
 	for {
 		if err := p.limiter.Wait(ctx); err != nil {
 			return err
@@ -248,6 +255,7 @@
 		}
 		p.memberCursor = next
 		if !more {
+			p.engine.Members.Discovery().RowsRead(began)
 			return nil
 		}
 	}
@@ -276,6 +284,7 @@
 		return
 	}
 	p.announcedLeaving = self.Leaving
+	p.engine.Members.Discovery().Announced(time.Now())
 	p.renewAt = time.Now().Add(membership.RenewInterval*3/4 + rand.N(membership.RenewInterval/2))
 }
 
