Callers: our own connection server; pipelined idempotent requests run at the same time

Cause: net/http serves the requests of a connection one after the other, so that a second request waits for the whole of the first; and its background read stops at the first byte of the next request, so that a caller that has sent ahead and closes is not noticed. Change: connection/caller.Server reads with net/http's parser after a check of the bytes of the header, runs idempotent requests at the same time up to eight, answers in order, lets others run alone, notices the end of a caller whatever it has sent ahead, and answers malformed or ambiguous requests once before it closes. At a planned stop the last request that was passed on gets the closing response. Ruled out here: a splitter before http.Server was weighed on paper only.

--- /dev/null
+++ b/connection/caller/gone_other.go
@@ -0,0 +1,9 @@
+//go:build !linux
+
+package caller
+
+import "net"
+
+// closedByPeer returns false: only on Linux is the close known before the bytes ahead of it
+// are read.
+func closedByPeer(net.Conn) bool { return false }
--- /dev/null
+++ b/connection/caller/head.go
@@ -0,0 +1,187 @@
+package caller
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+)
+
+var (
+	errHeadTooLarge = errors.New("request header is too large")
+	errMalformed    = errors.New("malformed request")
+	errVersion      = errors.New("unsupported protocol version")
+)
+
+// initialHeadBuffer is the size in bytes of a connection's read buffer until a request
+// header needs more.
+const initialHeadBuffer = 4 << 10
+
+// headReader reads request headers from a connection. It checks each header as bytes
+// before it is parsed, so that a request with more than one reading is never passed on.
+type headReader struct {
+	source io.Reader
+	buffer *bufio.Reader
+	// limit is the largest header in bytes.
+	limit int
+}
+
+func newHeadReader(source io.Reader, limit int) *headReader {
+	return &headReader{source: source, buffer: bufio.NewReaderSize(source, min(initialHeadBuffer, limit)), limit: limit}
+}
+
+// awaitByte waits until at least one byte more than the buffered ones has arrived. When the
+// buffer is full it returns bufio.ErrBufferFull at once.
+func (h *headReader) awaitByte() error {
+	_, err := h.buffer.Peek(h.buffer.Buffered() + 1)
+	return err
+}
+
+// awaitFirstByte waits until a byte is buffered.
+func (h *headReader) awaitFirstByte() error {
+	_, err := h.buffer.Peek(1)
+	return err
+}
+
+// read returns the next request. Its body reads from the same buffer.
+func (h *headReader) read() (*http.Request, error) {
+	head, err := h.awaitHead()
+	if err != nil {
+		return nil, err
+	}
+	if err := checkHead(head); err != nil {
+		return nil, err
+	}
+	r, err := http.ReadRequest(h.buffer)
+	if err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "parse"), errMalformed)
+	}
+	if r.ProtoMajor != 1 {
+		return nil, errors.Wrapf(errVersion, "%s", r.Proto)
+	}
+	return r, nil
+}
+
+// awaitHead returns the bytes of a complete header, which stay in the buffer.
+func (h *headReader) awaitHead() ([]byte, error) {
+	searched := 0
+	for {
+		data, _ := h.buffer.Peek(h.buffer.Buffered()) // never more than is buffered
+		if end := headEnd(data, searched); end > 0 {
+			return data[:end], nil
+		}
+		searched = max(0, len(data)-len("\n\r"))
+		err := h.awaitByte()
+		if errors.Is(err, bufio.ErrBufferFull) {
+			searched, err = 0, h.grow(data)
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+// grow replaces the buffer, which holds data, by a larger one.
+func (h *headReader) grow(data []byte) error {
+	size := h.buffer.Size()
+	if size >= h.limit {
+		return errors.Wrapf(errHeadTooLarge, "more than %d bytes", h.limit)
+	}
+	h.source = io.MultiReader(bytes.NewReader(bytes.Clone(data)), h.source)
+	h.buffer = bufio.NewReaderSize(h.source, min(2*size, h.limit))
+	return nil
+}
+
+// headEnd returns the length of the header at the start of data, with the empty line that
+// ends it, or 0 if it is not complete. The bytes before from have no end.
+func headEnd(data []byte, from int) int {
+	for {
+		i := bytes.IndexByte(data[from:], '\n')
+		if i < 0 {
+			return 0
+		}
+		from += i + 1
+		rest := data[from:]
+		if len(rest) > 0 && rest[0] == '\n' {
+			return from + 1
+		}
+		if len(rest) > 1 && rest[0] == '\r' && rest[1] == '\n' {
+			return from + 2
+		}
+	}
+}
+
+// checkHead returns an error marked errMalformed if a header could be read in more than one
+// way: by its line ends, by its field names, or by the length of the body.
+func checkHead(head []byte) error {
+	lines := bytes.Split(head, []byte("\n"))
+	var count fieldCount
+	for i, line := range lines[:len(lines)-2] {
+		text, ok := bytes.CutSuffix(line, []byte("\r"))
+		if !ok || !isText(text) {
+			return errors.Wrapf(errMalformed, "line %d has a control character or no CRLF", i+1)
+		}
+		if i == 0 {
+			continue
+		}
+		name, _, found := bytes.Cut(text, []byte(":"))
+		if !found || !isToken(name) {
+			return errors.Wrapf(errMalformed, "line %d has no valid field name", i+1)
+		}
+		count.add(name)
+	}
+	if !bytes.Equal(lines[len(lines)-2], []byte("\r")) {
+		return errors.Wrap(errMalformed, "the empty line has no CRLF")
+	}
+	return count.check(bytes.Contains(lines[0], []byte(" HTTP/1.0")))
+}
+
+// fieldCount counts the fields that must not appear twice.
+type fieldCount struct {
+	host, length, encoding int
+}
+
+func (c *fieldCount) add(name []byte) {
+	switch {
+	case bytes.EqualFold(name, []byte("Host")):
+		c.host++
+	case bytes.EqualFold(name, []byte("Content-Length")):
+		c.length++
+	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
+		c.encoding++
+	}
+}
+
+func (c *fieldCount) check(isHTTP10 bool) error {
+	switch {
+	case c.length+c.encoding > 1:
+		return errors.Wrap(errMalformed, "the length of the body is given more than once")
+	case c.host > 1 || (c.host == 0 && !isHTTP10):
+		return errors.Wrapf(errMalformed, "%d Host fields", c.host)
+	case c.encoding > 0 && isHTTP10:
+		return errors.Wrap(errMalformed, "HTTP/1.0 has no chunked encoding")
+	}
+	return nil
+}
+
+// isText reports whether a line has no control character but tabs.
+func isText(line []byte) bool {
+	for _, b := range line {
+		if (b < ' ' && b != '\t') || b == 0x7f {
+			return false
+		}
+	}
+	return true
+}
+
+// isToken reports whether a field name has only the characters that RFC 9110 allows.
+func isToken(name []byte) bool {
+	for _, b := range name {
+		if b <= ' ' || b >= 0x7f || bytes.IndexByte([]byte(`"(),/:;<=>?@[\]{}`), b) >= 0 {
+			return false
+		}
+	}
+	return len(name) > 0
+}
--- /dev/null
+++ b/connection/caller/server.go
@@ -0,0 +1,163 @@
+package caller
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// maxPipelined is the number of requests of one connection that are served at the same
+	// time.
+	maxPipelined = 8
+	// writeStallTimeout is how long a caller may take to receive one write.
+	writeStallTimeout = 30 * time.Second
+	// lingerTimeout is how long a connection that this side has closed is still read, since
+	// closing it with unread bytes would reset it before the caller has its response.
+	lingerTimeout = 500 * time.Millisecond
+	// drainIdleTimeout is how long an idle connection stays open after Shutdown, for a
+	// request that is already on its way.
+	drainIdleTimeout = 50 * time.Millisecond
+	// goneCheckInterval is the time between two checks whether a caller whose input is not
+	// read has closed its connection.
+	goneCheckInterval = 200 * time.Millisecond
+	// maxDiscardedBody is how many bytes of a request body that the handler has not read are
+	// discarded to keep the connection.
+	maxDiscardedBody = 256 << 10
+	// minAcceptBackoff and maxAcceptBackoff bound the pause after a failed accept.
+	minAcceptBackoff = 5 * time.Millisecond
+	maxAcceptBackoff = time.Second
+)
+
+// ErrServerClosed is returned by Serve after Shutdown or Close.
+var ErrServerClosed = errors.New("server closed")
+
+// Server serves HTTP/1 requests. It differs from http.Server in these points:
+//
+//   - Idempotent requests that a caller has pipelined are served concurrently, up to
+//     maxPipelined for each connection. Responses are sent in the order of the requests.
+//   - A request that is not idempotent, or has a body, starts when all requests before it
+//     have been answered, and none behind it starts before it has been answered.
+//   - A caller that closes its connection is noticed whatever it has sent ahead. The
+//     contexts of its requests are cancelled.
+//   - A request that is malformed or could be read in more than one way is answered after
+//     those before it, and ends the connection.
+//
+// A handler that panics with http.ErrAbortHandler ends the connection after the responses
+// before it. The fields must not be changed after Serve is called.
+type Server struct {
+	Handler http.Handler
+	// Idempotent reports whether a request may run more than once, and so concurrently with
+	// others of its connection.
+	Idempotent func(*http.Request) bool
+	// HeaderTimeout limits the time for reading a header, from its first byte.
+	HeaderTimeout time.Duration
+	// IdleTimeout is how long a connection without a request is kept.
+	IdleTimeout time.Duration
+	// HeaderBytes is the largest header in bytes.
+	HeaderBytes int
+	// OnReject is called for each request that is malformed. It may be nil.
+	OnReject func(remote string, err error)
+
+	draining atomic.Bool
+	mu       sync.Mutex
+	listener []net.Listener
+	conns    map[*conn]struct{}
+	running  sync.WaitGroup
+}
+
+// Serve accepts connections from l until Shutdown or Close, and returns ErrServerClosed
+// then.
+func (s *Server) Serve(l net.Listener) error {
+	s.mu.Lock()
+	s.listener = append(s.listener, l)
+	s.mu.Unlock()
+	backoff := minAcceptBackoff
+	for {
+		accepted, err := l.Accept()
+		if err == nil {
+			backoff = minAcceptBackoff
+			s.start(accepted)
+			continue
+		}
+		if errors.Is(err, net.ErrClosed) {
+			return ErrServerClosed
+		}
+		time.Sleep(backoff) // the process is out of descriptors
+		backoff = min(maxAcceptBackoff, 2*backoff)
+	}
+}
+
+func (s *Server) start(accepted net.Conn) {
+	c := newConn(s, accepted)
+	s.mu.Lock()
+	if s.conns == nil {
+		s.conns = make(map[*conn]struct{})
+	}
+	s.conns[c] = struct{}{}
+	s.mu.Unlock()
+	s.running.Go(func() {
+		c.serve()
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+	})
+}
+
+// Drain makes the last response in flight of each connection close it. Nothing that a
+// caller has sent behind that request is passed on. New connections are still accepted and
+// get one response.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// Shutdown stops accepting, lets the requests in flight finish and closes idle connections.
+// It returns the error of ctx if that ends first.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.Drain()
+	s.closeListeners()
+	for _, c := range s.openConns() {
+		c.updateDeadline()
+	}
+	ended := make(chan struct{})
+	go func() {
+		s.running.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Close closes all connections at once. It does not wait for handlers.
+func (s *Server) Close() error {
+	s.closeListeners()
+	for _, c := range s.openConns() {
+		c.abort()
+	}
+	return nil
+}
+
+func (s *Server) closeListeners() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.listener {
+		_ = l.Close()
+	}
+}
+
+func (s *Server) openConns() []*conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	open := make([]*conn, 0, len(s.conns))
+	for c := range s.conns {
+		open = append(open, c)
+	}
+	return open
+}
--- a/entry/host.go
+++ b/entry/host.go
@@ -22,6 +22,7 @@
 	"github.com/gorilla/mux"
 	"github.com/rs/zerolog"
 
+	"quetzalknot/connection/caller"
 	"quetzalknot/connection/target"
 	"quetzalknot/platform/adapter"
 	"quetzalknot/process/crash"
@@ -46,6 +47,7 @@
 	evLinesDropped       = eventlog.Define(1016, zerolog.WarnLevel, "log lines dropped")
 	evReadinessChanged   = eventlog.Define(1017, zerolog.InfoLevel, "readiness changed")
 	evRequestQuarantined = eventlog.Define(1018, zerolog.WarnLevel, "request quarantined")
+	evMalformed          = eventlog.Define(1020, zerolog.WarnLevel, "malformed request rejected")
 	evBudgetChanged      = eventlog.Define(1019, zerolog.InfoLevel, "retry budget changed")
 )
 
@@ -85,7 +87,7 @@
 	// lastUnreadyReason is the reason that logReadiness logged last: why the host was not ready,
 	// or "".
 	lastUnreadyReason string
-	entry             *http.Server
+	entry             *caller.Server
 	servers           []*http.Server
 	cancel            context.CancelFunc
 	loops             sync.WaitGroup
@@ -130,7 +132,7 @@
 	h.setBudgets()
 	h.handler = serve.New(serve.Options{
 		Config: h.config.Load, Chooser: h.chooser, Fleet: h.fleet, Pool: h.pool, Budget: h.budgets, Crashes: h.crashes,
-		Headers: adapter.HeaderCodec{}, UpToDate: h.upToDate, Leaving: h.leaving.Load, Metrics: h.metrics, Log: h.log,
+		Headers: adapter.HeaderCodec{}, UpToDate: h.upToDate, Metrics: h.metrics, Log: h.log,
 	})
 	return h
 }
@@ -159,10 +161,9 @@
 	if err := h.listenMetrics(s); err != nil {
 		return err
 	}
-	if err := h.listen(s.Listen.Entry, h.handler); err != nil {
+	if err := h.listenEntry(s.Listen.Entry); err != nil {
 		return err
 	}
-	h.entry = h.servers[len(h.servers)-1]
 	h.loops.Go(func() { h.followTable(ctx, adapter.OperatorTable) })
 	h.loops.Go(func() { h.followTable(ctx, adapter.TargetTable) })
 	h.loops.Go(func() { h.group.Run(ctx) })
@@ -196,6 +197,8 @@
 	headerTimeout = 10 * time.Second
 	// callerIdleTimeout is how long a caller's idle connection is kept.
 	callerIdleTimeout = time.Minute
+	// callerHeaderBytes is the largest request header.
+	callerHeaderBytes = 1 << 20
 )
 
 func (h *Host) listen(addr string, handler http.Handler) error {
@@ -209,6 +212,25 @@
 	return nil
 }
 
+// listenEntry serves callers' requests.
+func (h *Host) listenEntry(addr string) error {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	rejected := h.metrics.Counter("callers.rejected_requests")
+	h.entry = &caller.Server{
+		Handler: h.handler, Idempotent: h.handler.Idempotent,
+		HeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, HeaderBytes: callerHeaderBytes,
+		OnReject: func(remote string, err error) {
+			rejected.Add(1)
+			evMalformed.Log(h.log).Str("caller", remote).Err(err).Send()
+		},
+	}
+	h.loops.Go(func() { _ = h.entry.Serve(l) })
+	return nil
+}
+
 // Reload reads the settings file again. If it is invalid, the old settings stay in force.
 // Settings that are used only at the start, such as addresses, do not change.
 func (h *Host) Reload() {
@@ -241,6 +263,7 @@
 func (h *Host) Stop(ctx context.Context) {
 	deadline := time.Now().Add(time.Duration(h.settings.Load().Bounds.Grace) - stopMargin)
 	h.leaving.Store(true)
+	h.entry.Drain()
 	evLeaving.Log(h.log).Int64("in_flight", h.handler.InFlight()).Send()
 	h.group.Leave(ctx)
 	go h.withdraw()
@@ -266,6 +289,9 @@
 	for _, server := range h.servers {
 		_ = server.Close()
 	}
+	if h.entry != nil {
+		_ = h.entry.Close()
+	}
 	_ = h.peers.Close()
 	h.clients.Close()
 	h.pool.Close()
--- a/request/serve/serve.go
+++ b/request/serve/serve.go
@@ -50,10 +50,8 @@
 	Headers HeaderCodec
 	// UpToDate reports whether the configuration is known to be the newest.
 	UpToDate func() bool
-	// Leaving reports whether this host is shutting down.
-	Leaving func() bool
-	Metrics *metrics.Set
-	Log     zerolog.Logger
+	Metrics  *metrics.Set
+	Log      zerolog.Logger
 }
 
 // Handler serves callers' requests. It is an http.Handler.
@@ -80,9 +78,6 @@
 	h.received.Add(1)
 	defer h.inFlight.Add(-1)
 	q := &request{h: h, w: w, r: r, started: time.Now()}
-	if h.Leaving() {
-		w.Header().Set("Connection", "close")
-	}
 	if !q.read() {
 		return
 	}
@@ -91,6 +86,16 @@
 	q.run(ctx)
 }
 
+// Idempotent reports whether the route in force allows a request to run more than once.
+func (h *Handler) Idempotent(r *http.Request) bool {
+	config := h.Config()
+	if config == nil {
+		return false
+	}
+	route := config.Match(r.Host, r.URL.EscapedPath())
+	return route != nil && route.Idempotent
+}
+
 var (
 	errDeadline   = errors.New("deadline exceeded")
 	errNoBudget   = errors.New("retry budget is used up")
