Start of many hosts: tables come from the failure domain, compressed; changes cross regions few times

Cause: each host read the whole tables and the hosts' rows from the store when it started, and pulled changes from whichever partner beat first, those of other regions included. Change: hosts' rows are keyed by failure domain; a starting host reads those of its own, greets a few of them and takes tables and members over in one compressed call; only the first two live hosts of a failure domain by name read the store when nobody has them. A change is pulled from another region only if no reader of the own region is fresh. The send limit of a host that is not up to date is lifted when its first tables arrive. Ruled out: a row that elects the reader by a conditional write (one more write for each start, and a dead holder has to be replaced); reading by rank without a pause (hosts that start within 0.3 s see few rows, so a quarter of them would read).

--- a/entry/follow.go
+++ b/entry/follow.go
@@ -202,6 +202,7 @@
 	if h.storeStatus.recordSuccess(time.Now()) {
 		evStoreRegained.Log(h.log).Send()
 	}
+	h.limitSendRate()
 }
 
 func (h *Host) storeFailed(table string, err error) {
@@ -213,7 +214,7 @@
 // discoverHosts writes this host's row to the store and periodically reads the rows of the
 // other hosts. Once both have succeeded, only the hosts that read the store go on reading.
 func (h *Host) discoverHosts(ctx context.Context) {
-	announced, hostsRead := false, false
+	announced, hostsRead := h.announced.Load(), h.group.HasMembers()
 	backoff := minBackoff
 	for ctx.Err() == nil {
 		if !announced && !h.leaving.Load() {
@@ -253,12 +254,18 @@
 		h.rate.update(h.handler.Received(), now)
 		h.setBudgets()
 		h.logReadiness()
-		if h.upToDate() {
-			h.fleet.LiftSendRateLimit()
-		} else {
-			h.fleet.LimitSendRate(h.coldRateLimit)
-		}
+		h.limitSendRate()
+	}
+}
+
+// limitSendRate limits the requests to each target while this host is not up to date, and
+// lifts the limit when it is.
+func (h *Host) limitSendRate() {
+	if h.upToDate() {
+		h.fleet.LiftSendRateLimit()
+		return
 	}
+	h.fleet.LimitSendRate(h.coldRateLimit)
 }
 
 // sendersPerTarget is the number of hosts that usually send requests to one target.
--- a/entry/host.go
+++ b/entry/host.go
@@ -84,6 +84,8 @@
 
 	rate    peakRate
 	leaving atomic.Bool
+	// announced is true once this host's row is written.
+	announced atomic.Bool
 	// lastUnreadyReason is the reason that logReadiness logged last: why the host was not ready,
 	// or "".
 	lastUnreadyReason string
@@ -164,10 +166,13 @@
 	if err := h.listenEntry(s.Listen.Entry); err != nil {
 		return err
 	}
-	h.loops.Go(func() { h.followTable(ctx, adapter.OperatorTable) })
-	h.loops.Go(func() { h.followTable(ctx, adapter.TargetTable) })
 	h.loops.Go(func() { h.group.Run(ctx) })
-	h.loops.Go(func() { h.discoverHosts(ctx) })
+	h.loops.Go(func() {
+		h.load(ctx)
+		h.loops.Go(func() { h.followTable(ctx, adapter.OperatorTable) })
+		h.loops.Go(func() { h.followTable(ctx, adapter.TargetTable) })
+		h.discoverHosts(ctx)
+	})
 	h.loops.Go(func() { h.tick(ctx) })
 	evStarted.Log(h.log).Str("entry", s.Listen.Entry).Str("peer", h.self.Peer).Int64("incarnation", h.self.Incarnation).Send()
 	return nil
--- /dev/null
+++ b/entry/load.go
@@ -0,0 +1,106 @@
+package entry
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"quetzalknot/platform/adapter"
+	"quetzalknot/process/partner"
+)
+
+const (
+	// loadTimeout is how long a starting host waits for the tables of another host of its
+	// failure domain before it reads them from the store.
+	loadTimeout = 1500 * time.Millisecond
+	// settleTime is the pause after the announcement, in which hosts that start together
+	// announce themselves.
+	settleTime = 300 * time.Millisecond
+	// loadPause is the time between two rounds of greetings.
+	loadPause = 100 * time.Millisecond
+	// tablesPoll is the time between two checks whether the tables are there.
+	tablesPoll = 10 * time.Millisecond
+	// startReaders is the number of hosts of a failure domain that read the tables from the
+	// store when all hosts start together.
+	startReaders = 2
+	// maxGreeted bounds the hosts that a starting host greets in one round.
+	maxGreeted = 6
+)
+
+// load announces this host and takes the tables over from another host of its failure domain.
+// It returns when they are there, or when this host has to read them from the store: because
+// it is one of the first hosts of its failure domain by name and none has them, because the
+// store cannot be read, or after loadTimeout. So when many hosts start together, the tables
+// cross to a failure domain a few times and not once for each host.
+func (h *Host) load(ctx context.Context) {
+	deadline := time.Now().Add(loadTimeout)
+	h.announced.Store(h.store.Announce(ctx, h.self) == nil)
+	if !h.greetDomain(ctx) || h.awaitTables(ctx, settleTime) {
+		return
+	}
+	for ctx.Err() == nil && time.Now().Before(deadline) {
+		if !h.greetDomain(ctx) || h.awaitTables(ctx, loadPause) || h.isStartReader() {
+			return
+		}
+	}
+}
+
+// awaitTables waits up to d for a copy of each table and reports whether there is one.
+func (h *Host) awaitTables(ctx context.Context, d time.Duration) bool {
+	for end := time.Now().Add(d); !h.hasTables(); {
+		if time.Now().After(end) || !pause(ctx, tablesPoll) {
+			return false
+		}
+	}
+	h.limitSendRate()
+	return true
+}
+
+// greetDomain exchanges heartbeats with hosts of this failure domain, from which a table that
+// one of them has is pulled. It returns false if the store does not say which hosts there are.
+func (h *Host) greetDomain(ctx context.Context) bool {
+	domain, err := h.store.HostsOf(ctx, h.self.Domain)
+	if err != nil {
+		return false
+	}
+	h.group.AddMembers(domain)
+	h.group.Greet(ctx, greeted(domain, h.self.Name))
+	return true
+}
+
+// greeted returns the hosts that a starting host greets: the first by name, which read the
+// store if nobody has the tables, and those behind itself.
+func greeted(domain []partner.Member, self string) []partner.Member {
+	sorted := slices.SortedFunc(slices.Values(domain), func(a, b partner.Member) int { return cmp.Compare(a.Name, b.Name) })
+	sorted = slices.DeleteFunc(sorted, func(m partner.Member) bool { return m.Name == self })
+	if len(sorted) <= maxGreeted {
+		return sorted
+	}
+	at, _ := slices.BinarySearchFunc(sorted, self, func(m partner.Member, name string) int { return cmp.Compare(m.Name, name) })
+	hosts := slices.Clone(sorted[:startReaders])
+	for i := range maxGreeted - startReaders {
+		m := sorted[(at+i)%len(sorted)]
+		if !slices.ContainsFunc(hosts, func(o partner.Member) bool { return o.Name == m.Name }) {
+			hosts = append(hosts, m)
+		}
+	}
+	return hosts
+}
+
+// isStartReader reports whether fewer than startReaders live hosts of this failure domain
+// come before this one by name.
+func (h *Host) isStartReader() bool {
+	before := 0
+	for _, m := range h.group.Alive() {
+		if m.Domain == h.self.Domain && m.Name < h.self.Name {
+			before++
+		}
+	}
+	return before < startReaders
+}
+
+// hasTables reports whether this host has a copy of each table.
+func (h *Host) hasTables() bool {
+	return !slices.ContainsFunc(adapter.Tables(), func(name string) bool { return h.mirror.Revision(name) == 0 })
+}
--- /dev/null
+++ b/entry/load_test.go
@@ -0,0 +1,124 @@
+package entry
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"quetzalknot/platform/standin"
+	"quetzalknot/process/partner"
+)
+
+// lockedBuffer is a bytes.Buffer for concurrent use.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.Write(p)
+}
+
+func (b *lockedBuffer) count(text string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return strings.Count(b.b.String(), text)
+}
+
+const (
+	// tablesRead is the number of tables that a host without partners reads.
+	tablesRead = 2
+	fullRead   = `"full table read"`
+)
+
+// startTogether adds hosts to a cluster at the same time and waits until all are ready.
+func startTogether(c *cluster, hosts int) {
+	c.t.Helper()
+	for i := range hosts {
+		c.addHost(fmt.Sprintf("front-%02d", i))
+	}
+	for _, h := range c.hosts {
+		c.eventually("host is ready", h.ready)
+	}
+}
+
+// TestTablesAreReadFewTimesAtStart: of hosts of one failure domain that start together, only
+// startReaders may read the tables from the store. A host that starts later must read none.
+func TestTablesAreReadFewTimesAtStart(t *testing.T) {
+	const hosts = 8
+	c := newCluster(t, 2, 0)
+	logs := new(lockedBuffer)
+	c.logs = logs
+	startTogether(c, hosts)
+	c.eventually("the reads are logged", func() bool { return logs.count(fullRead) >= tablesRead })
+	time.Sleep(loadTimeout)
+	if got, most := logs.count(fullRead), tablesRead*startReaders; got > most {
+		t.Errorf("%d reads of full tables by %d hosts, want at most %d", got, hosts, most)
+	}
+	before := logs.count(fullRead)
+	late := c.addHost("front-99")
+	c.eventually("the late host is ready", late.ready)
+	c.eventually("it has the members", func() bool { return late.group.KnownCount() == hosts+1 })
+	if got := logs.count(fullRead); got != before {
+		t.Errorf("a host that started later read %d full tables", got-before)
+	}
+}
+
+// TestStartWithoutFirstHosts: when the first hosts by name are gone but their rows are still
+// there, hosts that start together must be ready all the same.
+func TestStartWithoutFirstHosts(t *testing.T) {
+	c := newCluster(t, 1, 0)
+	for i := range startReaders + 1 {
+		name := fmt.Sprintf("a-%d", i)
+		c.store.Put("hosts", "no-gler/"+name, fmt.Sprintf(`{"Name":%q,"Incarnation":1,"Region":"nordur","Domain":"no-gler","Peer":"127.0.0.1:1"}`, name))
+	}
+	start := time.Now()
+	startTogether(c, 3)
+	if took := time.Since(start); took > 2*loadTimeout {
+		t.Errorf("the hosts were ready after %v", took)
+	}
+}
+
+// TestRestartDoesNotUseWithdrawnTarget: a host that takes the tables over from a partner which
+// is behind must not go on using a target that left meanwhile.
+func TestRestartDoesNotUseWithdrawnTarget(t *testing.T) {
+	c := newCluster(t, 2, 2)
+	c.endpoints[0].SetFaults(standin.StoreFaults{Refuse: 503})
+	c.store.RemoveTarget("i-1")
+	late := c.addHost("front-9")
+	c.eventually("the late host is ready", late.ready)
+	c.eventually("it uses only the target that is left", func() bool { return late.fleet.Size() == 1 })
+}
+
+// TestGreetedHostsAreBounded: a starting host must greet the first hosts of its failure
+// domain and a few others, and never itself.
+func TestGreetedHostsAreBounded(t *testing.T) {
+	var domain []partner.Member
+	for i := range 41 {
+		domain = append(domain, partner.Member{Name: fmt.Sprintf("h%02d", i)})
+	}
+	for _, self := range domain {
+		hosts := greeted(domain, self.Name)
+		if len(hosts) > maxGreeted {
+			t.Errorf("%s greets %d hosts", self.Name, len(hosts))
+		}
+		first := 0
+		for _, m := range hosts {
+			if m.Name == self.Name {
+				t.Errorf("%s greets itself", self.Name)
+			}
+			if m.Name <= "h02" {
+				first++
+			}
+		}
+		if first < startReaders {
+			t.Errorf("%s greets %d of the first hosts", self.Name, first)
+		}
+	}
+}
--- a/process/partner/partner.go
+++ b/process/partner/partner.go
@@ -127,6 +127,13 @@
 	// one last did so without store failures, and storeFailedAt when one last reported a
 	// store failure.
 	readerAt, healthyReaderAt, storeFailedAt time.Time
+	// nearReaderAt is when a partner in this region last reported that it reads the store
+	// without failures.
+	nearReaderAt time.Time
+	startedAt    time.Time
+	// hasMembers is true once the members were taken over from another host.
+	hasMembers bool
+	snapshot   snapshotCache
 }
 
 // memberState is a known host other than this one.
@@ -143,7 +150,7 @@
 
 // New returns a group that contains only this host.
 func New(opts Options) *Group {
-	return &Group{opts: opts, members: make(map[string]*memberState), pullsRunning: make(map[string]bool)}
+	return &Group{opts: opts, members: make(map[string]*memberState), pullsRunning: make(map[string]bool), startedAt: opts.Now()}
 }
 
 // Register registers the group's net/rpc service with a server.
@@ -242,6 +249,13 @@
 // pullNewer starts a pull of each table of which the sender of a heartbeat has a newer
 // revision.
 func (g *Group) pullNewer(h *Heartbeat) {
+	if !g.mayPullFrom(h.From) {
+		return
+	}
+	if !g.hasTables() {
+		g.startSnapshotPull(h)
+		return
+	}
 	for _, name := range g.opts.Tables {
 		own := g.opts.Mirror.Revision(name)
 		if h.Positions[name] <= own || !g.startPull(name) {
@@ -269,17 +283,25 @@
 // pullTable fetches and applies the records of a table that are newer than own, unless the
 // store's change feed brought newer ones meanwhile.
 func (g *Group) pullTable(from Member, name string, own uint64) {
-	defer func() {
-		g.mu.Lock()
-		g.pullsRunning[name] = false
-		g.mu.Unlock()
-	}()
+	defer g.endPull(name)
 	if g.opts.StoreStatus().Reachable {
 		time.Sleep(pullDelay)
 	}
 	if now := g.opts.Mirror.Revision(name); now > own {
 		return
 	}
+	g.pullDelta(from, name, own)
+}
+
+// endPull records that a pull has ended.
+func (g *Group) endPull(name string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.pullsRunning[name] = false
+}
+
+// pullDelta fetches and applies the records of a table that are newer than own.
+func (g *Group) pullDelta(from Member, name string, own uint64) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	delta := new(mirror.Delta)
--- a/process/partner/partner_test.go
+++ b/process/partner/partner_test.go
@@ -48,6 +48,9 @@
 	if heartbeat, ok := args.(*Heartbeat); ok {
 		return s.Beat(heartbeat, reply.(*Heartbeat))
 	}
+	if request, ok := args.(*SnapshotRequest); ok {
+		return s.Snapshot(request, reply.(*SnapshotReply))
+	}
 	return s.Pull(args.(*PullRequest), reply.(*mirror.Delta))
 }
 
--- a/process/partner/readers.go
+++ b/process/partner/readers.go
@@ -58,6 +58,9 @@
 	if h.Fresh && !h.Troubled {
 		g.healthyReaderAt = now
 	}
+	if h.Fresh && !h.Troubled && h.From.Region == g.opts.Self.Region {
+		g.nearReaderAt = now
+	}
 	if h.Troubled {
 		g.storeFailedAt = now
 	}
