--- a/connection/caller/exchange.go
+++ b/connection/caller/exchange.go
@@ -183,15 +183,19 @@
 
 func (x *exchange) writeHead() {
 	w := x.conn.writer
-	version := "HTTP/1.1 "
+	line := append(w.AvailableBuffer(), "HTTP/1.1 "...)
 	if x.isHTTP10() {
-		version = "HTTP/1.0 "
+		line = append(w.AvailableBuffer(), "HTTP/1.0 "...)
 	}
-	_, _ = w.WriteString(version + strconv.Itoa(x.status) + " " + statusText(x.status) + "\r\n")
+	line = strconv.AppendInt(line, int64(x.status), 10)
+	line = append(append(line, ' '), statusText(x.status)...)
+	line = append(line, "\r\n"...)
 	if _, ok := x.header["Date"]; !ok {
-		_, _ = w.Write(time.Now().UTC().AppendFormat([]byte("Date: "), http.TimeFormat))
-		_, _ = w.WriteString("\r\n")
+		line = append(line, "Date: "...)
+		line = time.Now().UTC().AppendFormat(line, http.TimeFormat)
+		line = append(line, "\r\n"...)
 	}
+	_, _ = w.Write(line) // bufio keeps the first error
 	if x.closes {
 		_, _ = w.WriteString("Connection: close\r\n")
 	}
@@ -199,7 +203,7 @@
 		_, _ = w.WriteString("Transfer-Encoding: chunked\r\n")
 	}
 	_ = x.header.WriteSubset(w, writtenByServer)
-	_, x.err = w.WriteString("\r\n") // bufio keeps the first error
+	_, x.err = w.WriteString("\r\n")
 }
 
 func statusText(status int) string {
--- a/connection/caller/head.go
+++ b/connection/caller/head.go
@@ -116,26 +116,36 @@
 // checkHead returns an error marked errMalformed if a header could be read in more than one
 // way: by its line ends, by its field names, or by the length of the body.
 func checkHead(head []byte) error {
-	lines := bytes.Split(head, []byte("\n"))
+	first, rest, _ := bytes.Cut(head, []byte("\n"))
+	if _, err := lineText(first); err != nil {
+		return err
+	}
 	var count fieldCount
-	for i, line := range lines[:len(lines)-2] {
-		text, ok := bytes.CutSuffix(line, []byte("\r"))
-		if !ok || !isText(text) {
-			return errors.Wrapf(errMalformed, "line %d has a control character or no CRLF", i+1)
+	for {
+		var line []byte
+		line, rest, _ = bytes.Cut(rest, []byte("\n"))
+		text, err := lineText(line)
+		if err != nil {
+			return err
 		}
-		if i == 0 {
-			continue
+		if len(text) == 0 {
+			return count.check(bytes.Contains(first, []byte(" HTTP/1.0")))
 		}
 		name, _, found := bytes.Cut(text, []byte(":"))
 		if !found || !isToken(name) {
-			return errors.Wrapf(errMalformed, "line %d has no valid field name", i+1)
+			return errors.Wrapf(errMalformed, "%d bytes are no header field", len(text))
 		}
 		count.add(name)
 	}
-	if !bytes.Equal(lines[len(lines)-2], []byte("\r")) {
-		return errors.Wrap(errMalformed, "the empty line has no CRLF")
+}
+
+// lineText returns a line without the CR that must end it.
+func lineText(line []byte) ([]byte, error) {
+	text, ok := bytes.CutSuffix(line, []byte("\r"))
+	if !ok || !isText(text) {
+		return nil, errors.Wrapf(errMalformed, "a line of %d bytes has a control character or no CRLF", len(line))
 	}
-	return count.check(bytes.Contains(lines[0], []byte(" HTTP/1.0")))
+	return text, nil
 }
 
 // fieldCount counts the fields that must not appear twice.
--- a/connection/caller/server_test.go
+++ b/connection/caller/server_test.go
@@ -107,10 +107,7 @@
 
 func startServerWithIdle(t testing.TB, h http.Handler, idle time.Duration) (*Server, string) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	l := listen(t)
 	s := &Server{
 		Handler: h, Idempotent: func(r *http.Request) bool { return r.Method == http.MethodGet },
 		HeaderTimeout: waitLimit, IdleTimeout: idle, HeaderBytes: 16 << 10,
@@ -128,6 +125,15 @@
 	return s, l.Addr().String()
 }
 
+func listen(t testing.TB) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
 // testCaller is a raw connection to a server.
 type testCaller struct {
 	t    testing.TB
