Start: small failure domains read the store at once; greetings are short; no pause but at the first start

Change: the settings say whether the whole system starts; the pause is for that only. Greetings end after 0.25 s; the announcement does not delay the reads.

--- a/entry/cluster_test.go
+++ b/entry/cluster_test.go
@@ -20,6 +20,8 @@
 	endpoints []*standin.Endpoint
 	targets   []*standin.Target
 	hosts     []*Host
+	// firstStart says to the hosts that are added that the whole system starts.
+	firstStart bool
 	// logs receives the log lines of the hosts that are added.
 	logs io.Writer
 }
@@ -61,7 +63,7 @@
 	endpoint := c.store.NewEndpoint()
 	c.t.Cleanup(endpoint.Close)
 	c.endpoints = append(c.endpoints, endpoint)
-	settings, err := Parse([]byte(settingsText(c.t, name, endpoint.Addr())))
+	settings, err := Parse([]byte(settingsText(c.t, name, endpoint.Addr(), c.firstStart)))
 	if err != nil {
 		c.t.Fatal(err)
 	}
@@ -74,13 +76,14 @@
 	return h
 }
 
-func settingsText(t *testing.T, name, store string) string {
+func settingsText(t *testing.T, name, store string, firstStart bool) string {
 	t.Helper()
 	return fmt.Sprintf(`[host]
 name = %q
 region = "nordur"
 failure_domain = "no-gler"
 ip = "127.0.0.1"
+first_start = %t
 [listen]
 entry = "127.0.0.1:%d"
 ready = "127.0.0.1:%d"
@@ -96,7 +99,7 @@
 [regions]
 "no-gler" = "nordur"
 "au-fjord" = "austur"
-`, name, freePort(t), freePort(t), freePort(t), freePort(t), store)
+`, name, firstStart, freePort(t), freePort(t), freePort(t), freePort(t), store)
 }
 
 func freePort(t *testing.T) int {
--- a/entry/load.go
+++ b/entry/load.go
@@ -14,9 +14,11 @@
 	// loadTimeout is how long a starting host waits for the tables of another host of its
 	// failure domain before it reads them from the store.
 	loadTimeout = 1500 * time.Millisecond
-	// settleTime is the pause after the announcement, in which hosts that start together
-	// announce themselves.
+	// settleTime is the pause at the first start of the system, in which the hosts announce
+	// themselves.
 	settleTime = 300 * time.Millisecond
+	// greetTimeout limits one round of greetings, since hosts that are listed may be gone.
+	greetTimeout = 250 * time.Millisecond
 	// loadPause is the time between two rounds of greetings.
 	loadPause = 100 * time.Millisecond
 	// tablesPoll is the time between two checks whether the tables are there.
@@ -35,17 +37,41 @@
 // cross to a failure domain a few times and not once for each host.
 func (h *Host) load(ctx context.Context) {
 	deadline := time.Now().Add(loadTimeout)
-	h.announced.Store(h.store.Announce(ctx, h.self) == nil)
-	if !h.greetDomain(ctx) || h.awaitTables(ctx, settleTime) {
+	announcing := make(chan struct{})
+	go func() {
+		defer close(announcing)
+		h.announced.Store(h.store.Announce(ctx, h.self) == nil)
+	}()
+	defer func() { <-announcing }()
+	domain := h.readDomain(ctx)
+	firstStart := h.settings.Load().Host.FirstStart
+	if !asksPartners(len(domain), firstStart) {
+		return
+	}
+	h.greet(ctx, domain)
+	settle := loadPause
+	if firstStart {
+		settle = settleTime
+	}
+	if h.awaitTables(ctx, settle) {
 		return
 	}
 	for ctx.Err() == nil && time.Now().Before(deadline) {
-		if !h.greetDomain(ctx) || h.awaitTables(ctx, loadPause) || h.isStartReader() {
+		domain = h.readDomain(ctx)
+		h.greet(ctx, domain)
+		if len(domain) == 0 || h.awaitTables(ctx, loadPause) || h.isStartReader() {
 			return
 		}
 	}
 }
 
+// asksPartners reports whether a starting host asks others for the tables, given the number
+// of hosts of its failure domain that the store lists. All hosts of a small one may read the
+// store at once, unless the whole system starts and the others are not listed yet.
+func asksPartners(listed int, firstStart bool) bool {
+	return listed > startReaders || firstStart
+}
+
 // awaitTables waits up to d for a copy of each table and reports whether there is one.
 func (h *Host) awaitTables(ctx context.Context, d time.Duration) bool {
 	for end := time.Now().Add(d); !h.hasTables(); {
@@ -57,16 +83,23 @@
 	return true
 }
 
-// greetDomain exchanges heartbeats with hosts of this failure domain, from which a table that
-// one of them has is pulled. It returns false if the store does not say which hosts there are.
-func (h *Host) greetDomain(ctx context.Context) bool {
+// readDomain returns the hosts of this failure domain that the store lists, this one
+// included; none if the store does not say.
+func (h *Host) readDomain(ctx context.Context) []partner.Member {
 	domain, err := h.store.HostsOf(ctx, h.self.Domain)
 	if err != nil {
-		return false
+		return nil
 	}
 	h.group.AddMembers(domain)
+	return domain
+}
+
+// greet exchanges heartbeats with some of the hosts. If one of them has the tables, they are
+// pulled from it.
+func (h *Host) greet(ctx context.Context, domain []partner.Member) {
+	ctx, cancel := context.WithTimeout(ctx, greetTimeout)
+	defer cancel()
 	h.group.Greet(ctx, greeted(domain, h.self.Name))
-	return true
 }
 
 // greeted returns the hosts that a starting host greets: the first by name, which read the
--- a/entry/load_test.go
+++ b/entry/load_test.go
@@ -54,7 +54,7 @@
 	const hosts = 8
 	c := newCluster(t, 2, 0)
 	logs := new(lockedBuffer)
-	c.logs = logs
+	c.logs, c.firstStart = logs, true
 	startTogether(c, hosts)
 	c.eventually("the reads are logged", func() bool { return logs.count(fullRead) >= tablesRead })
 	time.Sleep(loadTimeout)
@@ -62,6 +62,7 @@
 		t.Errorf("%d reads of full tables by %d hosts, want at most %d", got, hosts, most)
 	}
 	before := logs.count(fullRead)
+	c.firstStart = false
 	late := c.addHost("front-99")
 	c.eventually("the late host is ready", late.ready)
 	c.eventually("it has the members", func() bool { return late.group.KnownCount() == hosts+1 })
@@ -96,6 +97,23 @@
 	c.eventually("it uses only the target that is left", func() bool { return late.fleet.Size() == 1 })
 }
 
+// TestSmallDomainStartsWithoutPartners: a host of a small failure domain must not wait for
+// partners when it starts again; at the first start of the system it must.
+func TestSmallDomainStartsWithoutPartners(t *testing.T) {
+	for _, tc := range []struct {
+		listed     int
+		firstStart bool
+		want       bool
+	}{
+		{0, false, false}, {0, true, true}, {1, false, false}, {1, true, true},
+		{startReaders, false, false}, {startReaders + 1, false, true}, {startReaders + 1, true, true},
+	} {
+		if got := asksPartners(tc.listed, tc.firstStart); got != tc.want {
+			t.Errorf("%d listed, first start %v: %v", tc.listed, tc.firstStart, got)
+		}
+	}
+}
+
 // TestGreetedHostsAreBounded: a starting host must greet the first hosts of its failure
 // domain and a few others, and never itself.
 func TestGreetedHostsAreBounded(t *testing.T) {
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -32,6 +32,9 @@
 	// CPUShare is the share of each of its Cores that the process gets; 0 means unknown.
 	CPUShare float64 `toml:"cpu_share"`
 	Cores    float64 `toml:"cores"`
+	// FirstStart is true when the whole system starts for the first time, so that the other
+	// hosts may not be listed in the store yet.
+	FirstStart bool `toml:"first_start"`
 }
 
 const (
--- a/entry/settings_test.go
+++ b/entry/settings_test.go
@@ -8,7 +8,7 @@
 
 // TestSettingsErrorNamesField checks that the error for an invalid field names it.
 func TestSettingsErrorNamesField(t *testing.T) {
-	good := settingsText(t, "front-1", "127.0.0.1:80")
+	good := settingsText(t, "front-1", "127.0.0.1:80", false)
 	s, err := Parse([]byte(good + "\n[later]\nx = 1\n"))
 	if err != nil || time.Duration(s.Bounds.RetryWindow) != defaultRetryWindow || s.Regions["au-fjord"] != "austur" {
 		t.Fatalf("%+v, %v", s, err)
