Callers: a connection whose closing response was sent is read on until the caller has closed it

Cause, by reading: requests cancelled behind a closing response closed the connection at once, with bytes of the caller unread, which resets it.

--- a/connection/caller/conn.go
+++ b/connection/caller/conn.go
@@ -55,6 +55,8 @@
 	exclusive bool
 	// closing is true once the last response has been determined.
 	closing bool
+	// finished is true once the response that closes the connection has been sent.
+	finished bool
 	// changed receives a value when an exchange has ended.
 	changed chan struct{}
 }
@@ -237,7 +239,7 @@
 		}
 	}
 	c.handlers.Wait()
-	if c.ctx.Err() == nil {
+	if c.ctx.Err() == nil || c.isFinished() {
 		c.linger()
 	}
 	c.abort()
--- a/connection/caller/exchange.go
+++ b/connection/caller/exchange.go
@@ -74,7 +74,7 @@
 	defer x.releaseBody()
 	if !x.handle() {
 		x.awaitTurn()
-		x.conn.abort()
+		x.conn.breakOff()
 		return
 	}
 	x.finish()
@@ -252,7 +252,7 @@
 	}
 	short := x.length >= 0 && x.written < x.length && !x.noBody
 	if x.err != nil || short || x.conn.writer.Flush() != nil {
-		x.conn.abort()
+		x.conn.breakOff()
 		return
 	}
 	if x.closes {
@@ -265,14 +265,25 @@
 func (c *conn) cancelBehind(x *exchange) {
 	c.mu.Lock()
 	behind := c.last != x
+	c.finished = true
 	c.mu.Unlock()
-	if !behind {
-		return
+	if behind {
+		c.cancel()
 	}
-	if half, ok := c.net.(interface{ CloseWrite() error }); ok {
-		_ = half.CloseWrite()
+}
+
+// breakOff closes the connection at once, unless the last response has been sent: then the
+// caller gets time to receive it.
+func (c *conn) breakOff() {
+	if !c.isFinished() {
+		c.abort()
 	}
-	c.cancel()
+}
+
+func (c *conn) isFinished() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.finished
 }
 
 // releaseBody discards a short rest of the request body and lets the connection be read
--- a/connection/caller/server_test.go
+++ b/connection/caller/server_test.go
@@ -335,6 +335,29 @@
 	}
 }
 
+// TestClosingResponseArrivesWhole: a caller that has sent much behind a closing response and
+// reads late must get that response whole: the connection must not be reset with unread bytes.
+func TestClosingResponseArrivesWhole(t *testing.T) {
+	h := newTestHandler()
+	_, addr := startServer(t, h)
+	for i := range 20 {
+		c := dial(t, addr)
+		id := fmt.Sprint("a", i)
+		behind := fmt.Sprint("b", i)
+		c.send(get("/close/"+id) + get("/hold/"+behind))
+		eventually(t, "both run", waitLimit, func() bool { return h.hasStarted(id) && h.hasStarted(behind) })
+		c.send(strings.Repeat(get("/now/c"), 1000))
+		h.release(id)
+		time.Sleep(20 * time.Millisecond) // a reset would have arrived
+		if _, body, closes, err := c.receive(); body != id || !closes || err != nil {
+			t.Fatalf("response %q, closes %v, %v", body, closes, err)
+		}
+		if rest, err := io.ReadAll(c.in); len(rest) > 0 || err != nil {
+			t.Fatalf("%q and %v after the response, want the end", rest, err)
+		}
+	}
+}
+
 // TestAbortedResponse: an aborted response must end the connection after the responses
 // before it, and never look complete.
 func TestAbortedResponse(t *testing.T) {
