--- a/entry/load.go
+++ b/entry/load.go
@@ -95,11 +95,15 @@
 }
 
 // greet exchanges heartbeats with some of the hosts. If one of them has the tables, they are
-// pulled from it.
+// pulled from it, and greet returns without waiting for the others.
 func (h *Host) greet(ctx context.Context, domain []partner.Member) {
 	ctx, cancel := context.WithTimeout(ctx, greetTimeout)
-	defer cancel()
-	h.group.Greet(ctx, greeted(domain, h.self.Name))
+	go func() {
+		defer cancel()
+		h.group.Greet(ctx, greeted(domain, h.self.Name))
+	}()
+	for !h.hasTables() && pause(ctx, tablesPoll) {
+	}
 }
 
 // greeted returns the hosts that a starting host greets: the first by name, which read the
