--- a/process/partner/snapshot_test.go
+++ b/process/partner/snapshot_test.go
@@ -42,7 +42,7 @@
 		_, groups := newNetwork(t, 1)
 		d := mirror.Delta{Table: table, UpTo: targets, Whole: true}
 		for i := range targets {
-			value := fmt.Sprintf(`{"service":"bokun","address":"10.%d.%d.%d:8564","zone":"sv-hofn","version":"v1","slots":6,"state":"ready","coldRemaining":"0ms","sequence":%d,"born":17649%08d}`, i%9, i/250, i%250, i%37, i*7919)
+			value := fmt.Sprintf(`{"name":"bokun","addr":"10.%d.%d.%d:8564","domain":"sv-hofn","release":"v1","slots":6,"status":"ready","delay":"0ms","count":%d,"started":17649%08d}`, i%9, i/250, i%250, i%37, i*7919)
 			d.Records = append(d.Records, mirror.Record{Key: fmt.Sprintf("i-%010x", uint64(i)*2654435761), Revision: uint64(i + 1), Value: []byte(value)})
 		}
 		groups[0].opts.Mirror.Apply(d)
