--- a/entry/load.go
+++ b/entry/load.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"quetzalknot/platform/adapter"
 	"quetzalknot/process/partner"
 )
 
@@ -14,20 +13,20 @@
 	// loadTimeout is how long a starting host waits for the tables of another host of its
 	// failure domain before it reads them from the store.
 	loadTimeout = 1500 * time.Millisecond
-	// settleTime is the pause at the first start of the system, in which the hosts announce
+	// announcementTime is the pause at the first start of the system, in which the hosts announce
 	// themselves.
-	settleTime = 300 * time.Millisecond
-	// greetTimeout limits one round of greetings, since hosts that are listed may be gone.
-	greetTimeout = 250 * time.Millisecond
-	// loadPause is the time between two rounds of greetings.
+	announcementTime = 300 * time.Millisecond
+	// heartbeatTimeout limits one round of heartbeats, since hosts that are listed may be gone.
+	heartbeatTimeout = 250 * time.Millisecond
+	// loadPause is the time between two rounds of heartbeats.
 	loadPause = 100 * time.Millisecond
 	// tablesPoll is the time between two checks whether the tables are there.
 	tablesPoll = 10 * time.Millisecond
 	// startReaders is the number of hosts of a failure domain that read the tables from the
 	// store when all hosts start together.
 	startReaders = 2
-	// maxGreeted bounds the hosts that a starting host greets in one round.
-	maxGreeted = 6
+	// maxContacted bounds the hosts that a starting host contacts in one round.
+	maxContacted = 6
 )
 
 // load announces this host and takes the tables over from another host of its failure domain.
@@ -48,17 +47,17 @@
 	if !asksPartners(len(domain), firstStart) {
 		return
 	}
-	h.greet(ctx, domain)
-	settle := loadPause
+	h.contact(ctx, domain)
+	wait := loadPause
 	if firstStart {
-		settle = settleTime
+		wait = announcementTime
 	}
-	if h.awaitTables(ctx, settle) {
+	if h.awaitTables(ctx, wait) {
 		return
 	}
 	for ctx.Err() == nil && time.Now().Before(deadline) {
 		domain = h.readDomain(ctx)
-		h.greet(ctx, domain)
+		h.contact(ctx, domain)
 		if len(domain) == 0 || h.awaitTables(ctx, loadPause) || h.isStartReader() {
 			return
 		}
@@ -74,7 +73,7 @@
 
 // awaitTables waits up to d for a copy of each table and reports whether there is one.
 func (h *Host) awaitTables(ctx context.Context, d time.Duration) bool {
-	for end := time.Now().Add(d); !h.hasTables(); {
+	for end := time.Now().Add(d); !h.group.HasTables(); {
 		if time.Now().After(end) || !pause(ctx, tablesPoll) {
 			return false
 		}
@@ -94,29 +93,29 @@
 	return domain
 }
 
-// greet exchanges heartbeats with some of the hosts. If one of them has the tables, they are
-// pulled from it, and greet returns without waiting for the others.
-func (h *Host) greet(ctx context.Context, domain []partner.Member) {
-	ctx, cancel := context.WithTimeout(ctx, greetTimeout)
+// contact exchanges heartbeats with some of the hosts. If one of them has the tables, they are
+// pulled from it, and contact returns without waiting for the others.
+func (h *Host) contact(ctx context.Context, domain []partner.Member) {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	go func() {
 		defer cancel()
-		h.group.Greet(ctx, greeted(domain, h.self.Name))
+		h.group.ExchangeHeartbeats(ctx, contacts(domain, h.self.Name))
 	}()
-	for !h.hasTables() && pause(ctx, tablesPoll) {
+	for !h.group.HasTables() && pause(ctx, tablesPoll) {
 	}
 }
 
-// greeted returns the hosts that a starting host greets: the first by name, which read the
+// contacts returns the hosts that a starting host contacts: the first by name, which read the
 // store if nobody has the tables, and those behind itself.
-func greeted(domain []partner.Member, self string) []partner.Member {
+func contacts(domain []partner.Member, self string) []partner.Member {
 	sorted := slices.SortedFunc(slices.Values(domain), func(a, b partner.Member) int { return cmp.Compare(a.Name, b.Name) })
 	sorted = slices.DeleteFunc(sorted, func(m partner.Member) bool { return m.Name == self })
-	if len(sorted) <= maxGreeted {
+	if len(sorted) <= maxContacted {
 		return sorted
 	}
 	at, _ := slices.BinarySearchFunc(sorted, self, func(m partner.Member, name string) int { return cmp.Compare(m.Name, name) })
 	hosts := slices.Clone(sorted[:startReaders])
-	for i := range maxGreeted - startReaders {
+	for i := range maxContacted - startReaders {
 		m := sorted[(at+i)%len(sorted)]
 		if !slices.ContainsFunc(hosts, func(o partner.Member) bool { return o.Name == m.Name }) {
 			hosts = append(hosts, m)
@@ -136,8 +135,3 @@
 	}
 	return before < startReaders
 }
-
-// hasTables reports whether this host has a copy of each table.
-func (h *Host) hasTables() bool {
-	return !slices.ContainsFunc(adapter.Tables(), func(name string) bool { return h.mirror.Revision(name) == 0 })
-}
--- a/entry/load_test.go
+++ b/entry/load_test.go
@@ -114,29 +114,29 @@
 	}
 }
 
-// TestGreetedHostsAreBounded: a starting host must greet the first hosts of its failure
+// TestContactedHostsAreBounded: a starting host must contact the first hosts of its failure
 // domain and a few others, and never itself.
-func TestGreetedHostsAreBounded(t *testing.T) {
+func TestContactedHostsAreBounded(t *testing.T) {
 	var domain []partner.Member
 	for i := range 41 {
 		domain = append(domain, partner.Member{Name: fmt.Sprintf("h%02d", i)})
 	}
 	for _, self := range domain {
-		hosts := greeted(domain, self.Name)
-		if len(hosts) > maxGreeted {
-			t.Errorf("%s greets %d hosts", self.Name, len(hosts))
+		hosts := contacts(domain, self.Name)
+		if len(hosts) > maxContacted {
+			t.Errorf("%s contacts %d hosts", self.Name, len(hosts))
 		}
 		first := 0
 		for _, m := range hosts {
 			if m.Name == self.Name {
-				t.Errorf("%s greets itself", self.Name)
+				t.Errorf("%s contacts itself", self.Name)
 			}
 			if m.Name <= "h02" {
 				first++
 			}
 		}
 		if first < startReaders {
-			t.Errorf("%s greets %d of the first hosts", self.Name, first)
+			t.Errorf("%s contacts %d of the first hosts", self.Name, first)
 		}
 	}
 }
--- a/process/partner/partner.go
+++ b/process/partner/partner.go
@@ -252,7 +252,7 @@
 	if !g.mayPullFrom(h.From) {
 		return
 	}
-	if !g.hasTables() {
+	if !g.HasTables() {
 		g.startSnapshotPull(h)
 		return
 	}
--- a/process/partner/snapshot.go
+++ b/process/partner/snapshot.go
@@ -55,7 +55,7 @@
 
 // packedSnapshot returns the encoded snapshot of this host, or nil while it lacks a table.
 func (g *Group) packedSnapshot() ([]byte, error) {
-	if !g.hasTables() {
+	if !g.HasTables() {
 		return nil, nil
 	}
 	now := g.opts.Now()
@@ -76,8 +76,8 @@
 	return packed, nil
 }
 
-// hasTables reports whether this host has a copy of each table.
-func (g *Group) hasTables() bool {
+// HasTables reports whether this host has a copy of each table.
+func (g *Group) HasTables() bool {
 	return !slices.ContainsFunc(g.opts.Tables, func(name string) bool { return g.opts.Mirror.Revision(name) == 0 })
 }
 
@@ -179,9 +179,9 @@
 	return g.hasMembers
 }
 
-// Greet sends heartbeats to the hosts at once and waits for the replies. If one of them has
+// ExchangeHeartbeats sends heartbeats to the hosts at once and waits for the replies. If one of them has
 // the tables that this host lacks, they are pulled from it.
-func (g *Group) Greet(ctx context.Context, hosts []Member) {
+func (g *Group) ExchangeHeartbeats(ctx context.Context, hosts []Member) {
 	var calls sync.WaitGroup
 	for _, m := range hosts {
 		if m.Name != g.opts.Self.Name {
--- a/process/partner/snapshot_test.go
+++ b/process/partner/snapshot_test.go
@@ -21,7 +21,7 @@
 			t.Error("a host without tables gave a snapshot")
 		}
 		groups[0].opts.Mirror.Apply(mirror.Delta{Table: table, Records: []mirror.Record{{Key: "i-1", Revision: 7, Value: []byte("ready")}}, UpTo: 7, Whole: true})
-		late.Greet(t.Context(), []Member{groups[0].opts.Self})
+		late.ExchangeHeartbeats(t.Context(), []Member{groups[0].opts.Self})
 		synctest.Wait()
 		if got, ok := late.opts.Mirror.Get(table, "i-1"); !ok || string(got.Value) != "ready" || late.opts.Mirror.Revision(table) != 7 {
 			t.Errorf("record %+v, revision %d", got, late.opts.Mirror.Revision(table))
