Store calls: the time since the last answer, as a figure and in refusals without a route

A call for changes that the store never answers looked like one that waits: no line and no figure told them apart. store.unanswered_ms.<table> grows while a call stays unanswered; 4604 without a route says how old the host's knowledge is (state_age_ms).

--- a/entry/follow.go
+++ b/entry/follow.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -33,9 +32,6 @@
 	// minBackoff and maxBackoff bound the exponential backoff after failed calls.
 	minBackoff = 150 * time.Millisecond
 	maxBackoff = 1200 * time.Millisecond
-	// storeFailureWindow is how long after a failed call the removal of a target's report may
-	// mean that the store lost the report, so that the target is not dropped at once.
-	storeFailureWindow = 3 * time.Second
 	// hostsReadInterval is the time between two reads of the hosts' rows.
 	hostsReadInterval = 20 * time.Second
 	// readerCheckInterval is the time between two checks whether this host has to read the
@@ -45,67 +41,6 @@
 	tickInterval = 100 * time.Millisecond
 )
 
-// storeStatus records whether this host's calls to the store succeed.
-type storeStatus struct {
-	mu            sync.Mutex
-	hasSucceeded  bool
-	down          bool
-	lastSuccessAt time.Time
-	lastFailureAt time.Time
-}
-
-// isFirstSuccess reports whether no call has succeeded yet since this host began to read the
-// store.
-func (s *storeStatus) isFirstSuccess() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return !s.hasSucceeded
-}
-
-// recordSuccess records a successful call and reports whether the previous call failed.
-func (s *storeStatus) recordSuccess(now time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	wasDown := s.down
-	s.hasSucceeded, s.down, s.lastSuccessAt = true, false, now
-	return wasDown
-}
-
-// recordFailure records a failed call and reports whether the previous call, if any,
-// succeeded.
-func (s *storeStatus) recordFailure(now time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	wasUp := !s.down
-	s.down, s.lastFailureAt = true, now
-	return wasUp
-}
-
-// stopReading records that this host no longer reads the store. It returns false when that
-// was already recorded.
-func (s *storeStatus) stopReading() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	wasReading := s.hasSucceeded
-	s.hasSucceeded, s.down = false, false
-	return wasReading
-}
-
-// ok reports whether this host reads the store and its last call succeeded.
-func (s *storeStatus) ok() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.hasSucceeded && !s.down
-}
-
-// recentlyFailed reports whether the store is down or a call failed within
-// storeFailureWindow.
-func (s *storeStatus) recentlyFailed(now time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.down || (!s.lastFailureAt.IsZero() && now.Sub(s.lastFailureAt) < storeFailureWindow)
-}
-
 // followTable keeps the mirror of a table up to date until ctx ends. It reads the full table
 // while it has no revision of it, and when the store no longer has the changes. Afterwards it
 // asks the store for changes only while mustReadStore returns true; otherwise the changes are
@@ -152,7 +87,7 @@
 	}
 	evTableRead.Log(h.log).Str("table", table).Uint64("revision", delta.UpTo).Int("records", len(delta.Records)).Send()
 	h.apply(delta)
-	h.storeSucceeded()
+	h.storeSucceeded(table)
 	return nil
 }
 
@@ -166,7 +101,7 @@
 		return err
 	}
 	h.apply(delta)
-	h.storeSucceeded()
+	h.storeSucceeded(table)
 	if len(delta.Records) > 0 {
 		h.group.NotifyNonReaders(ctx)
 	}
@@ -195,11 +130,20 @@
 // by a partner.
 func (h *Host) upToDate() bool { return h.storeStatus.ok() || h.group.HasStoreReader(time.Now()) }
 
-func (h *Host) storeSucceeded() {
+// stateAge returns the time since the store or a partner last confirmed the desired state.
+func (h *Host) stateAge() time.Duration {
+	now := time.Now()
+	if h.storeStatus.ok() {
+		return h.storeStatus.sinceAnswer(adapter.OperatorTable, now)
+	}
+	return h.group.SinceReader(now)
+}
+
+func (h *Host) storeSucceeded(table string) {
 	if h.storeStatus.isFirstSuccess() {
 		evReaderChanged.Log(h.log).Bool("reads", true).Send()
 	}
-	if h.storeStatus.recordSuccess(time.Now()) {
+	if h.storeStatus.recordSuccess(table, time.Now()) {
 		evStoreRegained.Log(h.log).Send()
 	}
 	h.limitSendRate()
--- a/entry/host.go
+++ b/entry/host.go
@@ -70,7 +70,7 @@
 	config      atomic.Pointer[routes.Config]
 	mirror      *mirror.Mirror
 	store       *adapter.Store
-	storeStatus storeStatus
+	storeStatus *storeStatus
 	fleet       *fleet.Fleet
 	chooser     *place.Chooser
 	pool        *target.Pool
@@ -97,7 +97,7 @@
 
 // New returns a host that has not started. Reload reads the settings from path.
 func New(s *Settings, path string, logs io.Writer) *Host {
-	h := &Host{path: path, lastUnreadyReason: "the host starts", metrics: metrics.NewSet(), mirror: mirror.New(), logWriter: eventlog.NewAsyncWriter(logs)}
+	h := &Host{path: path, lastUnreadyReason: "the host starts", metrics: metrics.NewSet(), mirror: mirror.New(), storeStatus: newStoreStatus(), logWriter: eventlog.NewAsyncWriter(logs)}
 	h.settings.Store(s)
 	h.log = eventlog.New(h.logWriter, s.Host.Name)
 	h.self = partner.Member{
@@ -134,7 +134,7 @@
 	h.setBudgets()
 	h.handler = serve.New(serve.Options{
 		Config: h.config.Load, Chooser: h.chooser, Fleet: h.fleet, Pool: h.pool, Budget: h.budgets, Crashes: h.crashes,
-		Headers: adapter.HeaderCodec{}, UpToDate: h.upToDate, Metrics: h.metrics, Log: h.log,
+		Headers: adapter.HeaderCodec{}, UpToDate: h.upToDate, StateAge: h.stateAge, Metrics: h.metrics, Log: h.log,
 	})
 	return h
 }
@@ -189,6 +189,9 @@
 	}
 	h.metrics.Gauge("targets.known", func() int64 { return int64(h.fleet.Size()) })
 	h.metrics.Gauge("partners.alive", func() int64 { return int64(len(h.group.Alive())) })
+	for _, table := range adapter.Tables() {
+		h.metrics.Gauge("store.unanswered_ms."+table, func() int64 { return h.storeStatus.sinceAnswer(table, time.Now()).Milliseconds() })
+	}
 	h.metrics.Gauge("log.dropped_lines", h.logWriter.Dropped)
 	router := mux.NewRouter()
 	router.Path("/metrics").Handler(h.metrics.TextHandler())
--- a/process/partner/readers.go
+++ b/process/partner/readers.go
@@ -40,6 +40,17 @@
 	return !g.readerAt.IsZero() && now.Sub(g.readerAt) < readerTimeout
 }
 
+// SinceReader returns the time since a partner last reported that it reads the store, or since
+// the start of this host.
+func (g *Group) SinceReader(now time.Time) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.readerAt.IsZero() {
+		return now.Sub(g.startedAt)
+	}
+	return now.Sub(g.readerAt)
+}
+
 // StoreFailing reports whether partners reported store failures within failureTimeout, and
 // none of them reads the store without failures.
 func (g *Group) StoreFailing(now time.Time) bool {
--- a/request/serve/finish.go
+++ b/request/serve/finish.go
@@ -118,6 +118,9 @@
 	if q.config != nil {
 		line = line.Uint64("version", q.config.Version)
 	}
+	if q.route == nil && q.config != nil && q.h.StateAge != nil {
+		line = line.Int64("state_age_ms", q.h.StateAge().Milliseconds())
+	}
 	if q.route != nil {
 		line = line.Str("route", q.route.Name).Str("kind", q.route.Kind).Str("service", q.service).Uint64("object", q.object).
 			Int64("left_ms", q.deadline.Sub(q.started).Milliseconds())
