Store: a call for changes that is not answered within the bound for changes has failed

Callers got 404 for routes that had been added, for up to 20 s after a silence of the store of 2 s, and leaving targets got requests. A call for changes could stay open for 20 s at the store.

A call may now stay open for 0.4 of the bound for changes (setting bounds.change, 2.5 s if not set) and must be answered after another 0.2 of it. Then it has failed: the host is not up to date, its partners are told, and it asks again. Ruled out: older numbers (no restored store), records that did not reach non-readers (all hosts lacked them), a misread request (status 404 with an old version only).

TestChangeInForceAfterUnansweredCall failed before (not in force after 10 s).

--- a/entry/follow.go
+++ b/entry/follow.go
@@ -21,11 +21,15 @@
 )
 
 const (
-	// longPollWait is how long the store may keep a call for changes open.
-	longPollWait = 20 * time.Second
-	// recoveryPollWait replaces longPollWait for the first call after a failure, so that a
-	// recovered store is detected even when nothing changes there.
-	recoveryPollWait = 200 * time.Millisecond
+	// pollWaitShare is the part of the bound for changes that the store may keep a call for
+	// changes open, and pollMarginShare the part that the call may take beyond that. A call
+	// that the store does not answer then delays changes by less than the bound.
+	pollWaitShare, pollMarginShare = 0.4, 0.2
+	// recoveryPollWait and recoveryPollMargin are the times for the first call after a
+	// failure, so that a recovered store is detected even when nothing changes there and its
+	// responses are slow.
+	recoveryPollWait   = 200 * time.Millisecond
+	recoveryPollMargin = 1500 * time.Millisecond
 	// feedPause is the pause between two calls for the changes of a table. It lets changes
 	// in quick succession share one call.
 	feedPause = 900 * time.Millisecond
@@ -92,11 +96,8 @@
 }
 
 func (h *Host) readChanges(ctx context.Context, table string) error {
-	wait := longPollWait
-	if !h.storeStatus.ok() {
-		wait = recoveryPollWait
-	}
-	delta, err := h.store.Feed(ctx, table, h.mirror.Revision(table), wait)
+	wait, margin := h.pollTimes()
+	delta, err := h.store.Feed(ctx, table, h.mirror.Revision(table), wait, wait+margin)
 	if err != nil {
 		return err
 	}
@@ -108,6 +109,16 @@
 	return nil
 }
 
+// pollTimes returns how long the store may keep the next call for changes open, and how much
+// longer the call may take.
+func (h *Host) pollTimes() (wait, margin time.Duration) {
+	if !h.storeStatus.ok() {
+		return recoveryPollWait, recoveryPollMargin
+	}
+	bound := float64(h.settings.Load().Bounds.Change)
+	return time.Duration(pollWaitShare * bound), time.Duration(pollMarginShare * bound)
+}
+
 // mustReadStore reports whether this host has to read the store itself.
 func (h *Host) mustReadStore(now time.Time) bool {
 	return h.group.IsStoreReader() || !h.group.HasStoreReader(now)
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -78,6 +78,8 @@
 	RetryRatio   float64  `toml:"retry_ratio"`
 	RetryExtra   float64  `toml:"retry_extra"`
 	LookupTTLMax Duration `toml:"lookup_ttl_max"`
+	// Change is the time within which a change of the desired state must be in force.
+	Change Duration `toml:"change"`
 	// A cold target may get, from all hosts together, ColdOverrun times its service's limit
 	// of requests a second for cold targets, plus ColdSlack requests.
 	ColdOverrun float64 `toml:"cold_overrun"`
@@ -133,6 +135,7 @@
 	defaultGrace        = 6 * time.Second
 	defaultRetryWindow  = 10 * time.Second
 	defaultLookupTTLMax = 5 * time.Second
+	defaultChange       = 2500 * time.Millisecond
 )
 
 func (s *Settings) applyDefaults() {
@@ -140,6 +143,7 @@
 	setDefault(&b.Grace, defaultGrace)
 	setDefault(&b.RetryWindow, defaultRetryWindow)
 	setDefault(&b.LookupTTLMax, defaultLookupTTLMax)
+	setDefault(&b.Change, defaultChange)
 	if b.ColdOverrun <= 0 {
 		b.ColdOverrun = 1
 	}
