Store: an answered call for one table no longer hides a failed call for another

Callers got 404 for routes that had been added from a host whose calls for the operators' table failed or stayed unanswered, while those for the targets' table were answered: both tables shared one status, and each answer set it to good. A host without that table's changes so called itself up to date, also towards its partners. The status is now kept for each table; the host is up to date, and reports to partners that it reads the store, only if the calls for all tables are answered.

TestUnknownRouteNotDeniedBeforeStateConfirmed failed before with status 404.

--- a/entry/follow.go
+++ b/entry/follow.go
@@ -54,7 +54,7 @@
 	fullRead := h.mirror.Revision(table) == 0
 	for ctx.Err() == nil {
 		if !fullRead && !h.mustReadStore(time.Now()) {
-			if h.storeStatus.stopReading() {
+			if h.storeStatus.stopReading(table) {
 				evReaderChanged.Log(h.log).Bool("reads", false).Send()
 			}
 			pause(ctx, readerCheckInterval)
@@ -96,7 +96,7 @@
 }
 
 func (h *Host) readChanges(ctx context.Context, table string) error {
-	wait, margin := h.pollTimes()
+	wait, margin := h.pollTimes(table)
 	delta, err := h.store.Feed(ctx, table, h.mirror.Revision(table), wait, wait+margin)
 	if err != nil {
 		return err
@@ -109,10 +109,10 @@
 	return nil
 }
 
-// pollTimes returns how long the store may keep the next call for changes open, and how much
-// longer the call may take.
-func (h *Host) pollTimes() (wait, margin time.Duration) {
-	if !h.storeStatus.ok() {
+// pollTimes returns how long the store may keep the next call for changes of a table open, and
+// how much longer the call may take.
+func (h *Host) pollTimes(table string) (wait, margin time.Duration) {
+	if !h.storeStatus.tableOK(table) {
 		return recoveryPollWait, recoveryPollMargin
 	}
 	bound := float64(h.settings.Load().Bounds.Change)
@@ -151,17 +151,18 @@
 }
 
 func (h *Host) storeSucceeded(table string) {
-	if h.storeStatus.isFirstSuccess() {
+	change := h.storeStatus.recordSuccess(table, time.Now())
+	if change.ReadsStore {
 		evReaderChanged.Log(h.log).Bool("reads", true).Send()
 	}
-	if h.storeStatus.recordSuccess(table, time.Now()) {
-		evStoreRegained.Log(h.log).Send()
+	if change.Regained {
+		evStoreRegained.Log(h.log).Str("table", table).Send()
 	}
 	h.limitSendRate()
 }
 
 func (h *Host) storeFailed(table string, err error) {
-	if h.storeStatus.recordFailure(time.Now()) {
+	if h.storeStatus.recordFailure(table, time.Now()) {
 		evStoreLost.Log(h.log).Str("table", table).Err(err).Send()
 	}
 }
--- a/entry/storestatus.go
+++ b/entry/storestatus.go
@@ -3,84 +3,130 @@
 import (
 	"sync"
 	"time"
+
+	"quetzalknot/platform/adapter"
 )
 
 // storeFailureWindow is how long after a failed call the removal of a target's report may
 // mean that the store lost the report, so that the target is not dropped at once.
 const storeFailureWindow = 3 * time.Second
 
-// storeStatus records whether this host's calls to the store succeed.
+// storeStatus records for each mirrored table whether this host's calls to the store succeed.
 type storeStatus struct {
-	mu            sync.Mutex
-	hasSucceeded  bool
-	down          bool
-	lastFailureAt time.Time
-	// answeredAt is when a call for the changes of a table was last answered.
-	answeredAt map[string]time.Time
+	mu     sync.Mutex
+	tables map[string]*tableStatus
+	// reads is true from the first time that all tables were answered until stopReading.
+	reads bool
 }
 
-func newStoreStatus() *storeStatus { return &storeStatus{answeredAt: make(map[string]time.Time)} }
+// tableStatus is the status of the calls for one table.
+type tableStatus struct {
+	// answered is true if a call was answered since this host began to read the table.
+	answered bool
+	// down is true if the last call failed.
+	down bool
+	// answeredAt and failedAt are when a call was last answered and when one last failed.
+	answeredAt, failedAt time.Time
+}
 
-// isFirstSuccess reports whether no call has succeeded yet since this host began to read the
-// store.
-func (s *storeStatus) isFirstSuccess() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return !s.hasSucceeded
+// statusChange says what a successful call has changed.
+type statusChange struct {
+	// ReadsStore is true if this host has begun to read the store.
+	ReadsStore bool
+	// Regained is true if the table's last call failed.
+	Regained bool
 }
 
-// recordSuccess records a successful call for a table and reports whether the previous call failed.
-func (s *storeStatus) recordSuccess(table string, now time.Time) bool {
+func newStoreStatus() *storeStatus {
+	s := &storeStatus{tables: make(map[string]*tableStatus)}
+	for _, name := range adapter.Tables() {
+		s.tables[name] = new(tableStatus)
+	}
+	return s
+}
+
+// recordSuccess records a call for a table that was answered.
+func (s *storeStatus) recordSuccess(table string, now time.Time) statusChange {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	wasDown := s.down
-	s.hasSucceeded, s.down = true, false
-	s.answeredAt[table] = now
-	return wasDown
+	t := s.tables[table]
+	change := statusChange{Regained: t.down}
+	t.answered, t.down, t.answeredAt = true, false, now
+	change.ReadsStore = !s.reads && s.allOK()
+	s.reads = s.reads || change.ReadsStore
+	return change
 }
 
-// recordFailure records a failed call and reports whether the previous call, if any,
-// succeeded.
-func (s *storeStatus) recordFailure(now time.Time) bool {
+// recordFailure records a failed call for a table and reports whether the previous call for
+// it, if any, succeeded.
+func (s *storeStatus) recordFailure(table string, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	wasUp := !s.down
-	s.down, s.lastFailureAt = true, now
+	t := s.tables[table]
+	wasUp := !t.down
+	t.down, t.failedAt = true, now
 	return wasUp
 }
 
-// stopReading records that this host no longer reads the store. It returns false when that
-// was already recorded.
-func (s *storeStatus) stopReading() bool {
+// stopReading records that this host no longer reads a table from the store. It returns true
+// if this host has thereby stopped to read the store.
+func (s *storeStatus) stopReading(table string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	wasReading := s.hasSucceeded
-	s.hasSucceeded, s.down = false, false
-	return wasReading
+	t := s.tables[table]
+	t.answered, t.down = false, false
+	stopped := s.reads
+	s.reads = false
+	return stopped
 }
 
 // sinceAnswer returns the time since a call for a table was last answered; 0 while this host
-// does not read the store.
+// does not read the table.
 func (s *storeStatus) sinceAnswer(table string, now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.hasSucceeded || s.answeredAt[table].IsZero() {
+	t := s.tables[table]
+	if !t.answered {
 		return 0
 	}
-	return now.Sub(s.answeredAt[table])
+	return now.Sub(t.answeredAt)
+}
+
+// tableOK reports whether this host reads a table and its last call for it succeeded.
+func (s *storeStatus) tableOK(table string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tables[table].ok()
 }
 
-// ok reports whether this host reads the store and its last call succeeded.
+// ok reports whether this host reads all tables and its last call for each succeeded.
 func (s *storeStatus) ok() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.hasSucceeded && !s.down
+	return s.allOK()
+}
+
+// allOK is ok; the lock must be held.
+func (s *storeStatus) allOK() bool {
+	for _, t := range s.tables {
+		if !t.ok() {
+			return false
+		}
+	}
+	return true
 }
 
-// recentlyFailed reports whether the store is down or a call failed within
+func (t *tableStatus) ok() bool { return t.answered && !t.down }
+
+// recentlyFailed reports whether the last call for a table failed, or any failed within
 // storeFailureWindow.
 func (s *storeStatus) recentlyFailed(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.down || (!s.lastFailureAt.IsZero() && now.Sub(s.lastFailureAt) < storeFailureWindow)
+	for _, t := range s.tables {
+		if t.down || (!t.failedAt.IsZero() && now.Sub(t.failedAt) < storeFailureWindow) {
+			return true
+		}
+	}
+	return false
 }
