Partners: a store reader does not vouch for a host that lacks its changes

A host counted as up to date as soon as any partner said that it reads the store, although it might not have that partner's changes: its pull failed, or its region's readers were said to deliver them. It then refused added routes with 404 in place of 503.

TestReaderDoesNotVouchForMissingChanges was written with the code; the question it asks was answered with true before (HasStoreReader).

--- a/entry/follow.go
+++ b/entry/follow.go
@@ -138,8 +138,8 @@
 }
 
 // upToDate reports whether this host's state follows the store, read by the host itself or
-// by a partner.
-func (h *Host) upToDate() bool { return h.storeStatus.ok() || h.group.HasStoreReader(time.Now()) }
+// by a partner whose changes this host has.
+func (h *Host) upToDate() bool { return h.storeStatus.ok() || h.group.FollowsStore(time.Now()) }
 
 // stateAge returns the time since the store or a partner last confirmed the desired state.
 func (h *Host) stateAge() time.Duration {
--- a/process/partner/partner.go
+++ b/process/partner/partner.go
@@ -146,6 +146,10 @@
 	alive         bool
 	leaving       bool
 	requestRate   float64
+	// readAt is when the host last reported that it reads the store, and readPositions the
+	// revisions of its tables then.
+	readAt        time.Time
+	readPositions map[string]uint64
 }
 
 // New returns a group that contains only this host.
@@ -223,7 +227,7 @@
 	s := g.addMember(h.From, now)
 	if s != nil {
 		s.requestRate = h.Rate
-		g.recordStoreStatus(h, now)
+		g.recordStoreStatus(s, h, now)
 		g.markSeen(s, h.Leaving, now)
 	}
 	g.mu.Unlock()
--- a/process/partner/readers.go
+++ b/process/partner/readers.go
@@ -40,6 +40,29 @@
 	return !g.readerAt.IsZero() && now.Sub(g.readerAt) < readerTimeout
 }
 
+// FollowsStore reports whether this host has all changes that a partner had which reported within
+// readerTimeout that it reads the store.
+func (g *Group) FollowsStore(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, s := range g.members {
+		if !s.readAt.IsZero() && now.Sub(s.readAt) < readerTimeout && g.hasAll(s.readPositions) {
+			return true
+		}
+	}
+	return false
+}
+
+// hasAll reports whether this host's copy of each table is complete up to the position.
+func (g *Group) hasAll(positions map[string]uint64) bool {
+	for _, name := range g.opts.Tables {
+		if g.opts.Mirror.Revision(name) < positions[name] {
+			return false
+		}
+	}
+	return true
+}
+
 // SinceReader returns the time since a partner last reported that it reads the store, or since
 // the start of this host.
 func (g *Group) SinceReader(now time.Time) time.Duration {
@@ -60,11 +83,12 @@
 	return !healthyReader && !g.storeFailedAt.IsZero() && now.Sub(g.storeFailedAt) < failureTimeout
 }
 
-// recordStoreStatus records the store status in a partner's heartbeat. The lock must be
+// recordStoreStatus records the store status in the heartbeat of a partner s. The lock must be
 // held.
-func (g *Group) recordStoreStatus(h *Heartbeat, now time.Time) {
+func (g *Group) recordStoreStatus(s *memberState, h *Heartbeat, now time.Time) {
 	if h.Fresh {
 		g.readerAt = now
+		s.readAt, s.readPositions = now, h.Positions
 	}
 	if h.Fresh && !h.Troubled {
 		g.healthyReaderAt = now
--- a/process/partner/readers_test.go
+++ b/process/partner/readers_test.go
@@ -72,3 +72,28 @@
 		}
 	})
 }
+
+// TestReaderDoesNotVouchForMissingChanges: a host that cannot pull the changes that a store reader
+// reports must not count as following the store.
+func TestReaderDoesNotVouchForMissingChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, groups := newNetwork(t, 9)
+		last, reader := groups[8], groups[0]
+		last.receive(&Heartbeat{From: reader.opts.Self, Fresh: true, Positions: map[string]uint64{table: 0}})
+		if !last.FollowsStore(time.Now()) {
+			t.Error("a host that has all changes of a reader does not follow the store")
+		}
+		n.mu.Lock()
+		n.cutLinks[last.opts.Self.Name+">"+reader.opts.Self.Name] = true
+		n.mu.Unlock()
+		last.receive(&Heartbeat{From: reader.opts.Self, Fresh: true, Positions: map[string]uint64{table: 9}})
+		if last.FollowsStore(time.Now()) {
+			t.Error("a host that lacks the changes of a reader follows the store")
+		}
+		last.opts.Mirror.Apply(mirror.Delta{Table: table, UpTo: 9})
+		if !last.FollowsStore(time.Now()) {
+			t.Error("a host does not follow the store once it has the changes")
+		}
+		time.Sleep(2 * callTimeout) // the pulls end
+	})
+}
