--- a/entry/cluster_test.go
+++ b/entry/cluster_test.go
@@ -22,6 +22,8 @@
 	hosts     []*Host
 	// firstStart says to the hosts that are added that the whole system starts.
 	firstStart bool
+	// sequence is the number of the last report that writeReports wrote.
+	sequence int
 	// logs receives the log lines of the hosts that are added.
 	logs io.Writer
 }
@@ -32,7 +34,7 @@
 // newCluster starts a cluster and waits until all hosts are ready.
 func newCluster(t *testing.T, targets, hosts int) *cluster {
 	t.Helper()
-	c := &cluster{t: t, store: standin.NewStore(), logs: io.Discard}
+	c := &cluster{t: t, store: standin.NewStore(), sequence: 1, logs: io.Discard}
 	c.store.PutState(standin.DesiredState(1, coldPerSecond))
 	for i := range targets {
 		c.addTarget(fmt.Sprintf("i-%d", i))
--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -188,6 +188,13 @@
 	}
 }
 
+// Evacuated reports whether a failure domain is evacuated.
+func (f *Fleet) Evacuated(domain string) bool {
+	f.Lock()
+	defer f.Unlock()
+	return f.evacuated[domain]
+}
+
 // Service returns the targets of a service. The lock must be held; the slice must not be
 // changed.
 func (f *Fleet) Service(name string) []*Target { return f.byService[name] }
