Targets: an old report does not bring back a target that has left

A store that comes back from an older copy has the reports of targets that left since, as ready. They count as new targets and would get requests, at an address that may be another's. The last reports of removed targets are kept for a while; only a newer one, by start and sequence, brings a target back. A target that was removed since its report was invalid is no departed one (Discard).

--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -32,6 +32,8 @@
 	targets   map[string]*Target
 	byService map[string][]*Target
 	evacuated map[string]bool
+	// departed holds the last reports of targets that were removed.
+	departed departures
 	// owns reports whether this host is among the given number of owners of a target.
 	owns func(id string, owners int) bool
 	// generation changes when targets are added, removed or start to leave, or their slots
@@ -59,17 +61,20 @@
 func New(log zerolog.Logger, owns func(id string, owners int) bool) *Fleet {
 	return &Fleet{
 		log: log, owns: owns,
-		targets: make(map[string]*Target), byService: make(map[string][]*Target), evacuated: make(map[string]bool),
+		departed: make(departures),
+		targets:  make(map[string]*Target), byService: make(map[string][]*Target), evacuated: make(map[string]bool),
 	}
 }
 
 // Upsert adds or updates a target from its report. A report older than the known one is
-// ignored.
+// ignored, and so is one of a removed target that is not newer than its last one.
 func (f *Fleet) Upsert(e Entry, now time.Time) {
 	f.Lock()
 	defer f.Unlock()
 	t := f.targets[e.ID]
 	switch {
+	case t == nil && f.departed.contains(e):
+		evStale.Log(f.log).Str("target", e.ID).Int64("sequence", e.Sequence).Bool("departed", true).Send()
 	case t == nil || e.Born > t.Born:
 		f.replace(e, now)
 	case e.Born < t.Born || e.Sequence < t.Sequence:
@@ -93,6 +98,7 @@
 	if t.joined = now.Sub(f.firstTargetAt) > settleTime; t.joined {
 		f.newcomersUntil = now.Add(firstRequestWindow + e.ColdRemaining)
 	}
+	delete(f.departed, e.ID)
 	f.targets[e.ID] = t
 	f.byService[e.Service] = append(f.byService[e.Service], t)
 	f.logState(t, now)
@@ -132,6 +138,21 @@
 		f.logState(t, now)
 		return
 	}
+	f.depart(t, now)
+}
+
+// Discard removes a target whose report is invalid. The next valid one brings it back.
+func (f *Fleet) Discard(id string, now time.Time) {
+	f.Lock()
+	defer f.Unlock()
+	if t := f.targets[id]; t != nil {
+		f.drop(t, now)
+	}
+}
+
+// depart removes a target that has left; its last report does not bring it back.
+func (f *Fleet) depart(t *Target, now time.Time) {
+	f.departed.add(t.Entry, now)
 	f.drop(t, now)
 }
 
@@ -160,7 +181,7 @@
 	defer f.Unlock()
 	for _, t := range f.targets {
 		if !t.removeAt.IsZero() && !now.Before(t.removeAt) {
-			f.drop(t, now)
+			f.depart(t, now)
 		}
 	}
 }
