Mirror: positions have the store's era, so that a restored store is followed

The hosts ordered records by revision alone, and a restored store gives revisions out again: 45 was version 10, then version 12. A host read the whole table every 0.9 s and ignored it as older, until a call after its number was answered; then it took the new record for the old one.

Positions are now ordered by era, then revision. What the copy lacks is held for 2 s, until operators and targets have written it again: targets and evacuations; the desired state never goes back to an older version. Each host writes its row again.

Ruled out: hosts that go back to the copy (no event 2021 with an older version), neighbours that spread old records (the loop of full reads shows at every host).

--- a/entry/apply.go
+++ b/entry/apply.go
@@ -14,10 +14,12 @@
 	evConfigApplied  = eventlog.Define(2021, zerolog.InfoLevel, "desired state applied")
 	evConfigRejected = eventlog.Define(2022, zerolog.ErrorLevel, "desired state rejected")
 	evReportRejected = eventlog.Define(2023, zerolog.WarnLevel, "target report rejected")
+	evStoreRestored  = eventlog.Define(1805, zerolog.WarnLevel, "store restored from a copy")
 )
 
 // missingReportHold is how long a target is kept after its report disappeared while the
-// store was failing. Live targets have written their reports again by then.
+// store was failing, and what a restored store lacks stays in force. Live targets and
+// operators have written again by then.
 const missingReportHold = 2 * time.Second
 
 // apply applies records read from the store or pulled from a partner.
@@ -25,18 +27,24 @@
 	h.applyMu.Lock()
 	defer h.applyMu.Unlock()
 	now := time.Now()
-	for _, r := range h.mirror.Apply(d) {
+	change := h.mirror.Apply(d)
+	if change.Restored {
+		evStoreRestored.Log(h.log).Str("table", d.Table).Uint64("era", d.Era).Uint64("revision", d.UpTo).
+			Int("changed", len(change.Records)).Send()
+		h.announceAgain()
+	}
+	for _, r := range change.Records {
 		if d.Table == adapter.TargetTable {
-			h.applyTarget(r, now)
+			h.applyTarget(r, now, change.Restored)
 			continue
 		}
-		h.applyOperator(r, now)
+		h.applyOperator(r, now, change.Restored)
 	}
 }
 
-func (h *Host) applyOperator(r mirror.Record, now time.Time) {
+func (h *Host) applyOperator(r mirror.Record, now time.Time, restored bool) {
 	if zone, ok := adapter.Evacuation(r); ok {
-		h.fleet.SetEvacuated(zone, !r.Removed, now)
+		h.applyEvacuation(zone, r, now, restored)
 		return
 	}
 	if !adapter.IsConfig(r) || r.Removed {
@@ -55,10 +63,34 @@
 		Int("routes", len(c.Routes)).Int("services", len(c.Services)).Send()
 }
 
-func (h *Host) applyTarget(r mirror.Record, now time.Time) {
+// applyEvacuation starts or ends the evacuation of a failure domain. One that a restored store
+// lacks ends after a hold, unless it is written again.
+func (h *Host) applyEvacuation(domain string, r mirror.Record, now time.Time, restored bool) {
+	delete(h.evacuationHolds, domain)
+	if r.Removed && restored {
+		h.evacuationHolds[domain] = now.Add(missingReportHold)
+		return
+	}
+	h.fleet.SetEvacuated(domain, !r.Removed, now)
+}
+
+// endHeldEvacuations ends the evacuations whose hold has expired.
+func (h *Host) endHeldEvacuations(now time.Time) {
+	h.applyMu.Lock()
+	defer h.applyMu.Unlock()
+	for domain, end := range h.evacuationHolds {
+		if now.Before(end) {
+			continue
+		}
+		delete(h.evacuationHolds, domain)
+		h.fleet.SetEvacuated(domain, false, now)
+	}
+}
+
+func (h *Host) applyTarget(r mirror.Record, now time.Time, restored bool) {
 	if r.Removed {
 		hold := time.Duration(0)
-		if h.reportsMayBeMissing(now) {
+		if restored || h.reportsMayBeMissing(now) {
 			hold = missingReportHold
 		}
 		h.fleet.Remove(r.Key, now, hold)
@@ -67,7 +99,7 @@
 	e, err := adapter.ParseTarget(r.Key, r.Value, h.settings.Load().Regions)
 	if err != nil {
 		evReportRejected.Log(h.log).Str("target", r.Key).Err(err).Send()
-		h.fleet.Remove(r.Key, now, 0)
+		h.fleet.Discard(r.Key, now)
 		return
 	}
 	h.fleet.Upsert(e, now)
--- /dev/null
+++ b/entry/discover.go
@@ -0,0 +1,70 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// hostsReadInterval is the time between two reads of the hosts' rows.
+	hostsReadInterval = 20 * time.Second
+	// announceSpread is the time over which the hosts of a restored store write their rows again.
+	announceSpread = time.Second
+)
+
+// discoverHosts writes this host's row to the store and periodically reads the rows of the
+// other hosts. Once both have succeeded, only the hosts that read the store go on reading.
+func (h *Host) discoverHosts(ctx context.Context) {
+	hostsRead := h.group.HasMembers()
+	backoff := minBackoff
+	for ctx.Err() == nil {
+		announced := h.announce(ctx)
+		if announced && hostsRead && !h.mustReadStore(time.Now()) {
+			h.awaitRowLost(ctx)
+			continue
+		}
+		members, err := h.store.Hosts(ctx)
+		hostsRead = hostsRead || err == nil
+		if err == nil {
+			h.group.AddMembers(members)
+		}
+		if err != nil || !announced {
+			pause(ctx, backoff/2+rand.N(backoff))
+			backoff = min(maxBackoff, 2*backoff)
+			continue
+		}
+		backoff = minBackoff
+		h.awaitRowLost(ctx)
+	}
+}
+
+// announce writes this host's row unless it is written, and reports whether nothing is left to
+// write. A leaving host writes no row.
+func (h *Host) announce(ctx context.Context) bool {
+	if h.leaving.Load() || h.announced.Load() {
+		return true
+	}
+	h.announced.Store(h.store.Announce(ctx, h.self) == nil)
+	return h.announced.Load()
+}
+
+// announceAgain makes discoverHosts write this host's row again, since the store may have lost it.
+func (h *Host) announceAgain() {
+	select {
+	case h.rowLost <- struct{}{}:
+	default:
+	}
+}
+
+// awaitRowLost waits for hostsReadInterval, or until this host's row may be lost: then for a random
+// time, since all hosts write theirs again.
+func (h *Host) awaitRowLost(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(hostsReadInterval):
+	case <-h.rowLost:
+		h.announced.Store(false)
+		pause(ctx, rand.N(announceSpread))
+	}
+}
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -36,8 +36,6 @@
 	// minBackoff and maxBackoff bound the exponential backoff after failed calls.
 	minBackoff = 150 * time.Millisecond
 	maxBackoff = 1200 * time.Millisecond
-	// hostsReadInterval is the time between two reads of the hosts' rows.
-	hostsReadInterval = 20 * time.Second
 	// readerCheckInterval is the time between two checks whether this host has to read the
 	// store itself.
 	readerCheckInterval = 100 * time.Millisecond
@@ -97,7 +95,7 @@
 
 func (h *Host) readChanges(ctx context.Context, table string) error {
 	wait, margin := h.pollTimes(table)
-	delta, err := h.store.Feed(ctx, table, h.mirror.Revision(table), wait, wait+margin)
+	delta, err := h.store.Feed(ctx, table, h.mirror.Position(table), wait, wait+margin)
 	if err != nil {
 		return err
 	}
@@ -167,33 +165,6 @@
 	}
 }
 
-// discoverHosts writes this host's row to the store and periodically reads the rows of the
-// other hosts. Once both have succeeded, only the hosts that read the store go on reading.
-func (h *Host) discoverHosts(ctx context.Context) {
-	announced, hostsRead := h.announced.Load(), h.group.HasMembers()
-	backoff := minBackoff
-	for ctx.Err() == nil {
-		if !announced && !h.leaving.Load() {
-			announced = h.store.Announce(ctx, h.self) == nil
-		}
-		if announced && hostsRead && !h.mustReadStore(time.Now()) {
-			pause(ctx, hostsReadInterval)
-			continue
-		}
-		members, err := h.store.Hosts(ctx)
-		hostsRead = hostsRead || err == nil
-		if err == nil {
-			h.group.AddMembers(members)
-		}
-		if err != nil || !announced {
-			pause(ctx, backoff/2+rand.N(backoff))
-			backoff = min(maxBackoff, 2*backoff)
-			continue
-		}
-		pause(ctx, hostsReadInterval)
-	}
-}
-
 // tick runs the periodic tasks until ctx ends: it drops targets whose hold has expired,
 // starts due liveness checks, and updates the request rate, the retry budgets and the logged
 // readiness. While the host is not up to date it limits the requests to each target, since
@@ -202,6 +173,7 @@
 	for pause(ctx, tickInterval) {
 		now := time.Now()
 		h.fleet.RemoveExpired(now)
+		h.endHeldEvacuations(now)
 		for _, c := range h.fleet.DueChecks(now) {
 			go func() {
 				h.fleet.RecordCheck(c, adapter.Check(ctx, h.pool, c, h.healthPath(c.Service)), time.Now())
--- a/entry/host.go
+++ b/entry/host.go
@@ -81,11 +81,16 @@
 	clients     *peer.ClientPool
 	handler     *serve.Handler
 	applyMu     sync.Mutex
+	// evacuationHolds holds, for each failure domain whose evacuation a restored store lacks,
+	// when the evacuation ends. applyMu guards it.
+	evacuationHolds map[string]time.Time
 
 	rate    peakRate
 	leaving atomic.Bool
 	// announced is true once this host's row is written.
 	announced atomic.Bool
+	// rowLost receives a value when this host's row may be lost and must be written again.
+	rowLost chan struct{}
 	// lastUnreadyReason is the reason that logReadiness logged last: why the host was not ready,
 	// or "".
 	lastUnreadyReason string
@@ -97,7 +102,7 @@
 
 // New returns a host that has not started. Reload reads the settings from path.
 func New(s *Settings, path string, logs io.Writer) *Host {
-	h := &Host{path: path, lastUnreadyReason: "the host starts", metrics: metrics.NewSet(), mirror: mirror.New(), storeStatus: newStoreStatus(), logWriter: eventlog.NewAsyncWriter(logs)}
+	h := &Host{path: path, lastUnreadyReason: "the host starts", metrics: metrics.NewSet(), mirror: mirror.New(), storeStatus: newStoreStatus(), rowLost: make(chan struct{}, 1), evacuationHolds: make(map[string]time.Time), logWriter: eventlog.NewAsyncWriter(logs)}
 	h.settings.Store(s)
 	h.log = eventlog.New(h.logWriter, s.Host.Name)
 	h.self = partner.Member{
--- a/process/mirror/mirror.go
+++ b/process/mirror/mirror.go
@@ -3,9 +3,14 @@
 // Records are merged by revision: a record replaces only an older one of the same key, so
 // the order, repetition and source of updates do not matter. Updates from the store's
 // change feed, from full reads and from other hosts are all merged by the same method.
+//
+// A store that is restored from a copy starts a new era and gives out again the revisions
+// after the copy's. So revisions are compared within one era only. A replica enters a later
+// era with a snapshot of the full table, and then ignores what comes from earlier eras.
 package mirror
 
 import (
+	"bytes"
 	"cmp"
 	"slices"
 	"sync"
@@ -26,10 +31,25 @@
 	Removed bool
 }
 
+// Position is a point in the history of a table. Positions are ordered by era, then by
+// revision. Era 0 is unknown and is taken to be the era of the other position.
+type Position struct{ Era, Revision uint64 }
+
+// Compare returns a negative number if p is before q, zero if they are equal, and a positive
+// number if p is after q.
+func (p Position) Compare(q Position) int {
+	if p.Era == 0 || q.Era == 0 {
+		return cmp.Compare(p.Revision, q.Revision)
+	}
+	return cmp.Or(cmp.Compare(p.Era, q.Era), cmp.Compare(p.Revision, q.Revision))
+}
+
 // Delta is a set of records of one table, to be applied to a replica.
 type Delta struct {
 	Table   string
 	Records []Record
+	// Era is the store's era in which the records were read; 0 means unknown.
+	Era uint64
 	// UpTo is the revision up to which the replica is complete once the delta is applied.
 	UpTo uint64
 	// Whole says that Records is a snapshot of the full table, so that other keys are
@@ -46,6 +66,7 @@
 type table struct {
 	records    map[string]Record
 	tombstones int
+	era        uint64
 	upTo       uint64
 	// prunedUpTo is the largest revision of a pruned tombstone; a replica that is older
 	// needs a snapshot.
@@ -73,12 +94,61 @@
 	return m.table(name).upTo
 }
 
-// Apply merges a delta and returns the records that changed, sorted by revision. Newer
-// records in the mirror stay, and a snapshot older than the mirror is ignored.
-func (m *Mirror) Apply(d Delta) []Record {
+// Position returns the era of a table and the revision up to which it is complete.
+func (m *Mirror) Position(name string) Position {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	t := m.table(name)
+	return Position{Era: t.era, Revision: t.upTo}
+}
+
+// Change is what a delta has changed.
+type Change struct {
+	// Records are the records that changed, sorted by revision.
+	Records []Record
+	// Restored is true if the delta started a later era, so that Records are the differences
+	// between what was known and the restored store.
+	Restored bool
+}
+
+// Apply merges a delta and returns what changed. Newer records in the mirror stay, and a
+// snapshot older than the mirror is ignored. Of a later era only a snapshot is accepted.
+func (m *Mirror) Apply(d Delta) Change {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	t := m.table(d.Table)
+	if t.era != 0 && d.Era != 0 && d.Era != t.era {
+		if d.Era < t.era || !d.Whole {
+			return Change{}
+		}
+		return Change{Records: t.enterEra(d), Restored: true}
+	}
+	t.era = max(t.era, d.Era)
+	return Change{Records: t.merge(d)}
+}
+
+// enterEra replaces the table by a snapshot of a later era and returns the differences.
+func (t *table) enterEra(d Delta) []Record {
+	known := t.records
+	*t = table{records: make(map[string]Record, len(d.Records)), era: d.Era, upTo: d.UpTo, prunedUpTo: d.UpTo}
+	var changed []Record
+	for _, r := range d.Records {
+		t.records[r.Key] = r
+		if old, ok := known[r.Key]; !ok || old.Removed || !bytes.Equal(old.Value, r.Value) {
+			changed = append(changed, r)
+		}
+	}
+	for key, old := range known {
+		if _, ok := t.records[key]; !ok && !old.Removed {
+			changed = append(changed, Record{Key: key, Revision: d.UpTo, Removed: true})
+		}
+	}
+	sortByRevision(changed)
+	return changed
+}
+
+// merge merges a delta of the table's era.
+func (t *table) merge(d Delta) []Record {
 	if d.Whole && d.UpTo < t.upTo {
 		return nil
 	}
@@ -93,10 +163,14 @@
 	}
 	t.upTo = max(t.upTo, d.UpTo)
 	t.pruneTombstones()
-	slices.SortStableFunc(changed, func(a, b Record) int { return cmp.Compare(a.Revision, b.Revision) })
+	sortByRevision(changed)
 	return changed
 }
 
+func sortByRevision(records []Record) {
+	slices.SortStableFunc(records, func(a, b Record) int { return cmp.Compare(a.Revision, b.Revision) })
+}
+
 // put stores a record unless the known one is at least as new. It reports whether the
 // table's visible rows changed.
 func (t *table) put(r Record) bool {
@@ -153,13 +227,18 @@
 	}
 }
 
-// DeltaSince returns the records that a replica at the given revision lacks: newer records,
-// or a snapshot if the replica is empty or tombstones that it needs were pruned.
-func (m *Mirror) DeltaSince(name string, revision uint64) Delta {
+// DeltaSince returns the records that a replica at the given position lacks: newer records,
+// or a snapshot if the replica is empty or of an earlier era, or if tombstones that it needs
+// were pruned.
+func (m *Mirror) DeltaSince(name string, after Position) Delta {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	t := m.table(name)
-	d := Delta{Table: name, UpTo: t.upTo, Whole: revision < t.prunedUpTo || revision == 0}
+	revision := after.Revision
+	if after.Era != 0 && after.Era < t.era {
+		revision = 0
+	}
+	d := Delta{Table: name, Era: t.era, UpTo: t.upTo, Whole: revision < t.prunedUpTo || revision == 0}
 	for _, r := range t.records {
 		if d.Whole && !r.Removed || !d.Whole && r.Revision > revision {
 			d.Records = append(d.Records, r)
--- a/process/mirror/mirror_test.go
+++ b/process/mirror/mirror_test.go
@@ -64,7 +64,7 @@
 	}
 	last := uint64(3*maxTombstones + 2)
 	ahead.Apply(Delta{Table: "t", Records: []Record{{Key: "new", Revision: last}}, UpTo: last, Whole: true})
-	d := ahead.DeltaSince("t", behind.Revision("t"))
+	d := ahead.DeltaSince("t", behind.Position("t"))
 	if !d.Whole {
 		t.Error("tombstones were pruned, but the delta is not a snapshot")
 	}
--- a/process/partner/partner.go
+++ b/process/partner/partner.go
@@ -72,8 +72,9 @@
 	From    Member
 	Leaving bool
 	// Positions holds the revision up to which the sender's copy of each table is
-	// complete.
+	// complete, and Eras the store's era of that revision. Earlier releases send no Eras.
 	Positions map[string]uint64
+	Eras      map[string]uint64
 	Crashes   []crash.Count
 	// Rate is the sender's recent rate of incoming requests per second.
 	Rate float64
@@ -88,10 +89,16 @@
 	Reachable, Failing bool
 }
 
-// PullRequest requests the records of a table that are newer than revision After.
+// position returns the position of the sender's copy of a table.
+func (h *Heartbeat) position(table string) mirror.Position {
+	return mirror.Position{Era: h.Eras[table], Revision: h.Positions[table]}
+}
+
+// PullRequest requests the records of a table that are newer than revision After of an era.
 type PullRequest struct {
 	Table string
 	After uint64
+	Era   uint64
 }
 
 // Options holds the settings and dependencies of a Group.
@@ -147,9 +154,9 @@
 	leaving       bool
 	requestRate   float64
 	// readAt is when the host last reported that it reads the store, and readPositions the
-	// revisions of its tables then.
+	// positions of its tables then, in the order of Options.Tables.
 	readAt        time.Time
-	readPositions map[string]uint64
+	readPositions []mirror.Position
 }
 
 // New returns a group that contains only this host.
@@ -172,7 +179,7 @@
 
 // Pull returns the records of a table that are newer than the caller's revision.
 func (s *service) Pull(pull *PullRequest, reply *mirror.Delta) error {
-	*reply = s.g.opts.Mirror.DeltaSince(pull.Table, pull.After)
+	*reply = s.g.opts.Mirror.DeltaSince(pull.Table, mirror.Position{Era: pull.Era, Revision: pull.After})
 	return nil
 }
 
@@ -180,9 +187,10 @@
 func (g *Group) heartbeat() Heartbeat {
 	now := g.opts.Now()
 	status := g.opts.StoreStatus()
-	h := Heartbeat{Fresh: status.Reachable, Troubled: status.Failing, From: g.opts.Self, Positions: make(map[string]uint64), Rate: g.opts.RequestRate(), Crashes: g.opts.Crashes.Recent(crashCountMaxAge, now)}
+	h := Heartbeat{Fresh: status.Reachable, Troubled: status.Failing, From: g.opts.Self, Positions: make(map[string]uint64), Eras: make(map[string]uint64), Rate: g.opts.RequestRate(), Crashes: g.opts.Crashes.Recent(crashCountMaxAge, now)}
 	for _, name := range g.opts.Tables {
-		h.Positions[name] = g.opts.Mirror.Revision(name)
+		position := g.opts.Mirror.Position(name)
+		h.Positions[name], h.Eras[name] = position.Revision, position.Era
 	}
 	g.mu.Lock()
 	h.Leaving = g.leaving
@@ -261,8 +269,8 @@
 		return
 	}
 	for _, name := range g.opts.Tables {
-		own := g.opts.Mirror.Revision(name)
-		if h.Positions[name] <= own || !g.startPull(name) {
+		own := g.opts.Mirror.Position(name)
+		if h.position(name).Compare(own) <= 0 || !g.startPull(name) {
 			continue
 		}
 		go g.pullTable(h.From, name, own)
@@ -286,12 +294,12 @@
 
 // pullTable fetches and applies the records of a table that are newer than own, unless the
 // store's change feed brought newer ones meanwhile.
-func (g *Group) pullTable(from Member, name string, own uint64) {
+func (g *Group) pullTable(from Member, name string, own mirror.Position) {
 	defer g.endPull(name)
 	if g.opts.StoreStatus().Reachable {
 		time.Sleep(pullDelay)
 	}
-	if now := g.opts.Mirror.Revision(name); now > own {
+	if g.opts.Mirror.Position(name).Compare(own) > 0 {
 		return
 	}
 	g.pullDelta(from, name, own)
@@ -305,12 +313,12 @@
 }
 
 // pullDelta fetches and applies the records of a table that are newer than own.
-func (g *Group) pullDelta(from Member, name string, own uint64) {
+func (g *Group) pullDelta(from Member, name string, own mirror.Position) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	delta := new(mirror.Delta)
 	g.opts.Metrics.Counter("partners.pulls").Add(1)
-	if err := g.opts.Client.Call(ctx, from.Peer, serviceName+".Pull", &PullRequest{Table: name, After: own}, delta); err != nil {
+	if err := g.opts.Client.Call(ctx, from.Peer, serviceName+".Pull", &PullRequest{Table: name, After: own.Revision, Era: own.Era}, delta); err != nil {
 		return
 	}
 	evSynchronised.Log(g.opts.Log).Str("member", from.Name).Str("table", name).Uint64("revision", delta.UpTo).
--- a/process/partner/readers.go
+++ b/process/partner/readers.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"quetzalknot/process/mirror"
 )
 
 const (
@@ -53,16 +55,25 @@
 	return false
 }
 
-// hasAll reports whether this host's copy of each table is complete up to the position.
-func (g *Group) hasAll(positions map[string]uint64) bool {
-	for _, name := range g.opts.Tables {
-		if g.opts.Mirror.Revision(name) < positions[name] {
+// hasAll reports whether this host's copy of each table is complete up to its position.
+func (g *Group) hasAll(positions []mirror.Position) bool {
+	for i, name := range g.opts.Tables {
+		if g.opts.Mirror.Position(name).Compare(positions[i]) < 0 {
 			return false
 		}
 	}
 	return true
 }
 
+// positions returns the positions of the tables in a heartbeat, in the order of Options.Tables.
+func (g *Group) positions(h *Heartbeat) []mirror.Position {
+	positions := make([]mirror.Position, len(g.opts.Tables))
+	for i, name := range g.opts.Tables {
+		positions[i] = h.position(name)
+	}
+	return positions
+}
+
 // SinceReader returns the time since a partner last reported that it reads the store, or since
 // the start of this host.
 func (g *Group) SinceReader(now time.Time) time.Duration {
@@ -88,7 +99,7 @@
 func (g *Group) recordStoreStatus(s *memberState, h *Heartbeat, now time.Time) {
 	if h.Fresh {
 		g.readerAt = now
-		s.readAt, s.readPositions = now, h.Positions
+		s.readAt, s.readPositions = now, g.positions(h)
 	}
 	if h.Fresh && !h.Troubled {
 		g.healthyReaderAt = now
--- a/process/partner/snapshot.go
+++ b/process/partner/snapshot.go
@@ -66,7 +66,7 @@
 	}
 	snapshot := Snapshot{Members: g.knownMembers()}
 	for _, name := range g.opts.Tables {
-		snapshot.Tables = append(snapshot.Tables, g.opts.Mirror.DeltaSince(name, 0))
+		snapshot.Tables = append(snapshot.Tables, g.opts.Mirror.DeltaSince(name, mirror.Position{}))
 	}
 	packed, err := pack(snapshot)
 	if err != nil {
@@ -142,7 +142,7 @@
 			return
 		}
 		for _, name := range g.opts.Tables {
-			g.pullDelta(h.From, name, g.opts.Mirror.Revision(name)) // an older release has no snapshots
+			g.pullDelta(h.From, name, g.opts.Mirror.Position(name)) // an older release has no snapshots
 		}
 	}()
 }
