--- a/process/mirror/mirror.go
+++ b/process/mirror/mirror.go
@@ -68,8 +68,8 @@
 	tombstones int
 	era        uint64
 	upTo       uint64
-	// prunedUpTo is the largest revision of a pruned tombstone; a replica that is older
-	// needs a snapshot.
+	// prunedUpTo is the largest revision of which tombstones may be missing: of a pruned one, or
+	// of the last snapshot, which has none. A replica that is older needs a snapshot.
 	prunedUpTo uint64
 }
 
@@ -160,6 +160,7 @@
 	}
 	if d.Whole {
 		changed = append(changed, t.removeMissing(d)...)
+		t.prunedUpTo = max(t.prunedUpTo, d.UpTo)
 	}
 	t.upTo = max(t.upTo, d.UpTo)
 	t.pruneTombstones()
--- a/process/mirror/mirror_test.go
+++ b/process/mirror/mirror_test.go
@@ -75,6 +75,16 @@
 	}
 }
 
+// TestSnapshotDoesNotHideRemovals: a replica that pulls from one which learned of a removal only by a
+// snapshot must not keep the removed record.
+func TestSnapshotDoesNotHideRemovals(t *testing.T) {
+	ahead, behind := New(), New()
+	behind.Apply(Delta{Table: "t", Records: []Record{{Key: "left", Revision: 5}, {Key: "kept", Revision: 6}}, UpTo: 7, Whole: true})
+	ahead.Apply(Delta{Table: "t", Records: []Record{{Key: "kept", Revision: 6}}, UpTo: 9, Whole: true})
+	behind.Apply(ahead.DeltaSince("t", behind.Position("t")))
+	requireSameRevisions(t, behind.All("t"), ahead.All("t"))
+}
+
 // failer is the part of testing.T and rapid.T that comparisons need.
 type failer interface{ Fatalf(string, ...any) }
 
