Callers: a request body is read with its own deadline from the start

Callers saw their connection closed or reset, without a response, when they sent a request with a body directly behind another one and the body arrived in a segment of its own. The handler logged status 400, which was never sent.

Cause: a request that is read while another one is in flight waits, and the end of that one interrupts the wait by a read deadline in the past. The handler was started before that deadline was removed, so that its first read from the socket could fail, and a failed read of a body cancels the connection.

Evidence: before the change TestBodyBehindResponse, in which removing a deadline takes 2 ms, fails at its first request (unexpected EOF).

The deadline is now set under the lock that guards the state, before the goroutine of the handler is started. Nothing else sets it until the body has ended.

--- a/connection/caller/conn.go
+++ b/connection/caller/conn.go
@@ -100,11 +100,7 @@
 		return c.readFailed(err)
 	}
 	x := newExchange(c, r)
-	if !c.awaitStart(x) {
-		return false
-	}
-	c.setState(readBody)
-	return c.awaitBody(x)
+	return c.awaitStart(x) && c.awaitBody(x)
 }
 
 // readFailed handles a failed read of a request. It always returns false.
@@ -163,7 +159,8 @@
 	}
 }
 
-// tryStart starts x if it may be served now. closing is true when nothing further may.
+// tryStart starts x if it may be served now. closing is true when nothing further may. The
+// read deadline is set before the handler can read the body.
 func (c *conn) tryStart(x *exchange) (started, closing bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -178,6 +175,7 @@
 	c.exclusive = x.exclusive
 	c.closing = x.r != nil && x.r.Close
 	c.inFlight++
+	c.setStateLocked(readBody)
 	c.handlers.Go(x.run)
 	return true, false
 }
--- a/connection/caller/server_test.go
+++ b/connection/caller/server_test.go
@@ -107,7 +107,11 @@
 
 func startServerWithIdle(t testing.TB, h http.Handler, idle time.Duration) (*Server, string) {
 	t.Helper()
-	l := listen(t)
+	return startServerOn(t, listen(t), h, idle)
+}
+
+func startServerOn(t testing.TB, l net.Listener, h http.Handler, idle time.Duration) (*Server, string) {
+	t.Helper()
 	s := &Server{
 		Handler: h, Idempotent: func(r *http.Request) bool { return r.Method == http.MethodGet },
 		HeaderTimeout: waitLimit, IdleTimeout: idle, HeaderBytes: 16 << 10,
--- /dev/null
+++ b/connection/caller/start_test.go
@@ -0,0 +1,111 @@
+package caller
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// deadlineDelay is how long delayedConn takes to remove a read deadline. It stands for the
+// reading goroutine being descheduled there.
+const deadlineDelay = 2 * time.Millisecond
+
+// delayedListener accepts connections that take deadlineDelay to remove a read deadline.
+type delayedListener struct{ net.Listener }
+
+func (l delayedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return delayedConn{c.(*net.TCPConn)}, nil
+}
+
+type delayedConn struct{ *net.TCPConn }
+
+func (c delayedConn) SetReadDeadline(at time.Time) error {
+	if at.IsZero() {
+		time.Sleep(deadlineDelay)
+	}
+	return c.TCPConn.SetReadDeadline(at)
+}
+
+// TestBodyBehindResponse: the body of a request that was read before the request in front of
+// it had ended must reach the handler whole, however late it comes.
+func TestBodyBehindResponse(t *testing.T) {
+	h := newTestHandler()
+	_, addr := startServerOn(t, delayedListener{listen(t)}, h, waitLimit)
+	for i := range 20 {
+		c := dial(t, addr)
+		front, behind := fmt.Sprint("a", i), fmt.Sprint("b", i)
+		c.send(get("/hold/" + front))
+		eventually(t, "the first runs", waitLimit, func() bool { return h.hasStarted(front) })
+		head, _, _ := strings.Cut(post("/now/"+behind, "text"), "\r\n\r\n")
+		c.send(head + "\r\n\r\n")
+		time.Sleep(10 * time.Millisecond) // the server reads the header and waits for the first to end
+		h.release(front)
+		c.expect(front)
+		time.Sleep(10 * time.Millisecond)
+		c.send("text")
+		c.expect(behind + "text")
+	}
+}
+
+// TestBodiesOfBusyCallers: callers that send each request as soon as they have the response
+// before, with bodies in slow pieces, must have all of them served.
+func TestBodiesOfBusyCallers(t *testing.T) {
+	_, addr := startServer(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		w.Header().Set("Content-Length", fmt.Sprint(len(body)))
+		_, _ = w.Write(body)
+	}))
+	var callers sync.WaitGroup
+	for i := range 32 {
+		callers.Go(func() {
+			c := dial(t, addr)
+			for j := range 200 {
+				body := fmt.Sprint("body ", i, " ", j)
+				head, _, _ := strings.Cut(post("/x", body), "\r\n\r\n")
+				for _, piece := range []string{head + "\r\n\r\n", body[:3], body[3:]} {
+					if _, err := io.WriteString(c.conn, piece); err != nil {
+						t.Errorf("caller %d, request %d: %v", i, j, err)
+						return
+					}
+					time.Sleep(time.Duration(j%3) * 50 * time.Microsecond)
+				}
+				if status, got, _, err := c.receive(); status != http.StatusOK || got != body || err != nil {
+					t.Errorf("caller %d, request %d: %d %q, %v", i, j, status, got, err)
+					return
+				}
+			}
+		})
+	}
+	callers.Wait()
+}
+
+// TestUnsentBody: a caller that never sends a body which the handler does not need must hold
+// its connection for lingerTimeout only.
+func TestUnsentBody(t *testing.T) {
+	_, addr := startServer(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	c := dial(t, addr)
+	c.send("POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\n")
+	if status, _, _, err := c.receive(); status != http.StatusServiceUnavailable || err != nil {
+		t.Fatalf("status %d, %v", status, err)
+	}
+	start := time.Now()
+	c.expectEnd()
+	if took := time.Since(start); took > 2*lingerTimeout {
+		t.Errorf("the connection ended after %v", took)
+	}
+}
