Routes: an IPv6 address and an absolute domain name match their route

Callers got status 404 for a route that exists when they named the host by an IPv6 address without a port, or by its domain name with the dot at its end. A route whose own host name ends with a dot never matched.

Cause: the host name was cut at its last colon, which is inside the brackets of an IPv6 address without a port, and the dot was compared.

Evidence: TestHostNamesAreCompared failed before the change with 4 host names routed to nothing (in the order of the map: "bokun.example", "bokun.example:", "[2001:db8::1]", "BOKUN.Example:8080").

The host names of routes and requests now go through one function, which looks for the port behind the brackets only.

--- a/version/routes/routes.go
+++ b/version/routes/routes.go
@@ -82,7 +82,7 @@
 		if err := c.check(r); err != nil {
 			return errors.Wrapf(err, "route %q", r.Name)
 		}
-		host := strings.ToLower(r.Host)
+		host := hostName(r.Host)
 		c.byHost[host] = append(c.byHost[host], r)
 	}
 	c.markTopPriority()
@@ -136,10 +136,7 @@
 
 // Match returns the route of a host name with the longest matching path prefix, or nil.
 func (c *Config) Match(host, path string) *Route {
-	if i := strings.LastIndexByte(host, ':'); i >= 0 {
-		host = host[:i]
-	}
-	for _, r := range c.byHost[strings.ToLower(host)] {
+	for _, r := range c.byHost[hostName(host)] {
 		if strings.HasPrefix(path, r.Prefix) {
 			return r
 		}
@@ -147,6 +144,15 @@
 	return nil
 }
 
+// hostName returns a host name in lower case, without the port and without the dot that ends
+// an absolute domain name. The colons within the brackets of an IPv6 address begin no port.
+func hostName(host string) string {
+	if port := strings.LastIndexByte(host, ':'); port > strings.LastIndexByte(host, ']') {
+		host = host[:port]
+	}
+	return strings.ToLower(strings.TrimSuffix(host, "."))
+}
+
 // AllowsRegion reports whether targets of a region may serve the route.
 func (r *Route) AllowsRegion(region string) bool {
 	return len(r.HomeRegions) == 0 || slices.Contains(r.HomeRegions, region)
--- a/version/routes/routes_test.go
+++ b/version/routes/routes_test.go
@@ -39,6 +39,26 @@
 	}
 }
 
+// TestHostNamesAreCompared matches all forms of a host name that mean the same host.
+func TestHostNamesAreCompared(t *testing.T) {
+	address, name := route("address", "/a/", 1), route("name", "/a/", 1)
+	address.Host, name.Host = "[2001:DB8::1]", "Bokun.example."
+	c := config(t, address, name)
+	for host, want := range map[string]string{
+		"[2001:db8::1]": "address", "[2001:DB8::1]:80": "address", "[2001:db8::1]:": "address", "[2001:db8::2]": "", "[2001:db8::1": "",
+		"bokun.example": "name", "BOKUN.Example:8080": "name", "bokun.example:": "name", "bokun.example.": "name", "bokun.example.:80": "name",
+		"": "", ":80": "", ".": "", "bokun": "", "bokun.example..": "", "x.bokun.example": "",
+	} {
+		got := ""
+		if r := c.Match(host, "/a/x"); r != nil {
+			got = r.Name
+		}
+		if got != want {
+			t.Errorf("host %q is routed to %q, want %q", host, got, want)
+		}
+	}
+}
+
 // TestInvalidRoutesAreRejected checks that the error describes what is invalid.
 func TestInvalidRoutesAreRejected(t *testing.T) {
 	for _, tc := range []struct {
