Callers: empty lines in front of a request are ignored

Callers that send an empty line before a request or behind a body got status 400 and lost their connection; RFC 9112 (2.2) asks servers to ignore such a line. A connection on which only the line came was closed after the time for a header instead of the idle time.

Cause: the empty line was taken for the first byte of a header, and then for its request line.

Evidence: before the change TestEmptyLinesBeforeRequest failed with status 400 and TestIdleConnectionWithEmptyLine saw the end after 10 s, the limit of the header, in place of 100 ms.

Empty lines are now discarded where the connection waits for the first byte of a request, so they neither start a header nor prolong the idle time. A line that lacks its CR is still refused.

--- a/connection/caller/head.go
+++ b/connection/caller/head.go
@@ -39,10 +39,20 @@
 	return err
 }
 
-// awaitFirstByte waits until a byte is buffered.
+// awaitFirstByte waits until the first byte of a request is buffered. It discards the empty
+// lines in front of it.
 func (h *headReader) awaitFirstByte() error {
-	_, err := h.buffer.Peek(1)
-	return err
+	for {
+		first, err := h.buffer.Peek(1)
+		if err != nil || first[0] != '\r' {
+			return err
+		}
+		line, err := h.buffer.Peek(len("\r\n"))
+		if err != nil || line[1] != '\n' {
+			return err
+		}
+		_, _ = h.buffer.Discard(len(line)) // they are buffered
+	}
 }
 
 // read returns the next request. Its body reads from the same buffer.
--- a/connection/caller/start_test.go
+++ b/connection/caller/start_test.go
@@ -109,3 +109,37 @@
 		t.Errorf("the connection ended after %v", took)
 	}
 }
+
+// TestEmptyLinesBeforeRequest: empty lines in front of a request are ignored, however they
+// are cut into segments, and do not count as the start of its header.
+func TestEmptyLinesBeforeRequest(t *testing.T) {
+	for _, pieces := range [][]string{
+		{"\r\n" + get("/now/a")}, {"\r\n", get("/now/a")}, {"\r", "\n", get("/now/a")},
+		{"\r\n\r\n\r\n", get("/now/a")}, {"\r\n", "\r\n" + get("/now/a")},
+	} {
+		_, addr := startServer(t, newTestHandler())
+		c := dial(t, addr)
+		for range 2 {
+			for _, piece := range pieces {
+				c.send(piece)
+				time.Sleep(5 * time.Millisecond)
+			}
+			c.expect("a")
+		}
+		c.send(post("/now/b", "text") + "\r\n" + get("/now/c"))
+		c.expect("btext")
+		c.expect("c")
+	}
+}
+
+// TestIdleConnectionWithEmptyLine: a connection on which only an empty line has come is idle.
+func TestIdleConnectionWithEmptyLine(t *testing.T) {
+	s, addr := startServerWithIdle(t, newTestHandler(), 100*time.Millisecond)
+	c := dial(t, addr)
+	start := time.Now()
+	c.send("\r\n")
+	c.expectEnd()
+	if took := time.Since(start); took < s.IdleTimeout || took > waitLimit/2 {
+		t.Errorf("the connection ended after %v", took)
+	}
+}
