Requests: the path goes to the target byte for byte, in every form of a request

Callers got status 502 for a path that begins with two slashes, and 404 for an absolute URL without a path. Targets got an absolute URL where a caller had sent one, instead of its path.

Cause: net/http writes an opaque URL that begins with two slashes with a scheme in front, here ":" alone, which no target can read; and the request target was passed on and matched as it is, whatever its form. The route was selected by a re-encoded path where the one that was sent had characters like quotation marks.

The path and the query are now taken from the request target as it was sent, and are both matched and passed on. Of the two ways in which net/http writes a URL as given, the opaque one and the parsed one, paths with two slashes in front take the second.

--- a/request/serve/attempt.go
+++ b/request/serve/attempt.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"net/http"
-	"net/url"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -178,7 +177,7 @@
 		header["User-Agent"] = []string{""} // suppresses the default of net/http
 	}
 	out := &http.Request{
-		Method: q.r.Method, URL: &url.URL{Opaque: q.r.RequestURI}, Host: q.r.Host, Header: header,
+		Method: q.r.Method, URL: targetURL(pathAndQuery(q.r)), Host: q.r.Host, Header: header,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
 	call := &target.Call{Addr: choice.Addr, Request: out, AllowUnframed: true, CloseOnCancel: true, Deadline: q.deadline}
--- a/request/serve/serve.go
+++ b/request/serve/serve.go
@@ -3,7 +3,7 @@
 //
 // serve.go reads the request and runs its attempts, attempt.go sends it to a target and
 // classifies the response, finish.go sends the final response and writes the log line,
-// headers.go declares the values carried in headers.
+// headers.go declares the values carried in headers, path.go keeps the path as it was sent.
 package serve
 
 import (
@@ -95,7 +95,7 @@
 	if config == nil {
 		return false
 	}
-	route := config.Match(r.Host, r.URL.EscapedPath())
+	route := config.Match(r.Host, pathOf(r))
 	return route != nil && route.Idempotent
 }
 
@@ -142,7 +142,7 @@
 	if q.callerHeaders, err = q.h.Headers.ReadRequest(q.r); err != nil {
 		return q.refuse(http.StatusBadRequest, err)
 	}
-	if q.route = q.config.Match(q.r.Host, q.r.URL.EscapedPath()); q.route == nil {
+	if q.route = q.config.Match(q.r.Host, pathOf(q.r)); q.route == nil {
 		if !q.h.UpToDate() {
 			return q.refuse(http.StatusServiceUnavailable, errNoRoute)
 		}
