Callers: the operator's limits on headers and connections count where they are wider

Callers within the operator's limits got status 431 for a header over 1 MiB, or had their connection closed when a header took over 10 s or when they reused a connection that had been idle for over a minute.

Cause: the connections of callers had fixed limits; of those in the configuration only the one on bodies was used.

The two times were constants.

The server asks for the limits whenever a connection becomes idle or begins to read a header. It gets the wider of the host's own and the configuration's, so that a version with tighter limits cuts no caller that still has the one before. TestLimitsChange and TestSlowHeader show that a change holds for the next header and the next idle time of an open connection.

--- a/connection/caller/conn.go
+++ b/connection/caller/conn.go
@@ -63,7 +63,7 @@
 
 func newConn(s *Server, accepted net.Conn) *conn {
 	c := &conn{
-		server: s, net: accepted, head: newHeadReader(accepted, s.HeaderBytes), remote: accepted.RemoteAddr().String(),
+		server: s, net: accepted, head: newHeadReader(accepted, s.Limits().HeaderBytes), remote: accepted.RemoteAddr().String(),
 		changed: make(chan struct{}, 1),
 	}
 	c.writer = bufio.NewWriter(deadlineWriter{accepted})
@@ -95,6 +95,7 @@
 		return c.readFailed(err)
 	}
 	c.setState(readHead)
+	c.head.limit = c.server.Limits().HeaderBytes
 	r, err := c.head.read()
 	if err != nil {
 		return c.readFailed(err)
@@ -279,9 +280,9 @@
 	case s == readIdle && c.inFlight == 0 && c.server.draining.Load():
 		deadline = time.Now().Add(drainIdleTimeout)
 	case s == readIdle && c.inFlight == 0:
-		deadline = time.Now().Add(c.server.IdleTimeout)
+		deadline = time.Now().Add(c.server.Limits().IdleTimeout)
 	case s == readHead:
-		deadline = time.Now().Add(c.server.HeaderTimeout)
+		deadline = time.Now().Add(c.server.Limits().HeaderTimeout)
 	case s == readEnding && c.inFlight == 0:
 		deadline = pastDeadline
 	}
--- a/connection/caller/server.go
+++ b/connection/caller/server.go
@@ -37,6 +37,17 @@
 // ErrServerClosed is returned by Serve after Shutdown or Close.
 var ErrServerClosed = errors.New("server closed")
 
+// ConnLimits are the limits on what a caller sends before the handler runs, and on the time it
+// takes for that.
+type ConnLimits struct {
+	// HeaderBytes is the largest header in bytes.
+	HeaderBytes int
+	// HeaderTimeout limits the time for reading a header, from its first byte.
+	HeaderTimeout time.Duration
+	// IdleTimeout is how long a connection without a request is kept.
+	IdleTimeout time.Duration
+}
+
 // Server serves HTTP/1 requests. It differs from http.Server in these points:
 //
 //   - Idempotent requests that a caller has pipelined are served concurrently, up to
@@ -55,12 +66,9 @@
 	// Idempotent reports whether a request may run more than once, and so concurrently with
 	// others of its connection.
 	Idempotent func(*http.Request) bool
-	// HeaderTimeout limits the time for reading a header, from its first byte.
-	HeaderTimeout time.Duration
-	// IdleTimeout is how long a connection without a request is kept.
-	IdleTimeout time.Duration
-	// HeaderBytes is the largest header in bytes.
-	HeaderBytes int
+	// Limits returns the limits in force. It is called each time a connection becomes idle or
+	// begins to read a header.
+	Limits func() ConnLimits
 	// OnReject is called for each request that is malformed. It may be nil.
 	OnReject func(remote string, err error)
 
--- a/connection/caller/server_test.go
+++ b/connection/caller/server_test.go
@@ -112,10 +112,17 @@
 
 func startServerOn(t testing.TB, l net.Listener, h http.Handler, idle time.Duration) (*Server, string) {
 	t.Helper()
-	s := &Server{
+	return serveOn(t, l, &Server{
 		Handler: h, Idempotent: func(r *http.Request) bool { return r.Method == http.MethodGet },
-		HeaderTimeout: waitLimit, IdleTimeout: idle, HeaderBytes: 16 << 10,
-	}
+		Limits: func() ConnLimits {
+			return ConnLimits{HeaderBytes: 16 << 10, HeaderTimeout: waitLimit, IdleTimeout: idle}
+		},
+	})
+}
+
+// serveOn serves the connections of l until the test has ended.
+func serveOn(t testing.TB, l net.Listener, s *Server) (*Server, string) {
+	t.Helper()
 	served := make(chan struct{})
 	go func() {
 		_ = s.Serve(l)
@@ -554,10 +561,10 @@
 	c.send(get("/hold/a"))
 	start := time.Now()
 	idle.expectEnd()
-	if took := time.Since(start); took < s.IdleTimeout || took > waitLimit/2 {
+	if took := time.Since(start); took < s.Limits().IdleTimeout || took > waitLimit/2 {
 		t.Errorf("the idle connection ended after %v", took)
 	}
-	time.Sleep(2 * s.IdleTimeout)
+	time.Sleep(2 * s.Limits().IdleTimeout)
 	h.release("a")
 	c.expect("a")
 	c.expectEnd()
--- a/connection/caller/start_test.go
+++ b/connection/caller/start_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -139,7 +140,64 @@
 	start := time.Now()
 	c.send("\r\n")
 	c.expectEnd()
-	if took := time.Since(start); took < s.IdleTimeout || took > waitLimit/2 {
+	if took := time.Since(start); took < s.Limits().IdleTimeout || took > waitLimit/2 {
 		t.Errorf("the connection ended after %v", took)
 	}
 }
+
+// TestLimitsChange: limits that change must hold for the next header and the next idle time of
+// a connection that is open.
+func TestLimitsChange(t *testing.T) {
+	var limits atomic.Pointer[ConnLimits]
+	limits.Store(&ConnLimits{HeaderBytes: 8 << 10, HeaderTimeout: waitLimit, IdleTimeout: waitLimit})
+	s := &Server{
+		Handler: newTestHandler(), Idempotent: func(*http.Request) bool { return true },
+		Limits: func() ConnLimits { return *limits.Load() },
+	}
+	_, addr := serveOn(t, listen(t), s)
+	long := "GET /now/long HTTP/1.1\r\nHost: x\r\nA: " + strings.Repeat("a", 20<<10) + "\r\n\r\n"
+	refused, c := dial(t, addr), dial(t, addr)
+	refused.send(long)
+	if status, _, _, err := refused.receive(); status != http.StatusRequestHeaderFieldsTooLarge || err != nil {
+		t.Errorf("a header over the limit: status %d, %v", status, err)
+	}
+	c.send(get("/now/a"))
+	c.expect("a")
+	limits.Store(&ConnLimits{HeaderBytes: 32 << 10, HeaderTimeout: waitLimit, IdleTimeout: 100 * time.Millisecond})
+	c.send(long)
+	c.expect("long")
+	start := time.Now()
+	c.expectEnd()
+	if took := time.Since(start); took > waitLimit/2 {
+		t.Errorf("the connection ended after %v", took)
+	}
+}
+
+// TestSlowHeader: a header may take as long as the limit in force says.
+func TestSlowHeader(t *testing.T) {
+	for _, tc := range []struct {
+		limit  time.Duration
+		served bool
+	}{{waitLimit, true}, {50 * time.Millisecond, false}} {
+		_, addr := serveOn(t, listen(t), &Server{
+			Handler: newTestHandler(), Idempotent: func(*http.Request) bool { return true },
+			Limits: func() ConnLimits {
+				return ConnLimits{HeaderBytes: 8 << 10, HeaderTimeout: tc.limit, IdleTimeout: waitLimit}
+			},
+		})
+		c := dial(t, addr)
+		start := time.Now()
+		text := get("/now/a")
+		c.send(text[:10])
+		if !tc.served {
+			c.expectEnd()
+			if took := time.Since(start); took < tc.limit || took > waitLimit/2 {
+				t.Errorf("the connection ended after %v", took)
+			}
+			continue
+		}
+		time.Sleep(200 * time.Millisecond)
+		c.send(text[10:])
+		c.expect("a")
+	}
+}
--- a/entry/host.go
+++ b/entry/host.go
@@ -201,11 +201,13 @@
 }
 
 const (
-	// headerTimeout limits how long a caller may take to send the request header.
+	// headerTimeout limits how long a caller may take to send the request header, unless the
+	// operator allows more.
 	headerTimeout = 10 * time.Second
-	// callerIdleTimeout is how long a caller's idle connection is kept.
+	// callerIdleTimeout is how long a caller's idle connection is kept, unless the operator
+	// allows more.
 	callerIdleTimeout = time.Minute
-	// callerHeaderBytes is the largest request header.
+	// callerHeaderBytes is the largest request header, unless the operator allows more.
 	callerHeaderBytes = 1 << 20
 )
 
@@ -229,7 +231,7 @@
 	rejected := h.metrics.Counter("callers.rejected_requests")
 	h.entry = &caller.Server{
 		Handler: h.handler, Idempotent: h.handler.Idempotent,
-		HeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, HeaderBytes: callerHeaderBytes,
+		Limits: h.callerLimits,
 		OnReject: func(remote string, err error) {
 			rejected.Add(1)
 			evMalformed.Log(h.log).Str("caller", remote).Err(err).Send()
@@ -239,6 +241,18 @@
 	return nil
 }
 
+// callerLimits returns the limits on callers' connections. They are no tighter than those of
+// the configuration in force.
+func (h *Host) callerLimits() caller.ConnLimits {
+	limits := caller.ConnLimits{HeaderBytes: callerHeaderBytes, HeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout}
+	if c := h.config.Load(); c != nil {
+		limits.HeaderBytes = max(limits.HeaderBytes, int(c.Limits.HeaderBytes))
+		limits.HeaderTimeout = max(limits.HeaderTimeout, c.Limits.HeaderTimeout)
+		limits.IdleTimeout = max(limits.IdleTimeout, c.Limits.IdleTimeout)
+	}
+	return limits
+}
+
 // Reload reads the settings file again. If it is invalid, the old settings stay in force.
 // Settings that are used only at the start, such as addresses, do not change.
 func (h *Host) Reload() {
--- a/request/serve/fixture_test.go
+++ b/request/serve/fixture_test.go
@@ -70,7 +70,9 @@
 	}
 	server := &caller.Server{
 		Handler: f.handler, Idempotent: f.handler.Idempotent,
-		HeaderTimeout: waitTimeout, IdleTimeout: waitTimeout, HeaderBytes: 1 << 20,
+		Limits: func() caller.ConnLimits {
+			return caller.ConnLimits{HeaderBytes: 1 << 20, HeaderTimeout: waitTimeout, IdleTimeout: waitTimeout}
+		},
 	}
 	go func() { _ = server.Serve(l) }()
 	f.t.Cleanup(func() { _ = server.Close() })
