Callers: an expectation in HTTP/1.0 is ignored

Callers of HTTP/1.0 that sent an Expect header got an interim response, which that version does not have, in front of their response, or status 417.

Cause: the version was not looked at; RFC 9110 (10.1.1) asks servers to ignore the header there.

Evidence: TestInterimResponse before the change: status 100 in place of 200, and 417 in place of 200, for HTTP/1.0.

The expectation is now read in one place, which finds none in HTTP/1.0.

--- a/connection/caller/exchange.go
+++ b/connection/caller/exchange.go
@@ -63,10 +63,17 @@
 	return &exchange{conn: c, rejection: status, exclusive: true, header: make(http.Header), length: -1, done: make(chan struct{})}
 }
 
-func expectsContinue(r *http.Request) bool {
-	return strings.EqualFold(r.Header.Get("Expect"), "100-continue")
+// expectation returns what the caller expects before it sends the body, or "". HTTP/1.0 has no
+// expectations.
+func expectation(r *http.Request) string {
+	if !r.ProtoAtLeast(1, 1) {
+		return ""
+	}
+	return r.Header.Get("Expect")
 }
 
+func expectsContinue(r *http.Request) bool { return strings.EqualFold(expectation(r), "100-continue") }
+
 // run serves the request and writes the response.
 func (x *exchange) run() {
 	defer x.conn.exchangeEnded(x)
@@ -90,7 +97,7 @@
 	switch {
 	case x.rejection != 0:
 		x.reject(x.rejection)
-	case x.body != nil && x.r.Header.Get("Expect") != "" && !x.body.expects:
+	case x.body != nil && expectation(x.r) != "" && !x.body.expects:
 		x.reject(http.StatusExpectationFailed)
 	default:
 		x.conn.server.Handler.ServeHTTP(x, x.r)
--- a/connection/caller/start_test.go
+++ b/connection/caller/start_test.go
@@ -201,3 +201,31 @@
 		c.expect("a")
 	}
 }
+
+// TestInterimResponse: a caller gets the interim response only if it has asked for it and its
+// protocol version has one. Another expectation is refused, but not in a version without any.
+func TestInterimResponse(t *testing.T) {
+	_, addr := startServer(t, newTestHandler())
+	for _, tc := range []struct {
+		name, version, expect string
+		want                  []int
+	}{
+		{"no expectation", "1.1", "", []int{200}},
+		{"expected", "1.1", "Expect: 100-continue\r\n", []int{100, 200}},
+		{"in capitals", "1.1", "EXPECT: 100-Continue\r\n", []int{100, 200}},
+		{"unknown", "1.1", "Expect: 200-ok\r\n", []int{417}},
+		{"old version", "1.0", "Expect: 100-continue\r\n", []int{200}},
+		{"unknown in an old version", "1.0", "Expect: 200-ok\r\n", []int{200}},
+	} {
+		c := dial(t, addr)
+		c.send("POST /now/a HTTP/" + tc.version + "\r\nHost: x\r\nContent-Length: 4\r\n" + tc.expect + "\r\n")
+		time.Sleep(5 * time.Millisecond)
+		c.send("text")
+		for _, want := range tc.want {
+			if status, _, _, err := c.receive(); status != want || err != nil {
+				t.Errorf("%s: status %d, %v, want %d", tc.name, status, err, want)
+				break
+			}
+		}
+	}
+}
