Requests: a caller that leaves in its body is no malformed request, a bad chunk is

The log and the metrics counted every failed read of a body as a malformed request refused with status 400, though the caller had gone and no response was sent. Callers that sent a bad chunk saw their connection closed in place of that status.

Cause: the handler took each error for the caller's mistake, and the server each error for the end of the connection.

Evidence: TestIncompleteBody failed before the change in its 5 cases: status 400 "unexpected EOF" logged for callers that had gone (3), no response for bad chunks (2).

The server now cancels a connection only for errors of the connection, and the handler ends requests whose context has ended as it does elsewhere.

--- a/connection/caller/exchange.go
+++ b/connection/caller/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -331,12 +332,19 @@
 	case err == io.EOF:
 		b.ended.Store(true)
 		b.doneOnce.Do(func() { close(b.done) })
-	case err != nil && !b.closed.Load():
-		b.x.conn.cancel() // the caller has gone, or what it sends has no end
+	case err != nil && !b.closed.Load() && isConnError(err):
+		b.x.conn.cancel() // the caller has gone
 	}
 	return n, err
 }
 
+// isConnError reports whether reading a body failed because the connection ended. Otherwise
+// the body is malformed, and the caller can still get a response.
+func isConnError(err error) bool {
+	var failed net.Error
+	return errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &failed)
+}
+
 // sendContinue sends the interim response. The request is served alone, so no other
 // response is being written.
 func (b *requestBody) sendContinue() {
--- a/request/serve/finish.go
+++ b/request/serve/finish.go
@@ -39,8 +39,7 @@
 func (q *request) finish(ctx context.Context, last result) {
 	switch {
 	case q.r.Context().Err() != nil:
-		q.log(evFailed, 0, errCallerGone)
-		panic(http.ErrAbortHandler)
+		q.abort()
 	case last.err == nil && last.resp != nil:
 		q.relay(last)
 	default:
@@ -48,6 +47,12 @@
 	}
 }
 
+// abort ends a request whose caller has disconnected. It does not return.
+func (q *request) abort() {
+	q.log(evFailed, 0, errCallerGone)
+	panic(http.ErrAbortHandler)
+}
+
 // refuse responds to a request that no target ran. It always returns false, which the
 // functions that read the request return in turn.
 func (q *request) refuse(status int, err error) bool {
--- a/request/serve/serve.go
+++ b/request/serve/serve.go
@@ -190,7 +190,10 @@
 		return true
 	}
 	body, err := io.ReadAll(io.LimitReader(q.r.Body, maxBufferedBody+1))
-	if err != nil {
+	switch {
+	case err != nil && q.r.Context().Err() != nil:
+		q.abort()
+	case err != nil:
 		return q.refuse(http.StatusBadRequest, errors.Wrap(err, "request body"))
 	}
 	q.body = body
