Requests: a body that does not come in time is refused at the deadline

Callers whose body stalled got no response at all at the route's time-out; the handler waited for the body without a limit, and the request stayed in flight.

Cause: the deadline held for the attempts only, which begin when a body of up to 1 MiB has been read.

Evidence: TestSlowBody before the change: no response within 10 s with a time-out of 100 ms, for bodies with a length, in chunks, and not begun.

At the deadline the body is closed, which interrupts the read, and the request is refused with status 408: it has not been forwarded. The response closes the connection, since the rest of a closed body is not read any more.

--- a/connection/caller/exchange.go
+++ b/connection/caller/exchange.go
@@ -177,13 +177,13 @@
 	c.closing = c.closing || x.closes
 }
 
-// bodyDiscardable reports whether the request body was read or is short enough to be
-// discarded.
+// bodyDiscardable reports whether the request body was read, or may still be read and is short
+// enough to be discarded.
 func (x *exchange) bodyDiscardable() bool {
 	if x.body == nil || x.body.complete() {
 		return true
 	}
-	return !x.body.expects && x.r.ContentLength >= 0 && x.r.ContentLength <= maxDiscardedBody
+	return !x.body.expects && !x.body.closed.Load() && x.r.ContentLength >= 0 && x.r.ContentLength <= maxDiscardedBody
 }
 
 // writtenByServer are the headers that writeHead writes itself.
--- a/request/serve/body_test.go
+++ b/request/serve/body_test.go
@@ -151,3 +151,33 @@
 		t.Errorf("status %d, %d bytes, %v", resp.StatusCode, len(got), err)
 	}
 }
+
+// TestSlowBody: a body that has not come in full at the route's time-out must be refused in
+// time as not run, and never be forwarded.
+func TestSlowBody(t *testing.T) {
+	for name, text := range map[string]string{
+		"length":  head("POST", "/book/1", "Content-Length: 100") + "part",
+		"chunks":  head("POST", "/book/1", "Transfer-Encoding: chunked") + "4\r\npart\r\n",
+		"nothing": head("POST", "/book/1", "Content-Length: 100"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t)
+			const timeout = 100 * time.Millisecond
+			f.apply(func(c *routes.Config) {
+				for _, r := range c.Routes {
+					r.Timeout = timeout
+				}
+			})
+			f.addHandler("i-1", func(http.ResponseWriter, *http.Request) { t.Error("it was forwarded") })
+			start := time.Now()
+			got := f.exchange(text)
+			if got.status != http.StatusRequestTimeout || !got.closes {
+				t.Errorf("%+v", got)
+			}
+			if took := time.Since(start); took < timeout || took > 5*timeout {
+				t.Errorf("the response came after %v", took)
+			}
+		})
+	}
+}
--- a/request/serve/serve.go
+++ b/request/serve/serve.go
@@ -177,7 +177,8 @@
 	return x - float64(int64(x))
 }
 
-// readBody reads the request's body into memory unless it is too large for that.
+// readBody reads the request's body into memory unless it is too large for that. It stops at
+// the deadline.
 func (q *request) readBody() bool {
 	if q.r.Body == nil || q.r.Body == http.NoBody {
 		return true
@@ -189,18 +190,28 @@
 		q.streamed = true
 		return true
 	}
+	stop := time.AfterFunc(time.Until(q.deadline), func() { _ = q.r.Body.Close() })
+	defer stop.Stop()
 	body, err := io.ReadAll(io.LimitReader(q.r.Body, maxBufferedBody+1))
+	if err != nil {
+		return q.bodyFailed(err)
+	}
+	q.body = body
+	q.streamed = len(body) > maxBufferedBody
+	return true
+}
+
+// bodyFailed ends a request whose body could not be read. It always returns false.
+func (q *request) bodyFailed(err error) bool {
 	switch {
-	case err != nil && q.r.Context().Err() != nil:
+	case q.r.Context().Err() != nil:
 		q.abort()
-	case err != nil:
+		return false
+	case !time.Now().Before(q.deadline):
+		return q.refuse(http.StatusRequestTimeout, errDeadline)
+	default:
 		return q.refuse(http.StatusBadRequest, errors.Wrap(err, "request body"))
 	}
-	q.body = body
-	if len(body) > maxBufferedBody {
-		q.streamed = true
-	}
-	return true
 }
 
 // computeFingerprint returns a hash that is equal for repetitions of the same request.
