Callers: closing a body that has just ended does not end the connection

Callers saw a kept connection closed before their next request when their body had ended at the moment at which the handler closed it: when a target responds early, or at the deadline.

Cause: closing a body sets a read deadline in the past. If the end of the body was read in between, that deadline hit the wait for the next request.

Evidence: before the change TestBodyClosedAtItsEnd, in which setting that deadline takes 2 ms, failed at the first connection that was kept (unexpected EOF).

The deadline is set under the lock that guards the state, and only while the connection is read for this body; the next state sets its own deadline behind it.

--- a/connection/caller/conn.go
+++ b/connection/caller/conn.go
@@ -298,6 +298,16 @@
 	}
 }
 
+// interruptBody makes a blocked read of the body of x fail. It does nothing once the connection
+// is read for something else.
+func (c *conn) interruptBody(x *exchange) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state == readBody && c.last == x {
+		_ = c.net.SetReadDeadline(pastDeadline)
+	}
+}
+
 // exchangeEnded records that an exchange has ended, and wakes the reading goroutine if it
 // waits for that.
 func (c *conn) exchangeEnded(x *exchange) {
--- a/connection/caller/exchange.go
+++ b/connection/caller/exchange.go
@@ -357,7 +357,8 @@
 	if b.ended.Load() || b.closed.Swap(true) {
 		return nil
 	}
-	return b.x.conn.net.SetReadDeadline(pastDeadline)
+	b.x.conn.interruptBody(b.x)
+	return nil
 }
 
 // complete reports whether the body was read to its end.
--- a/connection/caller/start_test.go
+++ b/connection/caller/start_test.go
@@ -12,25 +12,31 @@
 	"time"
 )
 
-// deadlineDelay is how long delayedConn takes to remove a read deadline. It stands for the
-// reading goroutine being descheduled there.
+// deadlineDelay is how long delayedConn takes to set a read deadline. It stands for the
+// goroutine being descheduled there.
 const deadlineDelay = 2 * time.Millisecond
 
-// delayedListener accepts connections that take deadlineDelay to remove a read deadline.
-type delayedListener struct{ net.Listener }
+// delayedListener accepts connections that take deadlineDelay to set one read deadline.
+type delayedListener struct {
+	net.Listener
+	slow time.Time
+}
 
 func (l delayedListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return delayedConn{c.(*net.TCPConn)}, nil
+	return delayedConn{c.(*net.TCPConn), l.slow}, nil
 }
 
-type delayedConn struct{ *net.TCPConn }
+type delayedConn struct {
+	*net.TCPConn
+	slow time.Time
+}
 
 func (c delayedConn) SetReadDeadline(at time.Time) error {
-	if at.IsZero() {
+	if at.Equal(c.slow) {
 		time.Sleep(deadlineDelay)
 	}
 	return c.TCPConn.SetReadDeadline(at)
@@ -40,7 +46,7 @@
 // it had ended must reach the handler whole, however late it comes.
 func TestBodyBehindResponse(t *testing.T) {
 	h := newTestHandler()
-	_, addr := startServerOn(t, delayedListener{listen(t)}, h, waitLimit)
+	_, addr := startServerOn(t, delayedListener{listen(t), time.Time{}}, h, waitLimit)
 	for i := range 20 {
 		c := dial(t, addr)
 		front, behind := fmt.Sprint("a", i), fmt.Sprint("b", i)
@@ -93,6 +99,47 @@
 	callers.Wait()
 }
 
+// TestBodyClosedAtItsEnd: a body that is closed while its end is read must not end the
+// connection if the response has kept it.
+func TestBodyClosedAtItsEnd(t *testing.T) {
+	closing := make(chan struct{})
+	_, addr := startServerOn(t, delayedListener{listen(t), pastDeadline}, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Body != http.NoBody {
+			go func() {
+				time.Sleep(time.Millisecond) // the body is being read
+				closing <- struct{}{}
+				_ = r.Body.Close()
+			}()
+			_, _ = io.ReadAll(r.Body)
+		}
+		w.Header().Set("Content-Length", "0")
+	}), waitLimit)
+	kept := 0
+	for range 100 {
+		c := dial(t, addr)
+		text := post("/x", "text")
+		c.send(text[:len(text)-1])
+		<-closing
+		c.send(text[len(text)-1:])
+		_, _, closes, err := c.receive()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if closes {
+			continue // the body was closed before its end
+		}
+		kept++
+		time.Sleep(2 * deadlineDelay)
+		c.send(get("/x"))
+		if status, _, _, err := c.receive(); status != http.StatusOK || err != nil {
+			t.Fatalf("the next request on a kept connection: status %d, %v", status, err)
+		}
+	}
+	if kept == 0 {
+		t.Error("no connection was kept")
+	}
+}
+
 // TestUnsentBody: a caller that never sends a body which the handler does not need must hold
 // its connection for lingerTimeout only.
 func TestUnsentBody(t *testing.T) {
