Callers: at a planned stop, a request behind a response that keeps the connection is answered

At a planned stop, callers saw their connection closed without a response to a request that they had sent behind a response which had not announced the end of the connection.

Cause: once the stop had begun, no request was started beside another, on the assumption that the response in flight would announce the end. One whose header had been sent before cannot.

Evidence: before the change TestRequestBehindOpenResponseAtDrain got unexpected EOF in place of the second response.

A response now records that it has decided whether it closes the connection. Behind one that has decided before the stop, the next request waits, is served, and its response closes the connection; behind any other it is still left unread.

--- a/connection/caller/conn.go
+++ b/connection/caller/conn.go
@@ -165,10 +165,11 @@
 func (c *conn) tryStart(x *exchange) (started, closing bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	draining := c.inFlight > 0 && c.server.draining.Load()
 	switch {
-	case c.closing || c.ctx.Err() != nil || (c.server.draining.Load() && c.inFlight > 0):
+	case c.closing || c.ctx.Err() != nil || (draining && !c.last.decided):
 		return false, true
-	case c.exclusive || c.inFlight >= maxPipelined || (x.exclusive && c.inFlight > 0):
+	case draining || c.exclusive || c.inFlight >= maxPipelined || (x.exclusive && c.inFlight > 0):
 		c.setStateLocked(readWaiting)
 		return false, false
 	}
--- a/connection/caller/exchange.go
+++ b/connection/caller/exchange.go
@@ -42,9 +42,10 @@
 	chunked bool
 	// length is the length of the response body, or -1 if it is unknown.
 	length, written int64
-	// closes is true if the connection is closed after the response.
-	closes bool
-	err    error
+	// closes is true if the connection is closed after the response. It is final once decided
+	// is true, which the lock of the connection guards.
+	closes, decided bool
+	err             error
 }
 
 func newExchange(c *conn, r *http.Request) *exchange {
@@ -174,6 +175,7 @@
 	if explicit || draining || x.isHTTP10() || (x.r != nil && x.r.Close) || !x.bodyDiscardable() {
 		x.closes = true
 	}
+	x.decided = true
 	c.closing = c.closing || x.closes
 }
 
--- a/connection/caller/server_test.go
+++ b/connection/caller/server_test.go
@@ -425,6 +425,35 @@
 	}
 }
 
+// TestRequestBehindOpenResponseAtDrain: a request behind a response whose header was sent
+// before the stop, and has not announced the end of the connection, must be answered.
+func TestRequestBehindOpenResponseAtDrain(t *testing.T) {
+	begun, release := make(chan struct{}), make(chan struct{})
+	s, addr := startServer(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Length", "4")
+		if r.URL.Path == "/first" {
+			w.WriteHeader(http.StatusOK)
+			close(begun)
+			<-release
+		}
+		_, _ = io.WriteString(w, "text")
+	}))
+	c := dial(t, addr)
+	c.send(get("/first"))
+	<-begun
+	s.Drain()
+	c.send(get("/second") + get("/third"))
+	time.Sleep(20 * time.Millisecond) // the server reads it
+	close(release)
+	if _, body, closes, err := c.receive(); body != "text" || closes || err != nil {
+		t.Fatalf("response %q, closes %v, %v", body, closes, err)
+	}
+	if _, body, closes, err := c.receive(); body != "text" || !closes || err != nil {
+		t.Errorf("response %q, closes %v, %v", body, closes, err)
+	}
+	c.expectEnd()
+}
+
 // TestShutdownIsBounded: a request that does not end must not hold Shutdown longer than its
 // context, and Close must cancel it.
 func TestShutdownIsBounded(t *testing.T) {
