Tests: the field names of the platform stay in its own package

The tests of requests and of entry take the header lines of callers and targets from the stand-in. The requests and the checks are the same.

--- a/entry/callers_test.go
+++ b/entry/callers_test.go
@@ -46,7 +46,7 @@
 // be served by a target.
 func TestProperRequestsAreServed(t *testing.T) {
 	c := newCluster(t, 1, 1)
-	const fields = "Request-Identifier: r\r\nDeadline-Milliseconds: 3000\r\n"
+	fields := standin.Fields("r", "3000")
 	const host = "Host: " + standin.HostName + "\r\n"
 	for name, text := range map[string]string{
 		"plain":                "GET /search/1 HTTP/1.1\r\n" + host + fields + "\r\n",
@@ -69,7 +69,7 @@
 		"uncommon name":        "GET /search/1 HTTP/1.1\r\n" + host + "a!#$%&'*+-.^_`|~1: b\r\n" + fields + "\r\n",
 		"many fields":          "GET /search/1 HTTP/1.1\r\n" + host + strings.Repeat("A: b\r\n", 2000) + fields + "\r\n",
 		"long field":           "GET /search/1 HTTP/1.1\r\n" + host + "A: " + strings.Repeat("b", 200_000) + "\r\n" + fields + "\r\n",
-		"many cookies":         "GET /search/1 HTTP/1.1\r\n" + host + "Cookie: " + strings.Repeat("a=b; ", 5000) + "Affinity-Key=17\r\n" + fields + "\r\n",
+		"many cookies":         "GET /search/1 HTTP/1.1\r\n" + host + standin.Object(strings.Repeat("a=b; ", 5000), "17") + "\r\n" + fields + "\r\n",
 		"bad cookie":           "GET /search/1 HTTP/1.1\r\n" + host + "Cookie: ;;=,\"x\r\n" + fields + "\r\n",
 		"empty line before":    "\r\nGET /search/1 HTTP/1.1\r\n" + host + fields + "\r\n",
 		"empty lines before":   "\r|\n\r\n|GET /search/1 HTTP/1.1\r\n" + host + fields + "\r\n",
@@ -91,11 +91,11 @@
 		"long upload":          "POST /book/1 HTTP/1.1\r\nContent-Length: 3000000\r\n" + host + fields + "\r\n" + strings.Repeat("x", 3_000_000),
 		"long chunked upload":  "POST /book/1 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n" + host + fields + "\r\n2DC6C0\r\n" + strings.Repeat("x", 3_000_000) + "\r\n0\r\n\r\n",
 		"upgrade":              "GET /search/1 HTTP/1.1\r\nConnection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n" + host + fields + "\r\n",
-		"no deadline":          "GET /search/1 HTTP/1.1\r\n" + host + "Request-Identifier: r\r\n\r\n",
-		"deadline in spaces":   "GET /search/1 HTTP/1.1\r\n" + host + "Request-Identifier: r\r\nDeadline-Milliseconds: \t 3000 \t\r\n\r\n",
-		"long deadline":        "GET /search/1 HTTP/1.1\r\n" + host + "Request-Identifier: r\r\nDeadline-Milliseconds: 10000000000000\r\n\r\n",
-		"longest deadline":     "GET /search/1 HTTP/1.1\r\n" + host + "Request-Identifier: r\r\nDeadline-Milliseconds: 100000000000000000000\r\n\r\n",
-		"empty deadline field": "GET /search/1 HTTP/1.1\r\n" + host + "Request-Identifier: r\r\nDeadline-Milliseconds:\r\n\r\n",
+		"no deadline":          "GET /search/1 HTTP/1.1\r\n" + host + standin.Fields("r", "") + "\r\n",
+		"deadline in spaces":   "GET /search/1 HTTP/1.1\r\n" + host + standin.Fields("r", "\t 3000 \t") + "\r\n",
+		"long deadline":        "GET /search/1 HTTP/1.1\r\n" + host + standin.Fields("r", "10000000000000") + "\r\n",
+		"longest deadline":     "GET /search/1 HTTP/1.1\r\n" + host + standin.Fields("r", "100000000000000000000") + "\r\n",
+		"empty deadline field": "GET /search/1 HTTP/1.1\r\n" + host + standin.Fields("r", " ") + "\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			if status, body := exchangeRaw(c.hosts[0].addr(), text); status != http.StatusOK {
@@ -110,7 +110,7 @@
 func TestOperatorLimitsHold(t *testing.T) {
 	c := newCluster(t, 1, 1)
 	h := c.hosts[0]
-	long := "GET /search/1 HTTP/1.1\r\nHost: " + standin.HostName + "\r\nRequest-Identifier: r\r\nA: " +
+	long := "GET /search/1 HTTP/1.1\r\nHost: " + standin.HostName + "\r\n" + standin.Fields("r", "") + "A: " +
 		strings.Repeat("b", 2*callerHeaderBytes) + "\r\n\r\n"
 	if status, body := exchangeRaw(h.addr(), long); status != http.StatusRequestHeaderFieldsTooLarge {
 		t.Errorf("a header over all limits: status %d, %s", status, body)
--- a/request/serve/fixture_test.go
+++ b/request/serve/fixture_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -99,18 +98,14 @@
 // addHandler adds a target that runs an http.Handler and echoes the id of each request.
 func (f *fixture) addHandler(id string, h http.HandlerFunc) {
 	f.t.Helper()
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set("Request-Identifier", r.Header.Get("Request-Identifier"))
-		w.Header().Set("Response-Stamp", "stamp")
-		h(w, r)
-	}))
+	server := httptest.NewServer(standin.Respond(h))
 	f.t.Cleanup(server.Close)
 	f.register(id, server.Listener.Addr().String())
 }
 
 func (f *fixture) register(id, addr string) {
 	f.t.Helper()
-	report := fmt.Sprintf(`{"service":"bokun","address":%q,"zone":%q,"version":"v1","slots":6,"state":"ready","coldRemaining":"0ms","sequence":1,"born":1}`, addr, domain)
+	report := (&standin.Target{ID: id}).ReportWithAddr(addr, "bokun", domain, "ready", 1)
 	entry, err := adapter.ParseTarget(id, []byte(report), map[string]string{domain: region})
 	if err != nil {
 		f.t.Fatal(err)
@@ -149,8 +144,7 @@
 	return response{status: resp.StatusCode, body: string(body), header: resp.Header, closes: resp.Close}
 }
 
-// head returns the header of a request for a target in the sense of HTTP, with further fields.
+// head returns the header of a request whose caller waits 3 s, with further fields.
 func head(method, requestTarget string, fields ...string) string {
-	fields = append([]string{"Host: " + standin.HostName, "Request-Identifier: r1", "Deadline-Milliseconds: 3000"}, fields...)
-	return method + " " + requestTarget + " HTTP/1.1\r\n" + strings.Join(fields, "\r\n") + "\r\n\r\n"
+	return standin.Head(method, requestTarget, "r1", "3000", fields...)
 }
--- a/request/serve/handler_test.go
+++ b/request/serve/handler_test.go
@@ -45,10 +45,10 @@
 		{"no route in an old configuration", head("GET", "/nowhere/1"), true, true, true, 503},
 		{"no path", head("CONNECT", "bokun.example:443"), true, false, true, 404},
 		{"all of the server", head("OPTIONS", "*"), true, false, true, 404},
-		{"bad deadline", strings.Replace(valid, ": 3000", ": soon", 1), true, false, true, 400},
-		{"no time left", strings.Replace(valid, ": 3000", ": 0", 1), true, false, false, 503},
+		{"bad deadline", standin.Head("GET", "/search/1", "r1", "soon"), true, false, true, 400},
+		{"no time left", standin.Head("GET", "/search/1", "r1", "0"), true, false, false, 503},
 		{"served", valid, true, false, true, 200},
-		{"served without a deadline", strings.Replace(valid, "Deadline-Milliseconds: 3000\r\n", "", 1), true, false, true, 200},
+		{"served without a deadline", standin.Head("GET", "/search/1", "r1", ""), true, false, true, 200},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			f := newFixture(t)
@@ -161,7 +161,7 @@
 			retried := false
 			for i := 0; i < 50 && !retried; i++ { // until the bad one is chosen first
 				before := good.Runs()
-				got := f.exchange(strings.Replace(head("POST", tc.path, "Content-Length: 4")+"text", "r1", fmt.Sprint("r", i), 1))
+				got := f.exchange(standin.Head("POST", tc.path, fmt.Sprint("r", i), "3000", "Content-Length: 4") + "text")
 				switch {
 				case got.status == tc.want && (tc.want != 200 || f.handler.Metrics.Counter("serve.retried").Value() > 0):
 					retried = true
@@ -210,7 +210,7 @@
 				t.Errorf("the target got %s: %s", name, r.Header.Get(name))
 			}
 		}
-		if r.Header.Get("X-End") != "kept" || r.Header.Get("Expected-Instance") != "i-1" || r.Host != standin.HostName {
+		if r.Header.Get("X-End") != "kept" || standin.ExpectedTarget(r.Header) != "i-1" || r.Host != standin.HostName {
 			t.Errorf("the target got %v", r.Header)
 		}
 		w.Header().Set("Connection", "X-Back")
--- a/request/serve/kept_test.go
+++ b/request/serve/kept_test.go
@@ -76,7 +76,7 @@
 			return false
 		}
 		body, err := io.ReadAll(resp.Body)
-		id := resp.Header.Get("Request-Identifier")
+		id := standin.ResponseID(resp.Header)
 		if resp.StatusCode != http.StatusOK || string(body) != standin.Body || err != nil || resp.Close || id != fmt.Sprint(name, "-", i) {
 			k.t.Errorf("%s-%d of %d: status %d for %q, closes %v, %v, sent %.300q", name, i, ahead, resp.StatusCode, id, resp.Close, err, text.String())
 			return false
@@ -90,16 +90,14 @@
 	body := strings.Repeat("x", []int{1, 100, 5000, 100_000}[k.random.IntN(4)])
 	path := []string{"/search/1", "/book/1"}[k.random.IntN(2)]
 	fields := []string{"A: " + strings.Repeat("a", k.random.IntN(6000))}
-	text := ""
 	switch k.random.IntN(4) {
 	case 0:
-		text = head("POST", path, append(fields, fmt.Sprint("Content-Length: ", len(body)))...) + body
+		return standin.Head("POST", path, id, "3000", append(fields, fmt.Sprint("Content-Length: ", len(body)))...) + body
 	case 1:
-		text = head("PUT", path, append(fields, "Transfer-Encoding: chunked")...) + fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+		return standin.Head("PUT", path, id, "3000", append(fields, "Transfer-Encoding: chunked")...) + fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)
 	default:
-		text = head("GET", path, fields...)
+		return standin.Head("GET", path, id, "3000", fields...)
 	}
-	return strings.Replace(text, "Identifier: r1", "Identifier: "+id, 1)
 }
 
 // send writes text in pieces of a size, with pauses between the first few.
