--- a/connection/caller/conn.go
+++ b/connection/caller/conn.go
@@ -63,7 +63,7 @@
 
 func newConn(s *Server, accepted net.Conn) *conn {
 	c := &conn{
-		server: s, net: accepted, head: newHeadReader(accepted, s.HeaderBytes), remote: accepted.RemoteAddr().String(),
+		server: s, net: accepted, head: newHeadReader(accepted, s.Limits().HeaderBytes), remote: accepted.RemoteAddr().String(),
 		changed: make(chan struct{}, 1),
 	}
 	c.writer = bufio.NewWriter(deadlineWriter{accepted})
@@ -95,16 +95,13 @@
 		return c.readFailed(err)
 	}
 	c.setState(readHead)
+	c.head.limit = c.server.Limits().HeaderBytes
 	r, err := c.head.read()
 	if err != nil {
 		return c.readFailed(err)
 	}
 	x := newExchange(c, r)
-	if !c.awaitStart(x) {
-		return false
-	}
-	c.setState(readBody)
-	return c.awaitBody(x)
+	return c.awaitStart(x) && c.awaitBody(x)
 }
 
 // readFailed handles a failed read of a request. It always returns false.
@@ -163,14 +160,16 @@
 	}
 }
 
-// tryStart starts x if it may be served now. closing is true when nothing further may.
+// tryStart starts x if it may be served now. closing is true when nothing further may. The
+// read deadline is set before the handler can read the body.
 func (c *conn) tryStart(x *exchange) (started, closing bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	draining := c.inFlight > 0 && c.server.draining.Load()
 	switch {
-	case c.closing || c.ctx.Err() != nil || (c.server.draining.Load() && c.inFlight > 0):
+	case c.closing || c.ctx.Err() != nil || (draining && !c.last.decided):
 		return false, true
-	case c.exclusive || c.inFlight >= maxPipelined || (x.exclusive && c.inFlight > 0):
+	case draining || c.exclusive || c.inFlight >= maxPipelined || (x.exclusive && c.inFlight > 0):
 		c.setStateLocked(readWaiting)
 		return false, false
 	}
@@ -178,6 +177,7 @@
 	c.exclusive = x.exclusive
 	c.closing = x.r != nil && x.r.Close
 	c.inFlight++
+	c.setStateLocked(readBody)
 	c.handlers.Go(x.run)
 	return true, false
 }
@@ -281,9 +281,9 @@
 	case s == readIdle && c.inFlight == 0 && c.server.draining.Load():
 		deadline = time.Now().Add(drainIdleTimeout)
 	case s == readIdle && c.inFlight == 0:
-		deadline = time.Now().Add(c.server.IdleTimeout)
+		deadline = time.Now().Add(c.server.Limits().IdleTimeout)
 	case s == readHead:
-		deadline = time.Now().Add(c.server.HeaderTimeout)
+		deadline = time.Now().Add(c.server.Limits().HeaderTimeout)
 	case s == readEnding && c.inFlight == 0:
 		deadline = pastDeadline
 	}
@@ -299,6 +299,16 @@
 	}
 }
 
+// interruptBody makes a blocked read of the body of x fail. It does nothing once the connection
+// is read for something else.
+func (c *conn) interruptBody(x *exchange) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state == readBody && c.last == x {
+		_ = c.net.SetReadDeadline(pastDeadline)
+	}
+}
+
 // exchangeEnded records that an exchange has ended, and wakes the reading goroutine if it
 // waits for that.
 func (c *conn) exchangeEnded(x *exchange) {
--- a/connection/caller/exchange.go
+++ b/connection/caller/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -41,9 +42,10 @@
 	chunked bool
 	// length is the length of the response body, or -1 if it is unknown.
 	length, written int64
-	// closes is true if the connection is closed after the response.
-	closes bool
-	err    error
+	// closes is true if the connection is closed after the response. It is final once decided
+	// is true, which the lock of the connection guards.
+	closes, decided bool
+	err             error
 }
 
 func newExchange(c *conn, r *http.Request) *exchange {
@@ -63,10 +65,17 @@
 	return &exchange{conn: c, rejection: status, exclusive: true, header: make(http.Header), length: -1, done: make(chan struct{})}
 }
 
-func expectsContinue(r *http.Request) bool {
-	return strings.EqualFold(r.Header.Get("Expect"), "100-continue")
+// expectation returns what the caller expects before it sends the body, or "". HTTP/1.0 has no
+// expectations.
+func expectation(r *http.Request) string {
+	if !r.ProtoAtLeast(1, 1) {
+		return ""
+	}
+	return r.Header.Get("Expect")
 }
 
+func expectsContinue(r *http.Request) bool { return strings.EqualFold(expectation(r), "100-continue") }
+
 // run serves the request and writes the response.
 func (x *exchange) run() {
 	defer x.conn.exchangeEnded(x)
@@ -90,7 +99,7 @@
 	switch {
 	case x.rejection != 0:
 		x.reject(x.rejection)
-	case x.body != nil && x.r.Header.Get("Expect") != "" && !x.body.expects:
+	case x.body != nil && expectation(x.r) != "" && !x.body.expects:
 		x.reject(http.StatusExpectationFailed)
 	default:
 		x.conn.server.Handler.ServeHTTP(x, x.r)
@@ -166,16 +175,17 @@
 	if explicit || draining || x.isHTTP10() || (x.r != nil && x.r.Close) || !x.bodyDiscardable() {
 		x.closes = true
 	}
+	x.decided = true
 	c.closing = c.closing || x.closes
 }
 
-// bodyDiscardable reports whether the request body was read or is short enough to be
-// discarded.
+// bodyDiscardable reports whether the request body was read, or may still be read and is short
+// enough to be discarded.
 func (x *exchange) bodyDiscardable() bool {
 	if x.body == nil || x.body.complete() {
 		return true
 	}
-	return !x.body.expects && x.r.ContentLength >= 0 && x.r.ContentLength <= maxDiscardedBody
+	return !x.body.expects && !x.body.closed.Load() && x.r.ContentLength >= 0 && x.r.ContentLength <= maxDiscardedBody
 }
 
 // writtenByServer are the headers that writeHead writes itself.
@@ -324,12 +334,19 @@
 	case err == io.EOF:
 		b.ended.Store(true)
 		b.doneOnce.Do(func() { close(b.done) })
-	case err != nil && !b.closed.Load():
-		b.x.conn.cancel() // the caller has gone, or what it sends has no end
+	case err != nil && !b.closed.Load() && isConnError(err):
+		b.x.conn.cancel() // the caller has gone
 	}
 	return n, err
 }
 
+// isConnError reports whether reading a body failed because the connection ended. Otherwise
+// the body is malformed, and the caller can still get a response.
+func isConnError(err error) bool {
+	var failed net.Error
+	return errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &failed)
+}
+
 // sendContinue sends the interim response. The request is served alone, so no other
 // response is being written.
 func (b *requestBody) sendContinue() {
@@ -342,7 +359,8 @@
 	if b.ended.Load() || b.closed.Swap(true) {
 		return nil
 	}
-	return b.x.conn.net.SetReadDeadline(pastDeadline)
+	b.x.conn.interruptBody(b.x)
+	return nil
 }
 
 // complete reports whether the body was read to its end.
--- a/connection/caller/server_test.go
+++ b/connection/caller/server_test.go
@@ -107,11 +107,22 @@
 
 func startServerWithIdle(t testing.TB, h http.Handler, idle time.Duration) (*Server, string) {
 	t.Helper()
-	l := listen(t)
-	s := &Server{
+	return startServerOn(t, listen(t), h, idle)
+}
+
+func startServerOn(t testing.TB, l net.Listener, h http.Handler, idle time.Duration) (*Server, string) {
+	t.Helper()
+	return serveOn(t, l, &Server{
 		Handler: h, Idempotent: func(r *http.Request) bool { return r.Method == http.MethodGet },
-		HeaderTimeout: waitLimit, IdleTimeout: idle, HeaderBytes: 16 << 10,
-	}
+		Limits: func() ConnLimits {
+			return ConnLimits{HeaderBytes: 16 << 10, HeaderTimeout: waitLimit, IdleTimeout: idle}
+		},
+	})
+}
+
+// serveOn serves the connections of l until the test has ended.
+func serveOn(t testing.TB, l net.Listener, s *Server) (*Server, string) {
+	t.Helper()
 	served := make(chan struct{})
 	go func() {
 		_ = s.Serve(l)
@@ -414,6 +425,35 @@
 	}
 }
 
+// TestRequestBehindOpenResponseAtDrain: a request behind a response whose header was sent
+// before the stop, and has not announced the end of the connection, must be answered.
+func TestRequestBehindOpenResponseAtDrain(t *testing.T) {
+	begun, release := make(chan struct{}), make(chan struct{})
+	s, addr := startServer(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Length", "4")
+		if r.URL.Path == "/first" {
+			w.WriteHeader(http.StatusOK)
+			close(begun)
+			<-release
+		}
+		_, _ = io.WriteString(w, "text")
+	}))
+	c := dial(t, addr)
+	c.send(get("/first"))
+	<-begun
+	s.Drain()
+	c.send(get("/second") + get("/third"))
+	time.Sleep(20 * time.Millisecond) // the server reads it
+	close(release)
+	if _, body, closes, err := c.receive(); body != "text" || closes || err != nil {
+		t.Fatalf("response %q, closes %v, %v", body, closes, err)
+	}
+	if _, body, closes, err := c.receive(); body != "text" || !closes || err != nil {
+		t.Errorf("response %q, closes %v, %v", body, closes, err)
+	}
+	c.expectEnd()
+}
+
 // TestShutdownIsBounded: a request that does not end must not hold Shutdown longer than its
 // context, and Close must cancel it.
 func TestShutdownIsBounded(t *testing.T) {
@@ -550,10 +590,10 @@
 	c.send(get("/hold/a"))
 	start := time.Now()
 	idle.expectEnd()
-	if took := time.Since(start); took < s.IdleTimeout || took > waitLimit/2 {
+	if took := time.Since(start); took < s.Limits().IdleTimeout || took > waitLimit/2 {
 		t.Errorf("the idle connection ended after %v", took)
 	}
-	time.Sleep(2 * s.IdleTimeout)
+	time.Sleep(2 * s.Limits().IdleTimeout)
 	h.release("a")
 	c.expect("a")
 	c.expectEnd()
--- a/request/serve/serve.go
+++ b/request/serve/serve.go
@@ -3,7 +3,7 @@
 //
 // serve.go reads the request and runs its attempts, attempt.go sends it to a target and
 // classifies the response, finish.go sends the final response and writes the log line,
-// headers.go declares the values carried in headers.
+// headers.go declares the values carried in headers, path.go keeps the path as it was sent.
 package serve
 
 import (
@@ -95,7 +95,7 @@
 	if config == nil {
 		return false
 	}
-	route := config.Match(r.Host, r.URL.EscapedPath())
+	route := config.Match(r.Host, pathOf(r))
 	return route != nil && route.Idempotent
 }
 
@@ -142,7 +142,7 @@
 	if q.callerHeaders, err = q.h.Headers.ReadRequest(q.r); err != nil {
 		return q.refuse(http.StatusBadRequest, err)
 	}
-	if q.route = q.config.Match(q.r.Host, q.r.URL.EscapedPath()); q.route == nil {
+	if q.route = q.config.Match(q.r.Host, pathOf(q.r)); q.route == nil {
 		if !q.h.UpToDate() {
 			return q.refuse(http.StatusServiceUnavailable, errNoRoute)
 		}
@@ -177,7 +177,8 @@
 	return x - float64(int64(x))
 }
 
-// readBody reads the request's body into memory unless it is too large for that.
+// readBody reads the request's body into memory unless it is too large for that. It stops at
+// the deadline.
 func (q *request) readBody() bool {
 	if q.r.Body == nil || q.r.Body == http.NoBody {
 		return true
@@ -189,17 +190,30 @@
 		q.streamed = true
 		return true
 	}
+	stop := time.AfterFunc(time.Until(q.deadline), func() { _ = q.r.Body.Close() })
+	defer stop.Stop()
 	body, err := io.ReadAll(io.LimitReader(q.r.Body, maxBufferedBody+1))
 	if err != nil {
-		return q.refuse(http.StatusBadRequest, errors.Wrap(err, "request body"))
+		return q.bodyFailed(err)
 	}
 	q.body = body
-	if len(body) > maxBufferedBody {
-		q.streamed = true
-	}
+	q.streamed = len(body) > maxBufferedBody
 	return true
 }
 
+// bodyFailed ends a request whose body could not be read. It always returns false.
+func (q *request) bodyFailed(err error) bool {
+	switch {
+	case q.r.Context().Err() != nil:
+		q.abort()
+		return false
+	case !time.Now().Before(q.deadline):
+		return q.refuse(http.StatusRequestTimeout, errDeadline)
+	default:
+		return q.refuse(http.StatusBadRequest, errors.Wrap(err, "request body"))
+	}
+}
+
 // computeFingerprint returns a hash that is equal for repetitions of the same request.
 func (q *request) computeFingerprint() uint64 {
 	d := xxhash.New()
