--- a/entry/follow.go
+++ b/entry/follow.go
@@ -26,8 +26,8 @@
 	// that the store does not answer then delays changes by less than the bound.
 	pollWaitShare, pollMarginShare = 0.4, 0.2
 	// recoveryPollWait and recoveryPollMargin are the times for the first call after a
-	// failure, so that a recovered store is detected even when nothing changes there and its
-	// responses are slow.
+	// failure, so that a recovered store is detected even when nothing changes there, and for
+	// the calls to a store whose responses are slow.
 	recoveryPollWait   = 200 * time.Millisecond
 	recoveryPollMargin = 1500 * time.Millisecond
 	// feedPause is the pause between two calls for the changes of a table. It lets changes
@@ -98,10 +98,12 @@
 
 func (h *Host) readChanges(ctx context.Context, table string) error {
 	wait, margin := h.pollTimes(table)
+	started := time.Now()
 	delta, err := h.store.Feed(ctx, table, h.mirror.Position(table), wait, wait+margin)
 	if err != nil {
 		return err
 	}
+	h.storeStatus.recordDelay(table, time.Since(started)-wait)
 	h.apply(delta)
 	h.storeSucceeded(table)
 	if len(delta.Records) > 0 {
@@ -113,7 +115,7 @@
 // pollTimes returns how long the store may keep the next call for changes of a table open, and
 // how much longer the call may take.
 func (h *Host) pollTimes(table string) (wait, margin time.Duration) {
-	if !h.storeStatus.tableOK(table) {
+	if !h.storeStatus.polls(table) {
 		return recoveryPollWait, recoveryPollMargin
 	}
 	bound := float64(h.settings.Load().Bounds.Change)
--- a/entry/storestatus.go
+++ b/entry/storestatus.go
@@ -11,6 +11,9 @@
 // mean that the store lost the report, so that the target is not dropped at once.
 const storeFailureWindow = 3 * time.Second
 
+// slowResponse is the delay from which a response counts as late.
+const slowResponse = 250 * time.Millisecond
+
 // storeStatus records for each mirrored table whether this host's calls to the store succeed.
 type storeStatus struct {
 	mu     sync.Mutex
@@ -27,6 +30,8 @@
 	down bool
 	// answeredAt and failedAt are when a call was last answered and when one last failed.
 	answeredAt, failedAt time.Time
+	// slow is true if the last response came late.
+	slow bool
 }
 
 // statusChange says what a successful call has changed.
@@ -45,6 +50,13 @@
 	return s
 }
 
+// recordDelay records by how much a response came later than the wait that it was asked for.
+func (s *storeStatus) recordDelay(table string, delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tables[table].slow = delay > slowResponse
+}
+
 // recordSuccess records a call for a table that was answered.
 func (s *storeStatus) recordSuccess(table string, now time.Time) statusChange {
 	s.mu.Lock()
@@ -92,11 +104,13 @@
 	return now.Sub(t.answeredAt)
 }
 
-// tableOK reports whether this host reads a table and its last call for it succeeded.
-func (s *storeStatus) tableOK(table string) bool {
+// polls reports whether the next call for a table may wait for changes for the full time: the
+// last one was answered, and in time.
+func (s *storeStatus) polls(table string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.tables[table].ok()
+	t := s.tables[table]
+	return t.ok() && !t.slow
 }
 
 // ok reports whether this host reads all tables and its last call for each succeeded.
