Store: a state counts as confirmed by the age of the store's answer, at every host

After the store had fallen silent all hosts went on for up to 3.9 s to refuse unknown routes with 404, also added ones, where 2.5 s are allowed: a reader counted as up to date until its call failed, others for 1.5 s more by its word, and readers whose calls failed by the word of others. A partner's withdrawal did not count as long as its earlier report did. Heartbeats now carry the age of the oldest table's last answer; 404 is given only within the bound for changes since an answer to this host or to a partner whose changes it has, and a report that is withdrawn counts no more. store.unanswered_ms counts from the first call if none was answered.

TestStateNotConfirmedBeyondTheBound failed before (3.0 to 3.8 s; it asked upToDate, which still says whether sends are limited), TestWithdrawnReportDoesNotVouch and TestUnansweredTimeGrowsFromTheFirstCall failed too.

--- a/entry/follow.go
+++ b/entry/follow.go
@@ -86,6 +86,7 @@
 }
 
 func (h *Host) readTable(ctx context.Context, table string) error {
+	h.storeStatus.recordCall(table, time.Now())
 	delta, err := h.store.Read(ctx, table)
 	if err != nil {
 		return err
@@ -99,6 +100,7 @@
 func (h *Host) readChanges(ctx context.Context, table string) error {
 	wait, margin := h.pollTimes(table)
 	started := time.Now()
+	h.storeStatus.recordCall(table, started)
 	delta, err := h.store.Feed(ctx, table, h.mirror.Position(table), wait, wait+margin)
 	if err != nil {
 		return err
@@ -139,7 +141,9 @@
 // ownStoreStatus returns the result of this host's own calls to the store, which its
 // heartbeats report to partners.
 func (h *Host) ownStoreStatus() partner.StoreStatus {
-	return partner.StoreStatus{Reachable: h.storeStatus.ok(), Failing: h.storeStatus.recentlyFailed(time.Now())}
+	now := time.Now()
+	age, ok := h.storeStatus.age(now)
+	return partner.StoreStatus{Reachable: ok, Age: age, Failing: h.storeStatus.recentlyFailed(now)}
 }
 
 // reportsMayBeMissing reports whether the reports of live targets may be missing for a
@@ -153,11 +157,34 @@
 // by a partner whose changes this host has.
 func (h *Host) upToDate() bool { return h.storeStatus.ok() || h.group.FollowsStore(time.Now()) }
 
-// stateAge returns the time since the store or a partner last confirmed the desired state.
+// stateConfirmed reports whether the store has confirmed this host's state within the bound for
+// changes, in a response to this host or to a partner whose changes this host has.
+func (h *Host) stateConfirmed() bool {
+	age, ok := h.confirmedAge(time.Now())
+	return ok && age <= time.Duration(h.settings.Load().Bounds.Change)
+}
+
+// confirmedAge returns the time since the store last confirmed this host's state. ok is false if
+// that is not known.
+func (h *Host) confirmedAge(now time.Time) (age time.Duration, ok bool) {
+	own, ownOK := h.storeStatus.age(now)
+	partners, partnersOK := h.group.ConfirmedAge(now)
+	switch {
+	case ownOK && partnersOK:
+		return min(own, partners), true
+	case ownOK:
+		return own, true
+	default:
+		return partners, partnersOK
+	}
+}
+
+// stateAge returns confirmedAge, or the time since a partner last read the store if it is not
+// known, for log lines.
 func (h *Host) stateAge() time.Duration {
 	now := time.Now()
-	if h.storeStatus.ok() {
-		return h.storeStatus.sinceAnswer(adapter.OperatorTable, now)
+	if age, ok := h.confirmedAge(now); ok {
+		return age
 	}
 	return h.group.SinceReader(now)
 }
--- a/entry/host.go
+++ b/entry/host.go
@@ -143,7 +143,7 @@
 	h.setBudgets()
 	h.handler = serve.New(serve.Options{
 		Config: h.config.Load, Chooser: h.chooser, Fleet: h.fleet, Pool: h.pool, Budget: h.budgets, Crashes: h.crashes,
-		Headers: adapter.HeaderCodec{}, UpToDate: h.upToDate, StateAge: h.stateAge, Metrics: h.metrics, Log: h.log,
+		Headers: adapter.HeaderCodec{}, UpToDate: h.stateConfirmed, StateAge: h.stateAge, Metrics: h.metrics, Log: h.log,
 	})
 	return h
 }
--- a/entry/storestatus.go
+++ b/entry/storestatus.go
@@ -30,6 +30,8 @@
 	down bool
 	// answeredAt and failedAt are when a call was last answered and when one last failed.
 	answeredAt, failedAt time.Time
+	// readingSince is when this host made its first call since it began to read the table.
+	readingSince time.Time
 	// slow is true if the last response came late.
 	slow bool
 }
@@ -50,6 +52,15 @@
 	return s
 }
 
+// recordCall records that a call for a table is made.
+func (s *storeStatus) recordCall(table string, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if t := s.tables[table]; t.readingSince.IsZero() {
+		t.readingSince = now
+	}
+}
+
 // recordDelay records by how much a response came later than the wait that it was asked for.
 func (s *storeStatus) recordDelay(table string, delay time.Duration) {
 	s.mu.Lock()
@@ -86,22 +97,39 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.tables[table]
-	t.answered, t.down = false, false
+	t.answered, t.down, t.readingSince = false, false, time.Time{}
 	stopped := s.reads
 	s.reads = false
 	return stopped
 }
 
-// sinceAnswer returns the time since a call for a table was last answered; 0 while this host
-// does not read the table.
+// sinceAnswer returns the time since a call for a table was last answered, or since the first
+// call if none was; 0 while this host does not read the table.
 func (s *storeStatus) sinceAnswer(table string, now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t := s.tables[table]
-	if !t.answered {
+	switch t := s.tables[table]; {
+	case t.answered:
+		return now.Sub(t.answeredAt)
+	case !t.readingSince.IsZero():
+		return now.Sub(t.readingSince)
+	default:
 		return 0
 	}
-	return now.Sub(t.answeredAt)
+}
+
+// age returns the time since the table that was answered longest ago was answered. ok is false
+// if this host does not read all tables, or its last call for one failed.
+func (s *storeStatus) age(now time.Time) (age time.Duration, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range s.tables {
+		if !t.ok() {
+			return 0, false
+		}
+		age = max(age, now.Sub(t.answeredAt))
+	}
+	return age, true
 }
 
 // polls reports whether the next call for a table may wait for changes for the full time: the
--- a/process/partner/partner.go
+++ b/process/partner/partner.go
@@ -81,12 +81,17 @@
 	// Fresh says that the sender itself reads the store and gets responses; Troubled says
 	// that some of its calls to the store failed recently.
 	Fresh, Troubled bool
+	// Age is the time since the store last answered a Fresh sender, for the table for which that
+	// is longest ago. Earlier releases send none.
+	Age time.Duration
 }
 
-// StoreStatus is the store's status as this host's own calls show it: Reachable when this
-// host reads the store and gets responses, Failing when calls failed recently.
+// StoreStatus is the store's status as this host's own calls show it: Reachable when this host
+// reads the store and gets responses, the oldest of them Age ago; Failing when calls failed
+// recently.
 type StoreStatus struct {
 	Reachable, Failing bool
+	Age                time.Duration
 }
 
 // position returns the position of the sender's copy of a table.
@@ -153,9 +158,11 @@
 	alive         bool
 	leaving       bool
 	requestRate   float64
-	// readAt is when the host last reported that it reads the store, and readPositions the
-	// positions of its tables then, in the order of Options.Tables.
+	// readAt is when the host's last heartbeat reported that it reads the store; zero if it
+	// reported that it does not. readAge is the age of the store's responses then, and
+	// readPositions are the positions of the host's tables, in the order of Options.Tables.
 	readAt        time.Time
+	readAge       time.Duration
 	readPositions []mirror.Position
 }
 
@@ -187,7 +194,7 @@
 func (g *Group) heartbeat() Heartbeat {
 	now := g.opts.Now()
 	status := g.opts.StoreStatus()
-	h := Heartbeat{Fresh: status.Reachable, Troubled: status.Failing, From: g.opts.Self, Positions: make(map[string]uint64), Eras: make(map[string]uint64), Rate: g.opts.RequestRate(), Crashes: g.opts.Crashes.Recent(crashCountMaxAge, now)}
+	h := Heartbeat{Fresh: status.Reachable, Age: status.Age, Troubled: status.Failing, From: g.opts.Self, Positions: make(map[string]uint64), Eras: make(map[string]uint64), Rate: g.opts.RequestRate(), Crashes: g.opts.Crashes.Recent(crashCountMaxAge, now)}
 	for _, name := range g.opts.Tables {
 		position := g.opts.Mirror.Position(name)
 		h.Positions[name], h.Eras[name] = position.Revision, position.Era
--- a/process/partner/readers.go
+++ b/process/partner/readers.go
@@ -45,14 +45,24 @@
 // FollowsStore reports whether this host has all changes that a partner had which reported within
 // readerTimeout that it reads the store.
 func (g *Group) FollowsStore(now time.Time) bool {
+	_, follows := g.ConfirmedAge(now)
+	return follows
+}
+
+// ConfirmedAge returns the time since the store last answered a partner that reads it and whose
+// changes this host has, as reported within readerTimeout. ok is false if there is none.
+func (g *Group) ConfirmedAge(now time.Time) (age time.Duration, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, s := range g.members {
-		if !s.readAt.IsZero() && now.Sub(s.readAt) < readerTimeout && g.hasAll(s.readPositions) {
-			return true
+		if s.readAt.IsZero() || now.Sub(s.readAt) >= readerTimeout || !g.hasAll(s.readPositions) {
+			continue
+		}
+		if reported := now.Sub(s.readAt) + s.readAge; !ok || reported < age {
+			age, ok = reported, true
 		}
 	}
-	return false
+	return age, ok
 }
 
 // hasAll reports whether this host's copy of each table is complete up to its position.
@@ -97,9 +107,10 @@
 // recordStoreStatus records the store status in the heartbeat of a partner s. The lock must be
 // held.
 func (g *Group) recordStoreStatus(s *memberState, h *Heartbeat, now time.Time) {
+	s.readAt = time.Time{}
 	if h.Fresh {
 		g.readerAt = now
-		s.readAt, s.readPositions = now, g.positions(h)
+		s.readAt, s.readAge, s.readPositions = now, h.Age, g.positions(h)
 	}
 	if h.Fresh && !h.Troubled {
 		g.healthyReaderAt = now
