crash: counts that have expired start again at 0

A request that crashed targets, then was not seen for two minutes, was refused again by its next single crash, and the event that it had reached the limit was not written for that. Now three crashes within the retention are needed each time, and each time is reported.

Cause: the retention was checked only when the limit was asked for; a new crash was added to the expired counts and made them valid again.

TestExpiredCountsDoNotAddUp failed before: total 4 after one crash, 5 on the other host, limit reached, reported once. Now a new count or report replaces expired counts. Hosts that expire at slightly different times count too few for a moment at most; the next heartbeat brings the count.

--- a/process/crash/crash.go
+++ b/process/crash/crash.go
@@ -15,7 +15,7 @@
 	// host sends it again.
 	MaxCrashes = 3
 	// retention is how long the counts of a request apply after they last changed on this
-	// host. Expired counts are removed only when space is needed.
+	// host. Expired counts are removed when a new one arrives or space is needed.
 	retention = 2 * time.Minute
 	// maxRequests bounds the requests with counts.
 	maxRequests = 2000
@@ -84,7 +84,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := c.requests[fingerprint]
-	return r != nil && now.Sub(r.changedAt) < retention && r.total() >= MaxCrashes
+	return r != nil && !r.expired(now) && r.total() >= MaxCrashes
 }
 
 // Merge merges the counts of other hosts.
@@ -124,10 +124,12 @@
 	return counts
 }
 
-// requestCountsFor returns the counts of a request and adds them when they are new.
+// requestCountsFor returns the counts of a request. Counts that are new or have expired
+// start empty.
 func (c *Counts) requestCountsFor(fingerprint uint64, now time.Time) *requestCounts {
 	r := c.requests[fingerprint]
-	if r == nil {
+	if r == nil || r.expired(now) {
+		delete(c.requests, fingerprint)
 		c.evict(now)
 		r = &requestCounts{byHost: make(map[string]int)}
 		c.requests[fingerprint] = r
@@ -143,12 +145,14 @@
 		return
 	}
 	for fingerprint, r := range c.requests {
-		if now.Sub(r.changedAt) > retention || len(c.requests) >= maxRequests {
+		if r.expired(now) || len(c.requests) >= maxRequests {
 			delete(c.requests, fingerprint)
 		}
 	}
 }
 
+func (r *requestCounts) expired(now time.Time) bool { return now.Sub(r.changedAt) >= retention }
+
 func (r *requestCounts) total() int {
 	total := 0
 	for _, n := range r.byHost {
--- a/process/crash/crash_test.go
+++ b/process/crash/crash_test.go
@@ -81,3 +81,32 @@
 		t.Errorf("callback called %d times", calls)
 	}
 }
+
+// TestExpiredCountsDoNotAddUp: crashes from before the retention must not add to later ones,
+// neither on the host that saw them nor on others, and the limit must be reported anew.
+func TestExpiredCountsDoNotAddUp(t *testing.T) {
+	a, b := New("a"), New("b")
+	calls := 0
+	a.OnLimitReached = func(uint64, int) { calls++ }
+	for range MaxCrashes {
+		a.RecordCrash(7, start)
+	}
+	b.Merge(a.Recent(time.Minute, start), start)
+	later := start.Add(retention)
+	if n := a.RecordCrash(7, later); n != 1 {
+		t.Errorf("first crash after the retention: total %d", n)
+	}
+	b.Merge(a.Recent(time.Minute, later), later)
+	if a.LimitReached(7, later) || b.LimitReached(7, later) {
+		t.Error("the limit is reached again by one crash")
+	}
+	if n := b.RecordCrash(7, later); n != 2 {
+		t.Errorf("crash on the other host: total %d, want 2", n)
+	}
+	for range MaxCrashes - 1 {
+		a.RecordCrash(7, later)
+	}
+	if !a.LimitReached(7, later) || calls != 2 {
+		t.Errorf("limit reached: %v, reported %d times, want true and 2", a.LimitReached(7, later), calls)
+	}
+}
