peer: calls end with their context while connecting; none fails after idle time

Two faults of one file, since both are about when a connection is opened.

A call with a deadline of 50 ms returned after 3 s when the other host accepted the connection and stayed silent, and not with the context's error. Cause: only the TCP dial used the context; the TLS handshake and the hello had their own deadline. Now a goroutine opens the connection within its own bounds and the call waits for it or for its context. The attempt goes on for later calls, so that calls shorter than a handshake still get a connection in the end.

The first call to a host after two idle minutes failed with "unexpected EOF", since the server closes a connection then. Now a connection unused for a minute is not used again but replaced.

TestConnectingEndsWithContext failed before (3.0 s, i/o timeout, with and without TLS), TestCallAfterIdleTimeSucceeds too (unexpected EOF). TestShortCallsOpenSlowConnection guards the choice above: it fails when the attempt ends with the call that began it.

--- a/process/peer/clients.go
+++ b/process/peer/clients.go
@@ -23,9 +23,9 @@
 	// initialBackoff and maxBackoff bound the delay after a failed connection attempt.
 	initialBackoff = 100 * time.Millisecond
 	maxBackoff     = 5 * time.Second
-	// clientIdleTimeout is the time after which an unused connection may be closed; that
-	// happens when a call adds a new address. It is shorter than idleTimeout, after which
-	// the server closes the connection.
+	// clientIdleTimeout is the time after which an unused connection is not used again; it
+	// is closed by the next call to its address or the next call that adds an address. It
+	// is shorter than idleTimeout, after which the server closes the connection.
 	clientIdleTimeout = time.Minute
 )
 
@@ -96,8 +96,8 @@
 	return &peerConn{inFlight: make(chan struct{}, clientInFlight), dialing: make(chan struct{}, 1), backoff: delays}
 }
 
-// Call implements RPCClient. When it has to open the connection, it may return up to
-// helloTimeout after ctx ends, since the TLS handshake and the hellos do not end with ctx.
+// Call implements RPCClient. A connection that is being opened when ctx ends is kept for
+// later calls.
 func (c *ClientPool) Call(ctx context.Context, addr, method string, args, reply any) error {
 	if _, ok := ctx.Deadline(); !ok {
 		var cancel context.CancelFunc
@@ -155,21 +155,33 @@
 		pc = newPeerConn()
 		c.conns[addr] = pc
 	}
+	if pc.idle() {
+		pc.close()
+	}
 	pc.lastUsed = time.Now()
 	return pc, nil
 }
 
-// dropIdle closes and removes connections that have been unused for clientIdleTimeout.
-// c.mu must be held.
+// dropIdle closes and removes the idle connections. c.mu must be held.
 func (c *ClientPool) dropIdle() {
 	for addr, pc := range c.conns {
-		if time.Since(pc.lastUsed) < clientIdleTimeout || len(pc.inFlight) > 0 {
-			continue
-		}
-		if pc.client != nil {
-			_ = pc.client.Close()
+		if pc.idle() {
+			pc.close()
+			delete(c.conns, addr)
 		}
-		delete(c.conns, addr)
+	}
+}
+
+// idle reports whether the connection has been unused for clientIdleTimeout.
+func (pc *peerConn) idle() bool {
+	return time.Since(pc.lastUsed) >= clientIdleTimeout && len(pc.inFlight) == 0
+}
+
+// close closes the connection, if it is open, so that the next call opens a new one.
+func (pc *peerConn) close() {
+	if pc.client != nil {
+		_ = pc.client.Close()
+		pc.client = nil
 	}
 }
 
@@ -178,31 +190,55 @@
 	if err := acquire(ctx, pc.dialing); err != nil {
 		return nil, err
 	}
-	defer func() { <-pc.dialing }()
 	c.mu.Lock()
 	client, retryAt, lastErr := pc.client, pc.retryAt, pc.lastErr
 	c.mu.Unlock()
 	if client != nil {
+		<-pc.dialing
 		return client, nil
 	}
 	if time.Now().Before(retryAt) {
+		<-pc.dialing
 		return nil, errors.Mark(errors.Wrapf(lastErr, "peer %s", addr), ErrBackoff)
 	}
-	conn, err := c.dial(ctx, addr)
+	opened := make(chan openResult, 1)
+	go func() {
+		defer func() { <-pc.dialing }()
+		opened <- c.open(addr, pc)
+	}()
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case result := <-opened:
+		return result.client, result.err
+	}
+}
+
+// openResult is the outcome of an attempt to open a connection.
+type openResult struct {
+	client *rpc.Client
+	err    error
+}
+
+// open opens the connection to an address. pc.dialing must be held. It is bounded by
+// dialTimeout and helloTimeout, not by the context of a call, so that a connection that
+// takes longer than one call is opened in the end.
+func (c *ClientPool) open(addr string, pc *peerConn) openResult {
+	conn, err := c.dial(context.Background(), addr)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err != nil {
 		pc.lastErr = err
 		pc.retryAt = time.Now().Add(pc.backoff.NextBackOff())
-		return nil, errors.Wrapf(err, "peer %s", addr)
+		return openResult{err: errors.Wrapf(err, "peer %s", addr)}
 	}
 	if c.closed {
 		_ = conn.Close()
-		return nil, ErrClosed
+		return openResult{err: ErrClosed}
 	}
 	pc.backoff.Reset()
 	pc.client = rpc.NewClientWithCodec(newCodec(conn, &c.Traffic, 0))
-	return pc.client, nil
+	return openResult{client: pc.client}
 }
 
 func (c *ClientPool) dial(ctx context.Context, addr string) (net.Conn, error) {
@@ -238,9 +274,7 @@
 	defer c.mu.Unlock()
 	c.closed = true
 	for _, pc := range c.conns {
-		if pc.client != nil {
-			_ = pc.client.Close()
-		}
+		pc.close()
 	}
 	clear(c.conns)
 }
