quarantine: pulls notice that the other host's list is a new one

After a restart between two pulls of a host, its new marks could stay unknown to the pulling host until the new process had as many changes as the old one; a request that crashes targets was then sent on by hosts that missed the push.

Cause: the puller continued from the change number of the old process, and only a failed call in between made it start again from 0.

TestPullAfterRestart failed before in all four cases. Now each list has a random epoch; the reply carries it and the next pull sends it back, so that a position of another list counts as 0. Releases without an epoch send 0 and are served as before (TestPullWithoutEpoch).

--- a/process/quarantine/quarantine.go
+++ b/process/quarantine/quarantine.go
@@ -10,6 +10,7 @@
 package quarantine
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -57,6 +58,8 @@
 // List holds the marks of one host. It is safe for concurrent use.
 type List struct {
 	now func() time.Time
+	// epoch identifies the list. It is random and not 0.
+	epoch uint64
 
 	mu    sync.Mutex
 	marks map[uint64]*storedMark
@@ -75,7 +78,7 @@
 	if now == nil {
 		now = time.Now
 	}
-	return &List{now: now, marks: make(map[uint64]*storedMark)}
+	return &List{now: now, epoch: rand.Uint64() | 1, marks: make(map[uint64]*storedMark)}
 }
 
 // RecordCrash records that a target crashed with the request in flight. stateAtSend is the
--- a/process/quarantine/quarantine_test.go
+++ b/process/quarantine/quarantine_test.go
@@ -225,3 +225,53 @@
 	<-ctx.Done()
 	return ctx.Err()
 }
+
+// TestPullAfterRestart: a host that restarts between two pulls numbers its changes from 0
+// again. The marks of its new process must reach the other host with the next pulls,
+// whether they are fewer or more than those before.
+func TestPullAfterRestart(t *testing.T) {
+	for _, tc := range []struct{ before, after int }{{3, 1}, {3, 3}, {1, 3}, {maxMarksPerMessage + 10, 2*maxMarksPerMessage + 5}} {
+		net := &fakeNetwork{lists: map[string]*List{"a": New(nil)}, onChange: make(map[string]func())}
+		puller := New(nil)
+		r := NewReplicator(puller, net, func() []string { return []string{"a"} })
+		const firstOfOld, firstOfNew = 1, 10_001
+		record := func(first, n int) {
+			for i := range n {
+				net.lists["a"].RecordCrash(uint64(first+i), Clear)
+			}
+		}
+		pullAll := func() {
+			for range 4 {
+				r.pull(t.Context())
+			}
+		}
+		record(firstOfOld, tc.before)
+		pullAll()
+		net.lists["a"] = New(nil)
+		record(firstOfNew, tc.after)
+		pullAll()
+		for i := range tc.after {
+			if puller.State(uint64(firstOfNew+i)) != Suspect {
+				t.Errorf("%d marks before the restart, %d after: mark %d is missing", tc.before, tc.after, i)
+				break
+			}
+		}
+	}
+}
+
+// TestPullWithoutEpoch: hosts of the release before send and know no epoch; pulls from and
+// by them must still continue where the last one ended.
+func TestPullWithoutEpoch(t *testing.T) {
+	l := New(nil)
+	for i := range uint64(5) {
+		l.RecordCrash(i, Clear)
+	}
+	var first, second PullReply
+	service := NewService(l, nil)
+	if err := service.Pull(&PullArgs{}, &first); err != nil || len(first.Marks) != 5 {
+		t.Fatalf("%d marks, %v", len(first.Marks), err)
+	}
+	if err := service.Pull(&PullArgs{After: first.Next}, &second); err != nil || len(second.Marks) != 0 {
+		t.Errorf("%d marks again, %v", len(second.Marks), err)
+	}
+}
--- a/process/quarantine/replicator.go
+++ b/process/quarantine/replicator.go
@@ -30,13 +30,19 @@
 // PushReply is empty.
 type PushReply struct{}
 
-// PullArgs requests the marks that changed after a change number of the called host.
-type PullArgs struct{ After uint64 }
+// PullArgs requests the marks that changed after a change number of the called host's list.
+type PullArgs struct {
+	After uint64
+	// Epoch identifies the list that After refers to; 0 means any.
+	Epoch uint64
+}
 
 // PullReply carries marks and the change number to continue from.
 type PullReply struct {
 	Marks []Mark
 	Next  uint64
+	// Epoch identifies the list of the called host. It is 0 when the host does not send it.
+	Epoch uint64
 }
 
 // Service receives and returns marks over net/rpc.
@@ -58,9 +64,15 @@
 	return nil
 }
 
-// Pull returns the marks that changed after args.After.
+// Pull returns the marks that changed after args.After, or all when that refers to another
+// list, such as that of an earlier process.
 func (s *Service) Pull(args *PullArgs, reply *PullReply) error {
-	reply.Marks, reply.Next = s.list.Delta(args.After, maxMarksPerMessage)
+	after := args.After
+	if args.Epoch != 0 && args.Epoch != s.list.epoch {
+		after = 0
+	}
+	reply.Marks, reply.Next = s.list.Delta(after, maxMarksPerMessage)
+	reply.Epoch = s.list.epoch
 	return nil
 }
 
@@ -77,14 +89,16 @@
 	// lastPush is closed when the last Push and all before it have ended; nil before the
 	// first.
 	lastPush chan struct{}
-	// pulledSeq holds the change number up to which the marks of each host, by address,
-	// were pulled.
-	pulledSeq map[string]uint64
+	// pulled holds what was pulled from each host, by address.
+	pulled map[string]pullPosition
 }
 
+// pullPosition is the change number up to which the marks of a list were pulled.
+type pullPosition struct{ epoch, seq uint64 }
+
 // NewReplicator returns a Replicator for a list.
 func NewReplicator(l *List, rpc peer.RPCClient, peerAddrs func() []string) *Replicator {
-	return &Replicator{list: l, rpc: rpc, peerAddrs: peerAddrs, pulledSeq: make(map[string]uint64)}
+	return &Replicator{list: l, rpc: rpc, peerAddrs: peerAddrs, pulled: make(map[string]pullPosition)}
 }
 
 // PushAsync calls Push in a new goroutine.
@@ -145,18 +159,19 @@
 func (r *Replicator) pull(ctx context.Context) {
 	for _, addr := range randomSample(r.peerAddrs(), 1) {
 		r.mu.Lock()
-		args := &PullArgs{After: r.pulledSeq[addr]}
+		position := r.pulled[addr]
 		r.mu.Unlock()
 		ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+		args := &PullArgs{After: position.seq, Epoch: position.epoch}
 		var reply PullReply
 		err := r.rpc.Call(ctx, addr, ServiceName+".Pull", args, &reply)
 		cancel()
 		r.mu.Lock()
 		if err != nil {
-			delete(r.pulledSeq, addr) // the host may have restarted; a new process numbers its changes from 0
+			delete(r.pulled, addr) // the host may have restarted with a release that sends no epoch
 		} else {
 			r.list.Merge(reply.Marks)
-			r.pulledSeq[addr] = reply.Next
+			r.pulled[addr] = pullPosition{epoch: reply.Epoch, seq: reply.Next}
 		}
 		r.mu.Unlock()
 	}
