claim: the response of an expired key is dropped with the key

The memory of responses held those of expired keys, so that responses that still applied could be dropped for them (order of ending, not of expiry); a caller that repeated its request then got 409 in place of the answer.

Cause: expiry removed the key but left its response in the list and in the count of bytes, until the limit was reached.

TestExpiredResponsesAreDropped failed before: 60 bytes and one entry kept of an expired key. Expiry now drops the response too; the verdict stays for a duplicate that still waits.

--- a/request/claim/claim_test.go
+++ b/request/claim/claim_test.go
@@ -121,3 +121,35 @@
 		t.Errorf("%d rows are left, %v", len(left.Rows), err)
 	}
 }
+
+// TestExpiredResponsesAreDropped: the response of an expired key must not stay in memory,
+// and must not take the space of one that still applies.
+func TestExpiredResponsesAreDropped(t *testing.T) {
+	const bodyBytes, limit = 60, 100
+	c := &fakeClock{at: time.Unix(1000, 0)}
+	g := NewRegistry(10, limit, c.now)
+	finish := func(key string, lifetime time.Duration) *Entry {
+		e, first, err := g.Begin(key, c.at.Add(lifetime))
+		if err != nil || !first {
+			t.Fatal(first, err)
+		}
+		g.Finish(e, ContentHash{}, Response{Verdict: verdict.Ran, Body: make([]byte, bodyBytes), Whole: true})
+		return e
+	}
+	expired := finish("old", time.Hour)
+	c.at = c.at.Add(2 * time.Hour)
+	if _, _, err := g.Begin("running", c.at.Add(time.Hour)); err != nil {
+		t.Fatal(err)
+	}
+	if g.responseBytes != 0 || len(g.withResponse) != 0 || g.Response(expired).Body != nil {
+		t.Errorf("%d bytes, %d entries, %d bytes of body are kept of an expired key",
+			g.responseBytes, len(g.withResponse), len(g.Response(expired).Body))
+	}
+	if g.Response(expired).Verdict != verdict.Ran {
+		t.Error("a duplicate that still waits does not learn that the request ran")
+	}
+	kept := finish("new", time.Hour)
+	if !g.Response(kept).Whole || g.responseBytes != bodyBytes {
+		t.Errorf("whole = %v, %d bytes are kept", g.Response(kept).Whole, g.responseBytes)
+	}
+}
--- a/request/claim/registry.go
+++ b/request/claim/registry.go
@@ -147,31 +147,45 @@
 }
 
 // evictResponses evicts the oldest responses until the limit is met. Their keys are
-// kept.
+// kept. It also removes entries whose response has been dropped from the front of
+// withResponse.
 func (g *Registry) evictResponses() {
-	for g.responseBytes > g.maxResponseBytes {
+	for len(g.withResponse) > 0 {
 		e := g.withResponse[0]
+		if g.responseBytes <= g.maxResponseBytes && e.response.Whole {
+			return
+		}
 		g.withResponse = g.withResponse[1:]
-		g.responseBytes -= responseSize(e)
-		e.response.Body, e.response.Header, e.response.Whole = nil, nil, false
+		g.dropResponse(e)
 	}
 }
 
-// expire removes expired keys from the front of insertionOrder. Keys are inserted in
-// roughly the order in which they expire, so a key behind one that expires later is
-// kept somewhat longer.
+// dropResponse removes the response of an entry, if it is kept, but not the verdict.
+func (g *Registry) dropResponse(e *Entry) {
+	if !e.response.Whole {
+		return
+	}
+	g.responseBytes -= responseSize(e)
+	e.response.Body, e.response.Header, e.response.Whole = nil, nil, false
+}
+
+// expire removes expired keys and their responses from the front of insertionOrder. Keys
+// are inserted in roughly the order in which they expire, so a key behind one that
+// expires later is kept somewhat longer.
 func (g *Registry) expire() {
 	now := g.now()
 	for len(g.insertionOrder) > 0 {
 		e := g.insertionOrder[0]
 		if g.entries[e.key] == e && (e.expires.After(now) || !isClosed(e.done)) {
-			return
+			break
 		}
 		g.insertionOrder = g.insertionOrder[1:]
 		if g.entries[e.key] == e {
 			delete(g.entries, e.key)
+			g.dropResponse(e)
 		}
 	}
+	g.evictResponses()
 }
 
 // compact removes the entries of freed keys from insertionOrder once it is more than
