forward: a key of a host that is not listed yet may be sent again

A caller whose key names a process that this host has not heard of got 409, "the host is gone", and had to take the request as lost. It now gets 503 with Retry-After, the verdict staying may-have-run; the request still runs nowhere but at its owner.

Cause: a host that is not listed and one that was replaced by a later process were treated alike. Now an owner may be new when its host is not listed or is listed with a smaller incarnation; dead members stay listed for longer than keys live, so a host that is gone is not taken for new.

TestKeyOfUnlistedOwner failed before: status 409 without Retry-After.

--- a/request/forward/owner.go
+++ b/request/forward/owner.go
@@ -24,13 +24,19 @@
 // headerPassedBy names the host that passed a request to the owner of its key.
 const headerPassedBy = "Quetzal-Passed-By"
 
-var errOwnerGone = errors.New("the host that alone may run the idempotency key is gone")
+var (
+	errOwnerGone    = errors.New("the host that alone may run the idempotency key is gone")
+	errOwnerUnknown = errors.New("the host that alone may run the idempotency key is not known yet")
+)
 
 // Owners resolves the owners of keys to addresses.
 type Owners interface {
 	// ForwardAddr returns the address at which a process accepts requests. It returns
 	// false for a process that is taken to be gone.
 	ForwardAddr(o claim.Owner) (addr string, ok bool)
+	// MayBeNew reports whether a process without an address may be one that this host has
+	// not heard of yet.
+	MayBeNew(o claim.Owner) bool
 }
 
 // passToOwner sends a request to the owner of its key and writes the owner's response.
@@ -61,7 +67,8 @@
 }
 
 // respondForGoneOwner writes the response that the owner stored in the table
-// service. Without one it reports that the request may have run.
+// service. Without one it reports that the request may have run; when the owner may be a
+// new process, it asks the caller to send the request again.
 func (h *Handler) respondForGoneOwner(ctx context.Context, w http.ResponseWriter, r *http.Request, info *request.Info, owner claim.Owner) verdict.Verdict {
 	h.metrics.ownerGone.Add(1)
 	evOwnerGone.Log(h.log).Str("request", info.ID).Str("key", info.Key).Str("owner", owner.Host).Send()
@@ -76,6 +83,11 @@
 		}
 		return h.replay(w, info, first, stored, content)
 	}
+	if h.opts.Owners.MayBeNew(owner) {
+		w.Header().Set("Retry-After", defaultRetryAfter)
+		writeFailure(w, http.StatusServiceUnavailable, verdict.MayHaveRun, errOwnerUnknown)
+		return verdict.MayHaveRun
+	}
 	writeFailure(w, http.StatusConflict, verdict.MayHaveRun, errOwnerGone)
 	return verdict.MayHaveRun
 }
--- a/request/gateway/keys.go
+++ b/request/gateway/keys.go
@@ -45,6 +45,14 @@
 	return e.Member.ForwardAddr, true
 }
 
+// MayBeNew implements forward.Owners. A process may be new when its host is not in the list
+// of members or has a smaller incarnation there. A dead member stays in the list for longer
+// than keys live.
+func (g *Gateway) MayBeNew(o claim.Owner) bool {
+	e, ok := g.opts.Members.Entry(o.Host)
+	return !ok || e.Member.Incarnation < o.Incarnation
+}
+
 // selfOwner returns this process as an owner of keys. Its host is empty until the
 // process is a member.
 func (g *Gateway) selfOwner() claim.Owner {
