latency: percentiles expire a minute after the last observation

Callers of a class whose requests had once taken longer than their deadline were refused with "deadline cannot be met" for as long as the process ran: no request ran, so none was observed, and the old median stayed. Also, the first requests after a quiet night were judged and hedged by the run times of the evening.

Cause: only an observation started a new window, and the one before it was used whatever its age.

Now windows do not apply a minute after their last observation, and a window that starts after such a pause drops the one before.

--- a/request/admit/admit.go
+++ b/request/admit/admit.go
@@ -79,7 +79,7 @@
 // ends or when the queue overflows; the error is then a RefusedError with the verdict
 // not-run.
 func (a *Admitter) Acquire(ctx context.Context, info *request.Info, snap *state.Snapshot, tried []string) (route.Choice, error) {
-	w := newWaiter(info, snap, tried, a.runTimes.Expected(info))
+	w := newWaiter(info, snap, tried, a.runTimes.Expected(info, time.Now()))
 	if w.cannotMeetDeadline(time.Now()) {
 		return route.Choice{}, a.refuse(w, ReasonDeadline)
 	}
@@ -99,7 +99,7 @@
 // TryAcquire reserves a slot only if one is free, no request waits in the queue of the
 // service, and the request can still meet its deadline. It never waits.
 func (a *Admitter) TryAcquire(info *request.Info, snap *state.Snapshot, tried []string) (route.Choice, bool) {
-	w := newWaiter(info, snap, tried, a.runTimes.Expected(info))
+	w := newWaiter(info, snap, tried, a.runTimes.Expected(info, time.Now()))
 	if w.cannotMeetDeadline(time.Now()) {
 		return route.Choice{}, false
 	}
--- a/request/hedge/hedge.go
+++ b/request/hedge/hedge.go
@@ -72,11 +72,12 @@
 	if !info.Idempotent || info.Class.Long {
 		return 0, false
 	}
-	tail, ok := h.runTimes.Quantile(info, tailQuantile)
+	now := time.Now()
+	tail, ok := h.runTimes.Quantile(info, tailQuantile, now)
 	if !ok {
 		return 0, false
 	}
-	median, _ := h.runTimes.Quantile(info, medianQuantile)
+	median, _ := h.runTimes.Quantile(info, medianQuantile, now)
 	return max(minDelay, min(tail, medianFactor*median)), true
 }
 
--- a/request/latency/latency.go
+++ b/request/latency/latency.go
@@ -14,9 +14,11 @@
 const (
 	// windowLength is the minimum length of a window of observations. When a new window
 	// starts, the current one becomes the previous one, and what the previous one held is
-	// dropped. Only an observation starts a new window, so that the windows of a class
-	// without requests are kept.
+	// dropped. Only an observation starts a new window.
 	windowLength = 30 * time.Second
+	// maxQuietTime is how long after the last observation the windows of a class apply.
+	// Requests that are refused for their expected run time are thus tried again.
+	maxQuietTime = 2 * windowLength
 	// minSamples is the minimum number of observations for a percentile.
 	minSamples = 50
 	// maxRunMicros is the longest run time that is recorded, in microseconds. Longer
@@ -39,6 +41,24 @@
 	current  *hdrhistogram.Histogram
 	previous *hdrhistogram.Histogram
 	started  time.Time
+	// observedAt is when the last observation was recorded.
+	observedAt time.Time
+}
+
+// expired reports whether the last observation is too old for the windows to apply.
+func (s *series) expired(now time.Time) bool { return now.Sub(s.observedAt) >= maxQuietTime }
+
+// startWindow starts a new window if it is due.
+func (s *series) startWindow(now time.Time) {
+	if now.Sub(s.started) < windowLength {
+		return
+	}
+	s.previous, s.current = s.current, s.previous
+	s.current.Reset()
+	if s.expired(now) {
+		s.previous.Reset()
+	}
+	s.started = now
 }
 
 // Tracker records run times. It is safe for concurrent use.
@@ -57,14 +77,11 @@
 	k := seriesKey{service: info.Service.Name, class: info.Class.Name}
 	s := t.series[k]
 	if s == nil {
-		s = &series{current: newHistogram(), previous: newHistogram(), started: now}
+		s = &series{current: newHistogram(), previous: newHistogram(), started: now, observedAt: now}
 		t.series[k] = s
 	}
-	if now.Sub(s.started) >= windowLength {
-		s.previous, s.current = s.current, s.previous
-		s.current.Reset()
-		s.started = now
-	}
+	s.startWindow(now)
+	s.observedAt = now
 	_ = s.current.RecordValue(min(max(d.Microseconds(), 1), maxRunMicros)) // cannot fail: the value is in range
 }
 
@@ -74,11 +91,11 @@
 
 // Quantile returns the run time that a share q of the recent requests of a class did
 // not exceed. It returns false while there are too few observations.
-func (t *Tracker) Quantile(info *request.Info, q float64) (time.Duration, bool) {
+func (t *Tracker) Quantile(info *request.Info, q float64, now time.Time) (time.Duration, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.series[seriesKey{service: info.Service.Name, class: info.Class.Name}]
-	if s == nil {
+	if s == nil || s.expired(now) {
 		return 0, false
 	}
 	h := s.current
@@ -95,9 +112,9 @@
 // time of its class and the observed median, or 0 when neither exists. A declared run
 // time that is too long therefore does not get requests refused that the observed run
 // times allow.
-func (t *Tracker) Expected(info *request.Info) time.Duration {
+func (t *Tracker) Expected(info *request.Info, now time.Time) time.Duration {
 	declared := time.Duration(info.Class.ExpectedMS) * time.Millisecond
-	observed, ok := t.Quantile(info, expectedQuantile)
+	observed, ok := t.Quantile(info, expectedQuantile, now)
 	if !ok || declared > 0 && declared < observed {
 		return declared
 	}
--- a/request/retry/retry.go
+++ b/request/retry/retry.go
@@ -135,7 +135,7 @@
 		return ReasonAttempts
 	case !f.Replayable:
 		return ReasonBody
-	case !start.Add(r.runTimes.Expected(info)).Before(info.Deadline):
+	case !start.Add(r.runTimes.Expected(info, start)).Before(info.Deadline):
 		return ReasonDeadline
 	case !r.budget.Take(info.Service.Name):
 		return ReasonBudget
