fleet: a send rate above 16 a second binds

While reports may be out of date, a target whose service allows more than 16 requests a second for each host got any number of them, so that one that had become cold could be flooded.

Cause: the last 16 send times were counted against the bound, so the count never reached a larger one.

TestSendRateBindsAtEveryBound failed before: with bound 17, more than that in one instant. Now the send times of the last second are kept, up to 256 for a target, and the bound is compared with the time of the send that many places back. A larger bound acts as 256.

--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -234,7 +234,7 @@
 	if t.Leaving || t.down || f.evacuated[t.FailureDomain] {
 		return false
 	}
-	if f.maxPerSecond != nil && t.sentWithin(time.Second, now) >= f.maxPerSecond(t.Service) {
+	if f.maxPerSecond != nil && t.sendRateReached(f.maxPerSecond(t.Service), now) {
 		return false
 	}
 	if !t.IsCold(now) {
--- a/process/fleet/fleet_test.go
+++ b/process/fleet/fleet_test.go
@@ -237,6 +237,38 @@
 	}
 }
 
+// TestSendRateBindsAtEveryBound: in every second at most as many requests as the bound allows
+// may be sent, for any bound and for sends at random times, and a bound above maxSendTimes
+// must bind as well. Below it, the bound must be used up when there are enough requests.
+func TestSendRateBindsAtEveryBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		bound := rapid.IntRange(0, 2*maxSendTimes).Draw(t, "bound")
+		f := newFleet()
+		f.Upsert(entry("t", nil), start)
+		f.LimitSendRate(func(string) int { return bound })
+		now := start
+		var sent []time.Time
+		for range 1500 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3).Draw(t, "ms")) * time.Millisecond)
+			f.Lock()
+			if target := f.Service("bokun")[0]; f.Usable(target, now) {
+				f.Begin(target, Work{}, now)
+				sent = append(sent, now)
+			}
+			f.Unlock()
+		}
+		allowed := min(bound, maxSendTimes)
+		for i := allowed; i < len(sent); i++ {
+			if sent[i].Sub(sent[i-allowed]) < time.Second {
+				t.Fatalf("more than %d requests in the second before %v", allowed, sent[i].Sub(start))
+			}
+		}
+		if least := min(allowed, 1500); len(sent) < least {
+			t.Fatalf("%d requests sent, want at least %d", len(sent), least)
+		}
+	})
+}
+
 // TestFlappingTargetIsUsedOnlyWhileItIsUp: a target that repeatedly goes down and up must
 // get nothing while it is down, and must be usable again within maxCheckDelay after it is
 // up, however often it was down.
--- a/process/fleet/target.go
+++ b/process/fleet/target.go
@@ -46,8 +46,11 @@
 	maxCheckDelay     = 2 * time.Second
 	// coldInterval is the least time between two requests of this host to a cold target.
 	coldInterval = 1100 * time.Millisecond
-	// maxSendTimes is how many recent send times are kept for a target.
-	maxSendTimes = 16
+	// sendRateWindow is the time over which the rate of requests to a target is bounded.
+	sendRateWindow = time.Second
+	// maxSendTimes is how many send times are kept for a target, and so the largest bound
+	// of the requests in sendRateWindow.
+	maxSendTimes = 256
 	// maxColdOwners is how many hosts may send to one cold target.
 	maxColdOwners = 5
 )
@@ -125,10 +128,9 @@
 	checking    bool
 	coldSentAt  time.Time
 	removeAt    time.Time
-	// sendTimes is a ring buffer of the last send times; sendIndex is the place of the
-	// oldest.
-	sendTimes [maxSendTimes]time.Time
-	sendIndex int
+	// sendTimes holds the times of the requests sent within sendRateWindow before the last
+	// one, oldest first, at most maxSendTimes.
+	sendTimes []time.Time
 	// joined targets are newcomers: they were added after the host's own start had
 	// settled.
 	joined bool
@@ -284,8 +286,7 @@
 	}
 	t.InFlight++
 	t.Sent++
-	t.sendTimes[t.sendIndex] = now
-	t.sendIndex = (t.sendIndex + 1) % maxSendTimes
+	t.rememberSend(now)
 	t.meanRunTime += time.Duration(meanWeight * float64(w.RunTime-t.meanRunTime))
 	t.rememberObject(w.Object, now)
 	if t.IsCold(now) {
@@ -294,15 +295,23 @@
 	return t.lastNumber
 }
 
-// sentWithin returns the number of requests sent within span, at most maxSendTimes.
-func (t *Target) sentWithin(span time.Duration, now time.Time) int {
-	n := 0
-	for _, at := range t.sendTimes {
-		if now.Sub(at) < span {
-			n++
-		}
+// rememberSend records the time of a request and forgets those that are not needed any more.
+func (t *Target) rememberSend(now time.Time) {
+	kept := t.sendTimes
+	for len(kept) > 0 && (len(kept) == maxSendTimes || now.Sub(kept[0]) >= sendRateWindow) {
+		kept = kept[1:]
+	}
+	t.sendTimes = append(kept, now)
+}
+
+// sendRateReached reports whether as many requests as the bound allows, at most
+// maxSendTimes, were sent within sendRateWindow.
+func (t *Target) sendRateReached(bound int, now time.Time) bool {
+	if bound <= 0 {
+		return true
 	}
-	return n
+	n := min(bound, maxSendTimes)
+	return len(t.sendTimes) >= n && now.Sub(t.sendTimes[len(t.sendTimes)-n]) < sendRateWindow
 }
 
 // Outcome is the result of a request at a target.
