admit: only a long request that gets a slot raises their limit

Long requests that waited, gave up or were refused while no target had a free slot raised the limit of long requests in flight; when slots came free, more of them started at once than the limit was meant to allow, and short ones waited behind them.

Cause: the question whether a long request may start also raised the limit.

Now the question changes nothing, and the limit grows where a slot is granted. TestLongLimitAdaptsToShortRequests calls both where it called the one; it checks the same limits and also that the start is allowed when an increase is due.

--- a/request/admit/admit_test.go
+++ b/request/admit/admit_test.go
@@ -298,13 +298,67 @@
 	}
 	for range 3 {
 		now = now.Add(longGrowInterval)
-		l.allows(int(l.limit), now)
+		if !l.allows(int(l.limit), now) {
+			t.Fatalf("limit %v: one more is not allowed when an increase is due", l.limit)
+		}
+		l.recordStart(int(l.limit), now)
 	}
 	if l.limit != minLongLimit+3 {
 		t.Fatalf("limit after three increases = %v", l.limit)
 	}
 }
 
+// TestRequestWithoutSlotKeepsLongLimit: long requests that wait, are refused or give up while
+// no target has a free slot must not raise the limit of long requests in flight.
+func TestRequestWithoutSlotKeepsLongLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(initialLongLimit, 1)
+		var held []route.Choice
+		for i := range initialLongLimit {
+			held = append(held, f.acquire(t, fmt.Sprint("held", i), longClass))
+		}
+		for i := range 20 {
+			time.Sleep(longGrowInterval)
+			ctx, cancel := context.WithTimeout(t.Context(), longGrowInterval)
+			if _, err := f.Acquire(ctx, f.info(fmt.Sprint("late", i), longClass, time.Minute), f.snap, nil); err == nil {
+				t.Fatal("a request got a slot though none is free")
+			}
+			cancel()
+		}
+		if limit := f.queue(f.service.Name).longLimit.limit; limit != initialLongLimit {
+			t.Errorf("limit %v after requests without a slot, want %d", limit, initialLongLimit)
+		}
+		for _, choice := range held {
+			choice.Release()
+		}
+	})
+}
+
+// TestLongLimitGrowsWithGrants: while slots are free and no short request waits, the limit
+// must grow with the long requests that start, directly and from the queue.
+func TestLongLimitGrowsWithGrants(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(4*initialLongLimit, 1)
+		granted := 0
+		for i := range initialLongLimit + 5 {
+			f.run(t.Context(), fmt.Sprint(i), longClass, time.Minute, func(_ string, err error) {
+				if err == nil {
+					granted++
+				}
+			})
+			time.Sleep(longGrowInterval)
+			synctest.Wait()
+		}
+		if granted < initialLongLimit+4 {
+			t.Errorf("%d requests got a slot", granted)
+		}
+		if limit := f.queue(f.service.Name).longLimit.limit; limit <= initialLongLimit {
+			t.Errorf("limit %v after %d grants", limit, granted)
+		}
+		time.Sleep(2 * time.Minute)
+	})
+}
+
 func TestRetryAfterIsRandomised(t *testing.T) {
 	at := func(v int64) func(int64) int64 { return func(n int64) int64 { return min(v, n-1) } }
 	if lo, hi := retryAfter(false, at(0)), retryAfter(false, at(99)); lo != retryAfterMin || hi != retryAfterShort {
--- a/request/admit/dispatch.go
+++ b/request/admit/dispatch.go
@@ -145,6 +145,7 @@
 		return choice
 	}
 	q.shortGrants = 0
+	q.longLimit.recordStart(q.longInFlight, time.Now())
 	q.longInFlight++
 	return choice.WithOnDone(func() {
 		q.mu.Lock()
--- a/request/admit/longlimit.go
+++ b/request/admit/longlimit.go
@@ -28,7 +28,8 @@
 
 // longLimit bounds the long requests of one service that this host has in flight. The
 // limit is cut while short requests wait; it grows while no short request waits and the
-// limit is reached. Long requests thus use the capacity that short ones leave free.
+// limit is exceeded by a request that gets a slot. Long requests thus use the capacity
+// that short ones leave free.
 type longLimit struct {
 	limit   float64
 	lastCut time.Time
@@ -38,19 +39,27 @@
 
 func newLongLimit(now time.Time) longLimit { return longLimit{limit: initialLongLimit, growFrom: now} }
 
-// allows reports whether one more long request may start in addition to inFlight ones.
-// It increases the limit when the limit is reached and an increase is due.
+// allows reports whether one more long request may start in addition to inFlight ones:
+// the limit is not reached, or an increase is due.
 func (l *longLimit) allows(inFlight int, now time.Time) bool {
-	if float64(inFlight+1) <= l.limit {
-		return true
-	}
-	if now.Sub(l.growFrom) >= longGrowInterval {
+	started := float64(inFlight + 1)
+	return started <= l.limit || l.growthDue(now) && started <= l.grown()
+}
+
+// recordStart increases the limit if a long request that started in addition to inFlight
+// ones exceeds it and an increase is due. A request that gets no slot thus never raises
+// the limit.
+func (l *longLimit) recordStart(inFlight int, now time.Time) {
+	if float64(inFlight+1) > l.limit && l.growthDue(now) {
+		l.limit = l.grown()
 		l.growFrom = now
-		l.limit += max(1, l.limit*longGrowFactor)
 	}
-	return float64(inFlight+1) <= l.limit
 }
 
+func (l *longLimit) growthDue(now time.Time) bool { return now.Sub(l.growFrom) >= longGrowInterval }
+
+func (l *longLimit) grown() float64 { return l.limit + max(1, l.limit*longGrowFactor) }
+
 // recordShortWait cuts the limit because a short request waited for a slot while
 // inFlight long ones ran. It cuts at most once in longCutInterval.
 func (l *longLimit) recordShortWait(inFlight int, now time.Time) {
