serve: a 421 is "not run" only when it is about this request

An unsafe request could run twice: when a 421 arrived that belonged to another request (a late copy on a connection in use again), or that the expected target itself had made as its response, the request was taken as not run, sent to a second target, and the first one was marked as down.

Cause: the status alone decided. Now a 421 counts as "reached another target" when it names this request's id or none, and another target than the expected one or none. The expected target's own 421 is relayed like any response when it has id and stamp, and is 502 otherwise.

--- a/request/serve/attempt.go
+++ b/request/serve/attempt.go
@@ -91,12 +91,13 @@
 	}
 	headers := q.h.Headers.ReadResponse(resp, q.callerHeaders.ID)
 	outcome := fleet.Outcome{Load: headers.Load}
+	moved := headers.WrongTarget && headers.Target != choice.ID // the expected target's own 421 is a response
 	switch {
-	case !headers.MatchesRequest && !headers.NotRun && !headers.WrongTarget:
+	case !headers.MatchesRequest && !headers.NotRun && !moved:
 		_ = resp.Body.Close()
 		outcome.Failed = true
 		return result{verdict: verdict.MayHaveRun, err: errMismatch}, outcome
-	case headers.WrongTarget:
+	case moved:
 		_ = resp.Body.Close()
 		outcome.Failed, outcome.Unreachable = true, true
 		return result{verdict: verdict.NotRun, err: errMoved}, outcome
--- a/request/serve/headers.go
+++ b/request/serve/headers.go
@@ -21,9 +21,11 @@
 type TargetHeaders struct {
 	// NotRun reports that the target did not run the request and will not run it.
 	NotRun bool
-	// WrongTarget reports that the request reached another target than the expected one,
-	// which now has the address.
+	// WrongTarget reports that the response to the request says that it reached another
+	// target than the expected one, which now has the address.
 	WrongTarget bool
+	// Target is the ID of the target that responded; empty when the headers do not state it.
+	Target string
 	// MatchesRequest reports that the response belongs to the request.
 	MatchesRequest bool
 	// Stamped reports that the response carries the target's stamp and that its body has
