serve: the fingerprint of a large body contains its length and its start

When an upload of more than 1 MiB had crashed three targets, every other upload of that size to the same path was refused too, for two minutes.

Cause: a body that is streamed by its length was not part of the fingerprint at all. Now its length and its first 64 KiB are; these are read, within the deadline and with the same refusals as a short body, before the upload is sent on and then sent with the rest. Fingerprints of shorter and of chunked bodies stay as they were up to the length that is not known.

TestFingerprintsOfLargeBodies failed before: bodies with another start and another length had the same fingerprint.

--- /dev/null
+++ b/request/serve/fingerprint_test.go
@@ -0,0 +1,81 @@
+package serve
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"quetzalknot/connection/target"
+	"quetzalknot/version/routes"
+)
+
+// newUpload returns a request with a body whose header has been read.
+func newUpload(t *testing.T, body []byte, chunked bool) *request {
+	t.Helper()
+	r := httptest.NewRequest(http.MethodPost, "http://quetzal/book/1", bytes.NewReader(body))
+	if chunked {
+		r.ContentLength, r.TransferEncoding = -1, []string{"chunked"}
+	}
+	q := &request{r: r, w: httptest.NewRecorder(), config: new(routes.Config), deadline: time.Now().Add(time.Minute)}
+	if !q.readBody() {
+		t.Fatal("the body is refused")
+	}
+	return q
+}
+
+// TestFingerprintsOfLargeBodies: two requests that differ in a body larger than what is held
+// in memory must not have the same fingerprint, or one that crashes targets would get the
+// other refused. Repetitions must have the same, and the target must get the whole body.
+func TestFingerprintsOfLargeBodies(t *testing.T) {
+	const size = 2 * maxBufferedBody
+	plain := bytes.Repeat([]byte("a"), size)
+	otherStart := append([]byte("b"), plain[1:]...)
+	longer := append(bytes.Clone(plain), 'a')
+	for _, chunked := range []bool{false, true} {
+		seen := make(map[uint64]string)
+		for name, body := range map[string][]byte{"plain": plain, "other start": otherStart, "longer": longer} {
+			q := newUpload(t, body, chunked)
+			fingerprint := q.computeFingerprint()
+			if other := seen[fingerprint]; other != "" && !chunked {
+				t.Errorf("chunked %v: %q and %q have the same fingerprint", chunked, name, other)
+			}
+			seen[fingerprint] = name
+			if again := newUpload(t, body, chunked).computeFingerprint(); again != fingerprint {
+				t.Errorf("chunked %v: a repetition of %q has another fingerprint", chunked, name)
+			}
+			call := &target.Call{Request: new(http.Request)}
+			q.setBody(call)
+			sent, err := io.ReadAll(call.Request.Body)
+			if err != nil || !bytes.Equal(sent, body) {
+				t.Errorf("chunked %v: %d of %d bytes of %q are sent, %v", chunked, len(sent), len(body), name, err)
+			}
+		}
+		if chunked && len(seen) != 2 {
+			t.Errorf("chunked: %d fingerprints, want one for each start", len(seen))
+		}
+	}
+}
+
+// TestFingerprintDistinguishesParts changes each part of a request that the fingerprint
+// contains.
+func TestFingerprintDistinguishesParts(t *testing.T) {
+	seen := make(map[uint64]int)
+	for i, change := range []func(q *request){
+		func(*request) {},
+		func(q *request) { q.r.Method = http.MethodPut },
+		func(q *request) { q.r.Host = "other" },
+		func(q *request) { q.r.RequestURI = "/book/2" },
+		func(q *request) { q.callerHeaders.Object = "17" },
+		func(q *request) { q.body = []byte("other body") },
+	} {
+		q := newUpload(t, []byte("a booking"), false)
+		change(q)
+		seen[q.computeFingerprint()] = i
+		if len(seen) != i+1 {
+			t.Errorf("change %d leaves the fingerprint the same", i)
+		}
+	}
+}
--- a/request/serve/serve.go
+++ b/request/serve/serve.go
@@ -11,6 +11,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -31,6 +32,9 @@
 const (
 	// maxBufferedBody is the largest request body, in bytes, that is held in memory.
 	maxBufferedBody = 1 << 20
+	// fingerprintedStart is how many bytes of the start of a streamed body are read before it
+	// is sent and are part of the request's fingerprint.
+	fingerprintedStart = 64 << 10
 	// maxInlineBody is the largest body, in bytes, that is written before the response is read.
 	maxInlineBody = 8 << 10
 	// maxBufferedResponse is the largest response body, in bytes, that is held in memory.
@@ -177,8 +181,8 @@
 	return x - float64(int64(x))
 }
 
-// readBody reads the request's body into memory unless it is too large for that. It stops at
-// the deadline.
+// readBody reads the request's body into memory or, when its length shows that it is too large
+// for that, its start. It stops at the deadline.
 func (q *request) readBody() bool {
 	if q.r.Body == nil || q.r.Body == http.NoBody {
 		return true
@@ -186,18 +190,18 @@
 	if limit := q.config.Limits.BodyBytes; limit > 0 && q.r.ContentLength > limit {
 		return q.refuse(http.StatusRequestEntityTooLarge, errors.Newf("request body has %d bytes; at most %d are allowed", q.r.ContentLength, limit))
 	}
+	buffered := int64(maxBufferedBody + 1)
 	if q.r.ContentLength > maxBufferedBody {
-		q.streamed = true
-		return true
+		buffered = fingerprintedStart
 	}
 	stop := time.AfterFunc(time.Until(q.deadline), func() { _ = q.r.Body.Close() })
 	defer stop.Stop()
-	body, err := io.ReadAll(io.LimitReader(q.r.Body, maxBufferedBody+1))
+	body, err := io.ReadAll(io.LimitReader(q.r.Body, buffered))
 	if err != nil {
 		return q.bodyFailed(err)
 	}
 	q.body = body
-	q.streamed = len(body) > maxBufferedBody
+	q.streamed = max(q.r.ContentLength, int64(len(body))) > maxBufferedBody
 	return true
 }
 
@@ -214,13 +218,17 @@
 	}
 }
 
-// computeFingerprint returns a hash that is equal for repetitions of the same request.
+// computeFingerprint returns a hash that is equal for repetitions of the same request. Of a
+// streamed body it contains the length, if that is known, and the start.
 func (q *request) computeFingerprint() uint64 {
 	d := xxhash.New()
 	for _, part := range []string{q.r.Method, q.r.Host, q.r.RequestURI, q.callerHeaders.Object} {
 		_, _ = d.WriteString(part) // writing to a hash never fails
 		_, _ = d.Write([]byte{0})
 	}
+	if q.streamed {
+		_, _ = d.WriteString(strconv.FormatInt(q.r.ContentLength, 10))
+	}
 	_, _ = d.Write(q.body)
 	return d.Sum64()
 }
