serve: a body over the limit is counted as body_too_large

In the figure serve.refused.<reason> a body over the limit was counted as malformed, so that an operator looked for broken callers.

Cause: every error that is not in a list of known ones gets that name.

TestRefusalsAreCountedByReason failed before in its first case. Now the status 413, which nothing else has, gives the reason.

--- a/request/serve/finish.go
+++ b/request/serve/finish.go
@@ -151,7 +151,10 @@
 }
 
 // refusalReason returns a short name of the reason for a refusal, for metrics.
-func refusalReason(err error) string {
+func refusalReason(status int, err error) string {
+	if status == http.StatusRequestEntityTooLarge {
+		return "body_too_large"
+	}
 	for _, known := range []struct {
 		err  error
 		name string
@@ -175,7 +178,7 @@
 	h.Metrics.Counter("serve." + kind + "." + strconv.Itoa(status)).Add(1)
 	h.Metrics.Histogram("serve." + kind + ".latency").Observe(time.Since(q.started))
 	if ev.Number == evRefused.Number {
-		h.Metrics.Counter("serve.refused." + refusalReason(err)).Add(1)
+		h.Metrics.Counter("serve.refused." + refusalReason(status, err)).Add(1)
 	}
 	if ev.Number == evServed.Number && len(q.attempts) > 1 {
 		h.Metrics.Counter("serve.retried").Add(1)
