steer: a region is listed once, and only when it has slots

Callers of a region without targets could be assigned to a region whose targets all have 0 slots, and were refused there; a region whose first targets have 0 slots was listed several times, so that it got more than its share of the callers that were ordered over the list and was tried several times by one spilled request.

Cause: a region was listed whenever its sum of slots was still 0.

TestRegionsWithoutSlots failed before on the list and on the assignment. The list is now made of the regions with slots after all targets are counted.

--- a/request/steer/steer.go
+++ b/request/steer/steer.go
@@ -160,6 +160,7 @@
 
 // regions holds the regions of one service under one configuration version.
 type regions struct {
+	// names are the regions that have slots, sorted.
 	names []string
 	// slots is the number of slots of a region's targets.
 	slots map[string]int
@@ -188,11 +189,13 @@
 		if leaving || placement != nil && len(placement.Regions) > 0 && !slices.Contains(placement.Regions, t.Region) {
 			continue
 		}
-		if r.slots[t.Region] == 0 {
-			r.names = append(r.names, t.Region)
-		}
 		r.slots[t.Region] += t.Slots
 	}
+	for region, n := range r.slots {
+		if n > 0 {
+			r.names = append(r.names, region)
+		}
+	}
 	slices.Sort(r.names)
 	for _, sh := range snap.Shifts[svc.Name] {
 		if r.slots[sh.To] > 0 {
