tables: a table that is not named any more is not served

A host went on serving the last block table and its deltas to other hosts, and kept them in memory, after the last ticket that named it was withdrawn.

Cause: the list of served tables was set only when a table was loaded.

Both lists, and a load that is not complete, are now emptied when no table is named.

--- a/version/tables/loader.go
+++ b/version/tables/loader.go
@@ -180,7 +180,8 @@
 func (l *Loader) load(ctx context.Context, named []config.BlockTable) error {
 	switch len(named) {
 	case 0:
-		l.base, l.chain, l.storedTable = nil, nil, &lookup.Table{}
+		l.base, l.chain, l.storedTable, l.loading = nil, nil, &lookup.Table{}, nil
+		l.served.set(nil, nil)
 		return nil
 	case 1:
 	default:
--- a/version/tables/loader_test.go
+++ b/version/tables/loader_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"net/netip"
@@ -136,6 +137,37 @@
 	}
 }
 
+// TestUnnamedTableIsNotServed: once tickets name no table any more, neither the snapshot nor
+// its delta may be served to other hosts, or stay in memory for that.
+func TestUnnamedTableIsNotServed(t *testing.T) {
+	b := newFixture()
+	l, named := b.newLoader(), b.stored(t, 100)
+	service := l.Service()
+	read := func(sum string) error {
+		args := &tables.ReadArgs{Length: 10}
+		if _, err := hex.Decode(args.Sum[:], []byte(sum)); err != nil {
+			t.Fatal(err)
+		}
+		return service.Read(args, new(tables.ReadReply))
+	}
+	if err := setAndReconcile(t, l, tables.DesiredState{Tables: []config.BlockTable{named}}); err != nil {
+		t.Fatal(err)
+	}
+	for _, sum := range []string{named.SHA256, named.Deltas[0].SHA256} {
+		if err := read(sum); err != nil {
+			t.Errorf("a named table is not served: %v", err)
+		}
+	}
+	if err := setAndReconcile(t, l, tables.DesiredState{}); err != nil {
+		t.Fatal(err)
+	}
+	for _, sum := range []string{named.SHA256, named.Deltas[0].SHA256} {
+		if err := read(sum); !errors.Is(err, tables.ErrNotFound) {
+			t.Errorf("after the table is not named any more: %v", err)
+		}
+	}
+}
+
 // TestInvalidTablesAreNotPutInForce sets desired states with invalid tables, deltas and
 // blocks. Each must be rejected and leave the table in force unchanged.
 func TestInvalidTablesAreNotPutInForce(t *testing.T) {
