client: no stale answer after an API host says that the look-up is invalid

Cause: only 404 ended the use of a stale answer, while the look-up itself already stopped at 400 as well. Both now use one function.

TestStaleAnswerAfterFailedLookup failed before for 400; 404, 429, 500 and 503 are in the same table.

--- a/client/cache.go
+++ b/client/cache.go
@@ -54,8 +54,8 @@
 
 // Lookup returns the entry hosts of a service, best first. It returns a cached answer until
 // the answer's time to live has passed. While look-ups fail for another reason than that the
-// service does not exist, it returns the cached answer for up to Options.Stale longer. The
-// error is a *LookupError.
+// service does not exist or the look-up is invalid, it returns the cached answer for up to
+// Options.Stale longer. The error is a *LookupError.
 func (c *Client) Lookup(ctx context.Context, service string) (lookup.Answer, error) {
 	return c.lookups.get(ctx, service)
 }
@@ -81,12 +81,12 @@
 }
 
 // serveStale returns the cached answer after a failed refresh while it is usable, unless
-// an API host responded that the service does not exist.
+// the response of an API host was final.
 func (c *cache) serveStale(service string, entry cacheEntry, ok bool, cause error) (lookup.Answer, error) {
 	var lookupErr *LookupError
-	notFound := errors.As(cause, &lookupErr) && lookupErr.Status == http.StatusNotFound
+	final := errors.As(cause, &lookupErr) && isFinal(lookupErr)
 	now := c.options.Now()
-	if !ok || notFound || !now.Before(entry.usableUntil) {
+	if !ok || final || !now.Before(entry.usableUntil) {
 		return lookup.Answer{}, cause
 	}
 	entry.refreshAt = now.Add(staleRetryInterval)
@@ -106,13 +106,19 @@
 			return answer, nil
 		}
 		failure = err
-		if err.Status == http.StatusNotFound || err.Status == http.StatusBadRequest {
+		if isFinal(err) {
 			break
 		}
 	}
 	return lookup.Answer{}, failure
 }
 
+// isFinal reports whether an API host responded that the service does not exist or that the
+// look-up is invalid, so that no other host would answer it.
+func isFinal(err *LookupError) bool {
+	return err.Status == http.StatusNotFound || err.Status == http.StatusBadRequest
+}
+
 // apiAddrs returns the configured API addresses and those in the cached answer, so
 // that a caller with outdated settings still finds an API host.
 func (c *cache) apiAddrs(service string) []string {
