entry: a reload names the changed settings that need a restart

An operator who changed an address, the store, the host's place, the retry window or the time to live of look-ups and sent SIGHUP saw "settings reloaded" although nothing had changed. The log now has event 1022 with the names of these fields, at each reload until the restart.

Cause: the new settings replaced the old ones as a whole, and nothing looked at those that are read only at the start. These now keep the values of the running process, so that the settings in memory are those in force.

TestReloadNamesSettingsThatNeedRestart failed before: the settings of the running host named addresses on which nothing listened, and no line named them.

--- a/entry/host.go
+++ b/entry/host.go
@@ -259,13 +259,17 @@
 }
 
 // Reload reads the settings file again. If it is invalid, the old settings stay in force.
-// Settings that are used only at the start, such as addresses, do not change.
+// Settings that are used only at the start, such as addresses, do not change; the log names
+// those that differ in the file.
 func (h *Host) Reload() {
 	s, err := Load(h.path)
 	if err != nil {
 		evSettingsRejected.Log(h.log).Err(err).Send()
 		return
 	}
+	if kept := s.keepStartSettings(h.settings.Load()); len(kept) > 0 {
+		evSettingsKept.Log(h.log).Strs("settings", kept).Send()
+	}
 	h.settings.Store(s)
 	h.setBudgets()
 	evSettingsReloaded.Log(h.log).Send()
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -3,13 +3,19 @@
 import (
 	"net/netip"
 	"os"
+	"reflect"
 	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/pelletier/go-toml/v2"
+	"github.com/rs/zerolog"
+
+	"quetzalknot/process/eventlog"
 )
 
+var evSettingsKept = eventlog.Define(1022, zerolog.WarnLevel, "changed settings apply after a restart")
+
 // Settings are the settings of an entry host on the users' platform, in TOML.
 // deploy/quetzald.toml is the template that the platform fills in.
 type Settings struct {
@@ -155,6 +161,42 @@
 	}
 }
 
+// keepStartSettings replaces the settings that are used only at the start of the process by
+// those of the running process. It returns the names of those that differed.
+func (s *Settings) keepStartSettings(running *Settings) []string {
+	var changed []string
+	changed = append(changed, keep("host", &s.Host, running.Host)...)
+	changed = append(changed, keep("listen", &s.Listen, running.Listen)...)
+	changed = append(changed, keep("store", &s.Store, running.Store)...)
+	for _, b := range []struct {
+		name        string
+		read, inUse *Duration
+	}{
+		{"bounds.retry_window", &s.Bounds.RetryWindow, &running.Bounds.RetryWindow},
+		{"bounds.lookup_ttl_max", &s.Bounds.LookupTTLMax, &running.Bounds.LookupTTLMax},
+	} {
+		if *b.read != *b.inUse {
+			changed = append(changed, b.name)
+			*b.read = *b.inUse
+		}
+	}
+	return changed
+}
+
+// keep sets a section of the settings to the one in use and returns the names of the fields
+// that differed.
+func keep[T any](section string, read *T, inUse T) []string {
+	var changed []string
+	was, is := reflect.ValueOf(inUse), reflect.ValueOf(*read)
+	for i := range was.NumField() {
+		if !was.Field(i).Equal(is.Field(i)) {
+			changed = append(changed, section+"."+was.Type().Field(i).Tag.Get("toml"))
+		}
+	}
+	*read = inUse
+	return changed
+}
+
 func (s *Settings) validate() error {
 	for _, field := range []struct{ name, value string }{
 		{"listen.entry", s.Listen.Entry}, {"listen.ready", s.Listen.Ready},
