Soak: a run waits for its checks of new versions

The checks of the last new versions could end after the violations had been read and the hosts killed, so that a violation was lost or read and written at the same time.

Cause: each check ran in a goroutine that nobody waited for.

--- a/tools/soak/checker.go
+++ b/tools/soak/checker.go
@@ -31,6 +31,8 @@
 // guarantees.
 type checker struct {
 	cluster *cluster
+	// versionChecks are the goroutines of expectVersion.
+	versionChecks sync.WaitGroup
 
 	mu sync.Mutex
 	// violations are the messages about broken guarantees.
@@ -168,13 +170,13 @@
 }
 
 // expectVersion checks, in a goroutine, that hosts without a recent fault serve the route
-// of a new version within inForceLimit.
-func (c *checker) expectVersion(version int) {
+// of a new version within inForceLimit. It ends without a check when ctx ends before.
+func (c *checker) expectVersion(ctx context.Context, version int) {
 	since := time.Now()
-	go func() {
-		time.Sleep(inForceLimit)
+	c.versionChecks.Go(func() {
+		sleep(ctx, inForceLimit)
 		for i, h := range c.cluster.hosts {
-			if !c.undisturbedSince(i, since) {
+			if ctx.Err() != nil || !c.undisturbedSince(i, since) {
 				continue
 			}
 			c.cluster.mu.Lock()
@@ -184,7 +186,7 @@
 				c.recordViolation("%s responds with 404 to the route of version %d, %v after the version was written", h.name, version, inForceLimit)
 			}
 		}
-	}()
+	})
 }
 
 // probeVersion returns the response status of a request for the route of a version, or 0 if
@@ -203,8 +205,13 @@
 	return response.Status
 }
 
-// checkExecutions compares the runs that targets counted with the responses that callers
-// received.
+// finish waits for the checks that still run, and compares the runs that targets counted
+// with the responses that callers received. The callers must have ended.
+func (c *checker) finish() {
+	c.versionChecks.Wait()
+	c.checkExecutions()
+}
+
 func (c *checker) checkExecutions() {
 	for _, id := range c.droppedByStop {
 		for _, t := range c.cluster.targets {
--- a/tools/soak/faults.go
+++ b/tools/soak/faults.go
@@ -64,7 +64,7 @@
 	case TargetLinkDelay, TargetLinkReset, TargetLinkOneWay, TargetLinkSilent:
 		in.injectTargetLinkFault(ctx, f)
 	case NewState:
-		in.checker.expectVersion(in.publishNextState())
+		in.checker.expectVersion(ctx, in.publishNextState())
 	default:
 		in.injectStoreFault(ctx, f)
 	}
--- a/tools/soak/run.go
+++ b/tools/soak/run.go
@@ -82,7 +82,7 @@
 	recovered := float64(in.checker.served.Load()-served) / float64(max(1, in.checker.sent.Load()-sent))
 	stopCallers()
 	callers.Wait()
-	in.checker.checkExecutions()
+	in.checker.finish()
 	if recovered < minRecovered && ctx.Err() == nil {
 		in.checker.recordViolation("only %.2f of the requests are served after the last fault", recovered)
 	}
