Scenarios: ! fetch fails when any of its texts is found

A scenario that forbids several texts passed while a part of them was in the response.

Cause: the negated command asked whether all texts were found.

TestNegatedFetchForbidsEachText fails with that rule for a text that is found beside one that is not.

--- a/tools/scenario/commands_test.go
+++ b/tools/scenario/commands_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"testing"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -33,7 +34,7 @@
 
 // cmdFetch requests a URL until the response's status line, headers and body contain
 // every text, and fails after a timeout: fetch [-h Name:Value]... URL TEXT...
-// With ! it fails when the first response contains all of the texts.
+// With ! it fails when the first response contains any of the texts.
 func cmdFetch(ts *testscript.TestScript, neg bool, args []string) {
 	header, args := parseHeaders(args)
 	if len(args) < 2 {
@@ -49,7 +50,7 @@
 			text = ""
 			continue
 		}
-		if neg || containsAll(text, want) {
+		if neg || asWanted(text, want, false) {
 			break
 		}
 	}
@@ -57,7 +58,7 @@
 		ts.Fatalf("%s: no response", url)
 	}
 	ts.Logf("%s", text)
-	if containsAll(text, want) == neg {
+	if !asWanted(text, want, neg) {
 		ts.Fatalf("%s: got %s, want %q (negated: %v)", url, text, want, neg)
 	}
 }
@@ -123,6 +124,19 @@
 	return fmt.Sprintf("%s\n%s\n%s", resp.Status, headers.String(), body), nil
 }
 
+// asWanted reports whether text contains every wanted text or, if negated, none of them.
+func asWanted(text string, want []string, negated bool) bool {
+	if !negated {
+		return containsAll(text, want)
+	}
+	for _, w := range want {
+		if strings.Contains(text, w) {
+			return false
+		}
+	}
+	return true
+}
+
 func containsAll(text string, want []string) bool {
 	for _, w := range want {
 		if !strings.Contains(text, w) {
@@ -131,3 +145,22 @@
 	}
 	return true
 }
+
+// TestNegatedFetchForbidsEachText: with !, each of the texts must be missing, not only all of
+// them together.
+func TestNegatedFetchForbidsEachText(t *testing.T) {
+	for _, tc := range []struct {
+		want           []string
+		plain, negated bool
+	}{
+		{[]string{"one"}, true, false}, {[]string{"one", "two"}, true, false}, {[]string{"one", "three"}, false, false},
+		{[]string{"three"}, false, true}, {[]string{"three", "four"}, false, true},
+	} {
+		if got := asWanted("one two", tc.want, false); got != tc.plain {
+			t.Errorf("%q: %v, want %v", tc.want, got, tc.plain)
+		}
+		if got := asWanted("one two", tc.want, true); got != tc.negated {
+			t.Errorf("%q, negated: %v, want %v", tc.want, got, tc.negated)
+		}
+	}
+}
