Experiments: a fault that cannot be applied fails the segment

A table could show the figures of a run whose fault had not been started, or had not ended.

Cause: the errors of the steps were dropped. The first one now ends the steps and fails the segment; an error after the segment's end is none.

--- a/tools/lab/experiment/run.go
+++ b/tools/lab/experiment/run.go
@@ -6,6 +6,8 @@
 	"io"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"quetzalknot/tools/lab/cluster"
 	"quetzalknot/tools/lab/load"
 )
@@ -109,7 +111,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	sampler := startSampler(c)
-	faultsDone := applyFaults(ctx, c, v.Faults)
+	waitFaults := applyFaults(ctx, c.ApplyFault, v.Faults)
 	report, err := load.Run(ctx, load.Options{
 		Kinds: f.kinds(v), Regions: regions, Blocks: blocks, Seed: f.Seed + uint64(repeat),
 		Warmup: seconds(f.WarmupSeconds), Duration: seconds(f.SegmentSeconds),
@@ -117,7 +119,9 @@
 	})
 	samples := sampler.stop()
 	cancel()
-	<-faultsDone
+	if faultErr := waitFaults(); err == nil {
+		err = faultErr
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -140,21 +144,30 @@
 	}
 }
 
-// applyFaults starts and ends the faults at their times, in the background. The returned
-// channel is closed after the last step or when the context is cancelled.
-func applyFaults(ctx context.Context, c *cluster.Cluster, faults []Fault) <-chan struct{} {
-	done := make(chan struct{})
+// applyFault starts a fault (on) or ends it.
+type applyFault func(ctx context.Context, f cluster.Fault, on bool) error
+
+// applyFaults starts and ends the faults at their times, in the background, until a step
+// fails or the context is cancelled. The returned function waits for that and returns the
+// error of the step, or nil.
+func applyFaults(ctx context.Context, apply applyFault, faults []Fault) (wait func() error) {
+	result := make(chan error, 1)
 	start := time.Now()
-	go func() {
-		defer close(done)
-		for _, step := range steps(faults) {
-			select {
-			case <-ctx.Done():
-				return
-			case <-time.After(time.Until(start.Add(step.at))):
-				_ = c.ApplyFault(ctx, step.fault, step.on)
-			}
+	go func() { result <- runSteps(ctx, apply, steps(faults), start) }()
+	return func() error { return <-result }
+}
+
+// runSteps carries out the steps at their times after start.
+func runSteps(ctx context.Context, apply applyFault, list []step, start time.Time) error {
+	for _, step := range list {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(time.Until(start.Add(step.at))):
+		}
+		if err := apply(ctx, step.fault, step.on); err != nil && ctx.Err() == nil {
+			return errors.Wrapf(err, "fault %q, on = %v, after %v", step.fault.Kind, step.on, step.at)
 		}
-	}()
-	return done
+	}
+	return nil
 }
