sitereport: the test of watchers checks what its head says

TestWatchersAreInDifferentDomains looked at six sites and one fixed set of hosts, and counted watches without using the count. It now draws the hosts and checks the number of watchers, that each scope with hosts is covered, that a scope without hosts is replaced, that the order of the list does not matter, and that a host that does not watch can leave without a change. The count has its own test, TestWatchesAreSpread: no host watches a tenth of the sites.

--- a/process/sitereport/reports_test.go
+++ b/process/sitereport/reports_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -160,27 +161,81 @@
 }
 
 // TestWatchersAreInDifferentDomains checks that a site is watched by one host of its failure
-// domain, one of another failure domain of its region and one of another region.
+// domain, one of another failure domain of its region and one of another region; that where a
+// scope has no host another one takes its place; that the hosts of a list in another order
+// choose the same; and that a host that does not watch a site can leave without a change.
 func TestWatchersAreInDifferentDomains(t *testing.T) {
-	var hosts []sitereport.Host
-	for i := range 60 {
-		hosts = append(hosts, sitereport.Host{Name: fmt.Sprint("h", i), Region: fmt.Sprint("r", i%3), FailureDomain: fmt.Sprint("d", i%6)})
-	}
-	hostsByName := make(map[string]sitereport.Host)
+	const domainsPerRegion = 2
+	rapid.Check(t, func(t *rapid.T) {
+		var hosts []sitereport.Host
+		for i := range rapid.IntRange(0, 60).Draw(t, "hosts") {
+			region := rapid.IntRange(0, 3).Draw(t, "region")
+			domain := fmt.Sprint("r", region, "d", rapid.IntRange(1, domainsPerRegion).Draw(t, "domain"))
+			hosts = append(hosts, sitereport.Host{Name: fmt.Sprint("h", i), Region: fmt.Sprint("r", region), FailureDomain: domain})
+		}
+		site := sitereport.Site{Region: "r0", FailureDomain: "r0d1"}
+		watchers := sitereport.WatchersOf(site, hosts)
+		checkWatchers(t, site, hosts, watchers)
+		shuffled := rapid.Permutation(hosts).Draw(t, "shuffled")
+		if got := sitereport.WatchersOf(site, shuffled); !slices.Equal(got, watchers) {
+			t.Errorf("watchers %v, and %v with the hosts in another order", watchers, got)
+		}
+		for i, h := range hosts {
+			others := slices.Delete(slices.Clone(hosts), i, i+1)
+			if got := sitereport.WatchersOf(site, others); !slices.Contains(watchers, h.Name) && !slices.Equal(got, watchers) {
+				t.Errorf("watchers %v, and %v without %s, which does not watch", watchers, got, h.Name)
+			}
+		}
+	})
+}
+
+// checkWatchers checks the number of the watchers and the scope of each.
+func checkWatchers(t *rapid.T, site sitereport.Site, hosts []sitereport.Host, watchers []string) {
+	byName := make(map[string]sitereport.Host)
 	for _, h := range hosts {
-		hostsByName[h.Name] = h
+		byName[h.Name] = h
+	}
+	if want := min(sitereport.WatcherCount, len(hosts)); len(watchers) != want || len(slices.Compact(slices.Sorted(slices.Values(watchers)))) != want {
+		t.Fatalf("%d hosts: watchers %v, want %d different ones", len(hosts), watchers, want)
 	}
-	watchCounts := make(map[string]int)
-	for i := range 100 {
-		site := sitereport.Site{Region: fmt.Sprint("r", i%3), FailureDomain: fmt.Sprint("d", i%6)}
-		w := sitereport.WatchersOf(site, hosts)
-		if len(w) != 3 || hostsByName[w[0]].FailureDomain != site.FailureDomain || hostsByName[w[1]].Region != site.Region || hostsByName[w[1]].FailureDomain == site.FailureDomain || hostsByName[w[2]].Region == site.Region {
-			t.Fatalf("%v is watched by %v", site, w)
+	scopes := []func(h sitereport.Host) bool{
+		func(h sitereport.Host) bool { return h.FailureDomain == site.FailureDomain },
+		func(h sitereport.Host) bool { return h.Region == site.Region && h.FailureDomain != site.FailureDomain },
+		func(h sitereport.Host) bool { return h.Region != site.Region },
+	}
+	for i, inScope := range scopes {
+		covered := slices.ContainsFunc(watchers, func(name string) bool { return inScope(byName[name]) })
+		if slices.ContainsFunc(hosts, inScope) && !covered {
+			t.Errorf("watchers %v of %v: none in scope %d", watchers, site, i)
+		}
+	}
+}
+
+// TestWatchesAreSpread: with ten regions of ten failure domains, no host may watch a tenth of
+// the sites.
+func TestWatchesAreSpread(t *testing.T) {
+	const regions, domains, hostsPerDomain = 10, 10, 3
+	var hosts []sitereport.Host
+	var sites []sitereport.Site
+	for r := range regions {
+		for d := range domains {
+			site := sitereport.Site{Region: fmt.Sprint("r", r), FailureDomain: fmt.Sprint("r", r, "d", d)}
+			sites = append(sites, site)
+			for h := range hostsPerDomain {
+				hosts = append(hosts, sitereport.Host{Name: fmt.Sprint(site.FailureDomain, "h", h), Region: site.Region, FailureDomain: site.FailureDomain})
+			}
 		}
-		watchCounts[w[0]]++
 	}
-	if got := sitereport.WatchersOf(sitereport.Site{Region: "r0", FailureDomain: "d0"}, hosts[:1]); len(got) != 1 {
-		t.Errorf("with a single host: got watchers %v, want one", got)
+	counts := make(map[string]int)
+	for _, site := range sites {
+		for _, name := range sitereport.WatchersOf(site, hosts) {
+			counts[name]++
+		}
+	}
+	for name, n := range counts {
+		if n >= len(sites)/10 {
+			t.Errorf("%s watches %d of %d sites", name, n, len(sites))
+		}
 	}
 }
 
