place: the test of the shortcut checks that it is taken, and with all changes

TestShortcutSelectsSameTarget noted whether the shortcut was taken and did not look at it, and had neither failures nor targets that join or go down, although its head names them. Both are in it now.

--- a/request/place/place_test.go
+++ b/request/place/place_test.go
@@ -267,55 +267,105 @@
 }
 
 // TestShortcutSelectsSameTarget checks that the shortcut of Choose selects the same
-// target as a comparison of all targets, while targets respond, fail, report loads, join
-// and leave.
+// target as a comparison of all targets, while targets respond, fail, shed, go down, report
+// loads, join and leave, and that the shortcut is taken at all.
 func TestShortcutSelectsSameTarget(t *testing.T) {
+	shortcuts := 0
 	rapid.Check(t, func(t *rapid.T) {
-		var choosers [2]*Chooser
-		var fleets [2]*fleet.Fleet
-		for i := range choosers {
-			fleets[i] = newFleet(2, 4, 4)
-			choosers[i] = newChooser(fleets[i], 1)
-			choosers[i].compareAll = i == 1
-		}
-		var open [2][]Choice
+		pair := newChooserPair()
 		now := start
-		fewer := false
 		for step := range rapid.IntRange(1, 120).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "pause")) * time.Millisecond)
+			pair.changeTarget(t, step, now)
 			req := Request{Route: searchRoute, Service: "bokun", Object: object(rapid.IntRange(0, 5).Draw(t, "object")), TimeLeft: 3 * time.Second}
-			outcome := fleet.Outcome{
-				Latency: time.Duration(rapid.IntRange(50, 900).Draw(t, "run")) * time.Millisecond,
-				Load: &fleet.Load{
-					Running: rapid.IntRange(0, 6).Draw(t, "running"), Waiting: rapid.IntRange(0, 4).Draw(t, "waiting"),
-					Slots: 6, RunFactor: rapid.Float64Range(0.3, 3).Draw(t, "pace"),
-				},
-				Shed: rapid.IntRange(0, 9).Draw(t, "shed") == 0,
-			}
-			end := rapid.IntRange(0, 3).Draw(t, "end")
-			leaver := rapid.IntRange(0, 40).Draw(t, "leaver")
-			var got [2]string
-			for i, c := range choosers {
-				choice, err := c.Choose(req, now)
-				got[i] = fmt.Sprint(choice.ID, err)
-				if err == nil {
-					open[i] = append(open[i], choice)
-					fewer = fewer || i == 0 && choice.Considered < 5
-				}
-				if len(open[i]) > end {
-					c.Done(open[i][0], searchRoute, outcome, 4000, now)
-					open[i] = open[i][1:]
-				}
-				if leaver < 10 {
-					fleets[i].Upsert(fleet.Entry{
-						ID: fmt.Sprint("t", leaver), Service: "bokun", Addr: "127.0.0.1:1", Slots: 6, Region: "region1", FailureDomain: "zone1",
-						Born: 1, Sequence: int64(2 + step), Leaving: true,
-					}, now)
-				}
-			}
-			if got[0] != got[1] {
-				t.Fatalf("step %d: selected %s, but %s when comparing all targets", step, got[0], got[1])
+			if pair.choose(t, req, now) {
+				shortcuts++
 			}
+			pair.endOldest(rapid.IntRange(0, 3).Draw(t, "end"), drawOutcome(t), now)
 		}
 	})
+	if shortcuts == 0 {
+		t.Error("the shortcut was never taken")
+	}
+}
+
+// chooserPair is a chooser with the shortcut and one that compares all targets, with their
+// fleets and their requests in flight.
+type chooserPair struct {
+	choosers [2]*Chooser
+	fleets   [2]*fleet.Fleet
+	open     [2][]Choice
+}
+
+// initialTargets is the number of targets of a new chooserPair.
+const initialTargets = 2 + 4 + 4
+
+func newChooserPair() *chooserPair {
+	p := new(chooserPair)
+	for i := range p.choosers {
+		p.fleets[i] = newFleet(2, 4, 4)
+		p.choosers[i] = newChooser(p.fleets[i], 1)
+		p.choosers[i].compareAll = i == 1
+	}
+	return p
+}
+
+// changeTarget makes, at some steps, a target join, leave or go down.
+func (p *chooserPair) changeTarget(t *rapid.T, step int, now time.Time) {
+	target := rapid.IntRange(0, initialTargets+4).Draw(t, "target")
+	change := rapid.IntRange(0, 60).Draw(t, "change")
+	for _, f := range p.fleets {
+		switch change {
+		case 0, 1, 2:
+			f.Upsert(fleet.Entry{
+				ID: fmt.Sprint("t", target), Service: "bokun", Addr: "127.0.0.1:1", Slots: 6, Region: "region1", FailureDomain: "zone1",
+				Born: 1, Sequence: int64(2 + step), Leaving: change > 0,
+			}, now)
+		case 3:
+			f.Lock()
+			targets := f.Service("bokun")
+			f.Unlock()
+			f.MarkDown(targets[target%len(targets)], now)
+		}
+	}
+}
+
+// choose selects a target with both choosers. It reports whether the first one compared
+// fewer targets.
+func (p *chooserPair) choose(t *rapid.T, req Request, now time.Time) bool {
+	var got [2]string
+	var considered [2]int
+	for i, c := range p.choosers {
+		choice, err := c.Choose(req, now)
+		got[i], considered[i] = fmt.Sprint(choice.ID, err), choice.Considered
+		if err == nil {
+			p.open[i] = append(p.open[i], choice)
+		}
+	}
+	if got[0] != got[1] {
+		t.Fatalf("selected %s, but %s when comparing all targets", got[0], got[1])
+	}
+	return considered[0] < considered[1]
+}
+
+// endOldest ends the oldest request in flight of both choosers while more than keep are.
+func (p *chooserPair) endOldest(keep int, outcome fleet.Outcome, now time.Time) {
+	for i, c := range p.choosers {
+		if len(p.open[i]) > keep {
+			c.Done(p.open[i][0], searchRoute, outcome, 4000, now)
+			p.open[i] = p.open[i][1:]
+		}
+	}
+}
+
+func drawOutcome(t *rapid.T) fleet.Outcome {
+	return fleet.Outcome{
+		Latency: time.Duration(rapid.IntRange(50, 900).Draw(t, "run")) * time.Millisecond,
+		Load: &fleet.Load{
+			Running: rapid.IntRange(0, 6).Draw(t, "running"), Waiting: rapid.IntRange(0, 4).Draw(t, "waiting"),
+			Slots: 6, RunFactor: rapid.Float64Range(0.3, 3).Draw(t, "pace"),
+		},
+		Shed:   rapid.IntRange(0, 9).Draw(t, "shed") == 0,
+		Failed: rapid.IntRange(0, 9).Draw(t, "failed") == 0,
+	}
 }
