spread: the test of a start during an outage checks the two failure domains

TestStartDuringOutage said that a host synchronises from hosts in two failure domains and checked only that it has the state in the end. It now lets the late host reach one domain first, for 4 s in which its state must not count as complete, and follows the age of its state until it is no longer up to date.

--- a/version/spread/engine_test.go
+++ b/version/spread/engine_test.go
@@ -65,23 +65,41 @@
 	})
 }
 
-// A host that starts during a store outage synchronises its state from hosts in two
-// failure domains.
+// TestStartDuringOutage: a host that starts during a store outage synchronises its state from
+// hosts in two failure domains. As long as it reaches those of one, its state must not count
+// as complete, and it must count as up to date no longer than that of the others does.
 func TestStartDuringOutage(t *testing.T) {
 	run(t, func(t *testing.T) {
 		c := newCluster()
-		c.startAll(t.Context(), 6)
+		c.startAll(t.Context(), 6) // each in its own failure domain
 		defer c.stopAll()
 		c.waitConverged(t)
 		c.acceptDirectly(t, 5)
 		eventually(t, 5*time.Second, "all hosts have ticket 5", func() bool { return c.allHaveTicket(5) })
 		c.table.setDown(true)
+		outage := time.Now()
+		c.net.setBroken(func(from, to string) bool { return from == "h6" && to != "h1" || to == "h6" && from != "h1" })
 		late := c.start(t.Context(), 6, "h1", "h2")
+		eventually(t, 5*time.Second, "the late host has the tickets of one host", func() bool { return late.state.Newest() == 5 })
+		for range 40 {
+			if late.engine.Complete() {
+				t.Fatalf("complete with the state of one failure domain, %v after the outage began", time.Since(outage))
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		c.net.setBroken(func(string, string) bool { return false })
 		eventually(t, 15*time.Second, "the late host has the state", func() bool { return late.engine.Complete() && late.state.Newest() == 5 })
-		if late.engine.UpToDate() {
-			if age, _ := late.engine.StateAge(); age >= MaxStateAge {
+		for time.Since(outage) < MaxStateAge+5*time.Second {
+			if age, ok := late.engine.StateAge(); ok && age < time.Since(outage)-time.Second {
+				t.Fatalf("the state is said to be %v old, %v after the outage began", age, time.Since(outage))
+			}
+			if age, _ := late.engine.StateAge(); late.engine.UpToDate() && age >= MaxStateAge {
 				t.Fatalf("up to date with a state of age %v", age)
 			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		if late.engine.UpToDate() {
+			t.Errorf("up to date %v after the outage began", time.Since(outage))
 		}
 	})
 }
