entry: the test of behaviours checks how often a request ran

TestResponsesByBehaviour had a column for the runs and did not read it; it checked only that an unsafe request ran at most once. It now checks the exact number of runs of safe and unsafe requests for each behaviour, that exactly the responses that say 'not run' have a Retry-After, and the id of a complete response.

--- a/entry/host_test.go
+++ b/entry/host_test.go
@@ -28,27 +28,27 @@
 }
 
 // TestResponsesByBehaviour checks the response that the caller gets, and how often the request
-// ran, for each behaviour of the targets and each kind of route.
+// ran, for each behaviour of the targets and each kind of route. An unsafe request runs at most
+// once, and not at all when the response says so; a safe one is sent to the other target when
+// the first one fails.
 func TestResponsesByBehaviour(t *testing.T) {
 	for _, tc := range []struct {
-		name         string
-		behaviour    standin.Behaviour
-		safe, unsafe int
-		// runs is the largest expected number of runs of an unsafe request. The test checks
-		// what holds in every case: at most one run, and none with status 503.
-		runs int
+		name                 string
+		behaviour            standin.Behaviour
+		safe, unsafe         int // status
+		safeRuns, unsafeRuns int
 	}{
-		{"good", standin.Good, 200, 200, 1},
-		{"shed", standin.Shed, 503, 503, 0},
-		{"wrong id", standin.WrongID, 502, 502, 1},
-		{"extra response", standin.ExtraResponse, 200, 200, 1},
-		{"truncated", standin.Truncated, 502, 502, 1},
-		{"unframed", standin.Unframed, 200, 200, 1},
-		{"unstamped", standin.Unstamped, 502, 502, 1},
-		{"reset", standin.Reset, 502, 502, 1},
-		{"silent", standin.Silent, 504, 504, 1},
-		{"garbage", standin.Garbage, 502, 502, 1},
-		{"fails", standin.Fails, 500, 500, 1},
+		{"good", standin.Good, 200, 200, 1, 1},
+		{"shed", standin.Shed, 503, 503, 0, 0},
+		{"wrong id", standin.WrongID, 502, 502, 2, 1},
+		{"extra response", standin.ExtraResponse, 200, 200, 1, 1},
+		{"truncated", standin.Truncated, 502, 502, 2, 1},
+		{"unframed", standin.Unframed, 200, 200, 1, 1},
+		{"unstamped", standin.Unstamped, 502, 502, 2, 1},
+		{"reset", standin.Reset, 502, 502, 2, 1},
+		{"silent", standin.Silent, 504, 504, 1, 1},
+		{"garbage", standin.Garbage, 502, 502, 2, 1},
+		{"fails", standin.Fails, 500, 500, 2, 1},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
@@ -57,26 +57,34 @@
 				target.SetBehaviour(tc.behaviour, 0)
 			}
 			for i := range 3 {
-				got := send(c.hosts[0].addr(), "GET", "/search/1", fmt.Sprint("safe", i), "")
-				if got.Status != tc.safe || (got.Status == 200 && got.Body != standin.Body) {
-					t.Errorf("safe: %+v, want status %d", got, tc.safe)
-				}
-				id := fmt.Sprint("unsafe", i)
-				got = send(c.hosts[0].addr(), "POST", "/book/1", id, "a booking")
-				if got.Status != tc.unsafe || (got.Status == 200 && got.Body != standin.Body) {
-					t.Errorf("unsafe: %+v, want status %d", got, tc.unsafe)
-				}
-				if got.Status == 503 && !got.HasRetryAfter {
-					t.Error("the response to a request that was not run has no Retry-After header")
-				}
-				if runs := c.targets[0].RunsOf(id) + c.targets[1].RunsOf(id); runs > 1 || (got.Status == 503 && runs > 0) {
-					t.Errorf("unsafe request with status %d ran %d times", got.Status, runs)
-				}
+				c.expectResponse("GET", "/search/1", fmt.Sprint("safe", i), tc.safe, tc.safeRuns)
+				c.expectResponse("POST", "/book/1", fmt.Sprint("unsafe", i), tc.unsafe, tc.unsafeRuns)
 			}
 		})
 	}
 }
 
+// expectResponse sends a request through the first host and checks the status, the body and
+// the runs on all targets.
+func (c *cluster) expectResponse(method, path, id string, status, runs int) {
+	c.t.Helper()
+	body := map[string]string{"POST": "a booking"}[method]
+	got := send(c.hosts[0].addr(), method, path, id, body)
+	if got.Status != status || (status == http.StatusOK && (got.Body != standin.Body || got.ID != id)) {
+		c.t.Errorf("%s: %+v, want status %d", id, got, status)
+	}
+	if (got.Status == http.StatusServiceUnavailable) != got.HasRetryAfter {
+		c.t.Errorf("%s: status %d, has Retry-After: %v", id, got.Status, got.HasRetryAfter)
+	}
+	ran := 0
+	for _, target := range c.targets {
+		ran += target.RunsOf(id)
+	}
+	if ran != runs {
+		c.t.Errorf("%s: ran %d times, want %d", id, ran, runs)
+	}
+}
+
 // TestFaultyTargetIsAvoided checks that safe requests are served by the other target
 // when one of two misbehaves.
 func TestFaultyTargetIsAvoided(t *testing.T) {
