entry: numbers in the settings must be finite and not negative

A host whose bandwidth or processor share was given as inf or nan could not write its row, since such a capacity has no JSON form, and was unknown to the other hosts; a retry ratio of nan meant no retries, one of inf no bound.

Cause: the numbers with a fraction were not checked. Each must now be from 0 to 1e12, and the error names the field.

TestSettingsErrorNamesField failed before in its seven new cases, and FuzzSettings on the corpus file infinite-link.

--- a/entry/settings.go
+++ b/entry/settings.go
@@ -209,6 +209,9 @@
 	if _, err := netip.ParseAddr(s.Host.IP); err != nil {
 		return errors.Newf("host.ip is %q, not an IP address", s.Host.IP)
 	}
+	if err := s.validateNumbers(); err != nil {
+		return err
+	}
 	if s.Host.Name == "" || s.Host.Region == "" || s.Host.FailureDomain == "" {
 		return errors.New("host.name, host.region and host.failure_domain must be set")
 	}
@@ -217,3 +220,22 @@
 	}
 	return nil
 }
+
+// maxNumber is the largest value of a number with a fraction in the settings.
+const maxNumber = 1e12
+
+func (s *Settings) validateNumbers() error {
+	for _, field := range []struct {
+		name  string
+		value float64
+	}{
+		{"host.link_mbps", s.Host.LinkMbps}, {"host.cpu_share", s.Host.CPUShare}, {"host.cores", s.Host.Cores},
+		{"bounds.retry_ratio", s.Bounds.RetryRatio}, {"bounds.retry_extra", s.Bounds.RetryExtra},
+		{"bounds.cold_overrun", s.Bounds.ColdOverrun}, {"bounds.cold_slack", s.Bounds.ColdSlack},
+	} {
+		if !(field.value >= 0 && field.value <= maxNumber) {
+			return errors.Newf("%s is %v, not a number from 0 to %v", field.name, field.value, maxNumber)
+		}
+	}
+	return nil
+}
