Stop: a log output that takes no lines no longer keeps a host from ending

Seen: a host whose log output is not read never ended after SIGTERM; the platform would kill it at the end of the grace period.

Cause: Stop closes the log writer last, and AsyncWriter.Close waits for its goroutine, which hangs in the write to a full pipe. Writing lines was bounded, closing was not.

Why it works: CloseBefore waits for the last flush only until 125 ms before the end of the grace period. Lines that the output has not taken by then are lost with the process.

--- a/entry/host.go
+++ b/entry/host.go
@@ -278,6 +278,9 @@
 	// stopMargin is how long before the end of the grace period a host stops waiting for
 	// requests in flight.
 	stopMargin = 250 * time.Millisecond
+	// logMargin is how long before the end of the grace period a host stops waiting for its
+	// log output.
+	logMargin = stopMargin / 2
 	// stopPoll is the time between two checks for requests in flight.
 	stopPoll = 20 * time.Millisecond
 	// withdrawTimeout limits how long the removal of this host's row may take.
@@ -302,7 +305,7 @@
 	}
 	h.close()
 	evStopped.Log(h.log).Int64("in_flight", h.handler.InFlight()).Send()
-	h.logWriter.Close()
+	h.logWriter.CloseBefore(deadline.Add(stopMargin - logMargin))
 }
 
 func (h *Host) withdraw() {
--- a/process/eventlog/async.go
+++ b/process/eventlog/async.go
@@ -113,8 +113,23 @@
 	a.onDropped = report
 }
 
-// Close writes the buffered lines and stops the goroutine.
+// Close writes the buffered lines and stops the goroutine. It blocks as long as the output
+// does.
 func (a *AsyncWriter) Close() {
 	close(a.stop)
 	<-a.done
 }
+
+// CloseBefore is Close, but returns at the deadline even if the output still blocks. Lines
+// that are not written by then may be lost. It reports whether all were written.
+func (a *AsyncWriter) CloseBefore(deadline time.Time) bool {
+	close(a.stop)
+	timer := time.NewTimer(time.Until(deadline))
+	defer timer.Stop()
+	select {
+	case <-a.done:
+		return true
+	case <-timer.C:
+		return false
+	}
+}
--- a/process/eventlog/async_test.go
+++ b/process/eventlog/async_test.go
@@ -101,3 +101,24 @@
 		t.Errorf("%d lines were dropped, %d were reported", a.Dropped(), reported.Load())
 	}
 }
+
+// TestCloseBeforeIsBounded closes the writer while the output is blocked: CloseBefore must
+// return at the deadline. With an output that takes the lines it must write them all.
+func TestCloseBeforeIsBounded(t *testing.T) {
+	const limit = 50 * time.Millisecond
+	blocked := &blockedWriter{open: make(chan struct{})}
+	a := NewAsyncWriter(blocked)
+	_, _ = a.Write([]byte("a line\n"))
+	start := time.Now()
+	if a.CloseBefore(start.Add(limit)) || time.Since(start) < limit || time.Since(start) > 5*time.Second {
+		t.Errorf("with a blocked output CloseBefore returned after %v", time.Since(start))
+	}
+	close(blocked.open)
+	<-a.done
+	open := &blockedWriter{open: blocked.open}
+	a = NewAsyncWriter(open)
+	_, _ = a.Write([]byte("a line\n"))
+	if !a.CloseBefore(time.Now().Add(5*time.Second)) || open.got.String() != "a line\n" {
+		t.Errorf("wrote %q", open.got.String())
+	}
+}
