Stop: a part of a header no longer holds a stopping host for its whole grace period

Seen: with a caller that has sent a part of a header and then nothing, Stop took the whole grace period less the margin of 0.25 s, and so ended or not by how busy the machine was.

Cause: Shutdown set the read deadline again only for idle connections. One that was reading a header kept the header timeout of 10 s, alone or behind requests that had been answered.

Why it works: once Shutdown was called, a header has 0.5 s from its first byte. A request whose header is incomplete has not been read, so no answer is lost and the caller may send it again.

--- a/connection/caller/conn.go
+++ b/connection/caller/conn.go
@@ -49,6 +49,8 @@
 	mu       sync.Mutex
 	state    readState
 	inFlight int
+	// headStart is the time of the first byte of the header that is being read.
+	headStart time.Time
 	// last is the exchange that was started last.
 	last *exchange
 	// exclusive is true while last is served alone.
@@ -275,6 +277,9 @@
 
 // setStateLocked changes the state and sets the read deadline for it. mu must be held.
 func (c *conn) setStateLocked(s readState) {
+	if s == readHead && c.state != readHead {
+		c.headStart = time.Now()
+	}
 	c.state = s
 	deadline := time.Time{}
 	switch {
@@ -283,19 +288,20 @@
 	case s == readIdle && c.inFlight == 0:
 		deadline = time.Now().Add(c.server.Limits().IdleTimeout)
 	case s == readHead:
-		deadline = time.Now().Add(c.server.Limits().HeaderTimeout)
+		deadline = c.headStart.Add(c.server.headerTimeout())
 	case s == readEnding && c.inFlight == 0:
 		deadline = pastDeadline
 	}
 	_ = c.net.SetReadDeadline(deadline) // fails only on a closed connection, as the read does then
 }
 
-// updateDeadline sets the read deadline of an idle connection again.
+// updateDeadline sets the read deadline of a connection that waits for a request or the rest
+// of a header again.
 func (c *conn) updateDeadline() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state == readIdle {
-		c.setStateLocked(readIdle)
+	if c.state == readIdle || c.state == readHead {
+		c.setStateLocked(c.state)
 	}
 }
 
--- a/connection/caller/server.go
+++ b/connection/caller/server.go
@@ -23,6 +23,10 @@
 	// drainIdleTimeout is how long an idle connection stays open after Shutdown, for a
 	// request that is already on its way.
 	drainIdleTimeout = 50 * time.Millisecond
+	// stopHeaderTimeout limits the time for reading a header once Shutdown was called. A
+	// request whose header is incomplete then has not been read, so its caller may send it
+	// again.
+	stopHeaderTimeout = 500 * time.Millisecond
 	// goneCheckInterval is the time between two checks whether a caller whose input is not
 	// read has closed its connection.
 	goneCheckInterval = 200 * time.Millisecond
@@ -73,6 +77,7 @@
 	OnReject func(remote string, err error)
 
 	draining atomic.Bool
+	stopping atomic.Bool
 	mu       sync.Mutex
 	listener []net.Listener
 	conns    map[*conn]struct{}
@@ -122,10 +127,12 @@
 // get one response.
 func (s *Server) Drain() { s.draining.Store(true) }
 
-// Shutdown stops accepting, lets the requests in flight finish and closes idle connections.
-// It returns the error of ctx if that ends first.
+// Shutdown stops accepting, lets the requests in flight finish and closes idle connections
+// and those that have sent only a part of a header. It returns the error of ctx if that
+// ends first.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.Drain()
+	s.stopping.Store(true)
 	s.closeListeners()
 	for _, c := range s.openConns() {
 		c.updateDeadline()
@@ -152,6 +159,15 @@
 	return nil
 }
 
+// headerTimeout returns the limit of the time for reading a header.
+func (s *Server) headerTimeout() time.Duration {
+	limit := s.Limits().HeaderTimeout
+	if s.stopping.Load() {
+		return min(stopHeaderTimeout, limit)
+	}
+	return limit
+}
+
 func (s *Server) closeListeners() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/connection/caller/server_test.go
+++ b/connection/caller/server_test.go
@@ -454,6 +454,30 @@
 	c.expectEnd()
 }
 
+// TestShutdownEndsPartialHeaders: a caller that has sent a part of a header must not hold
+// Shutdown for the header timeout. What it sent before must be answered.
+func TestShutdownEndsPartialHeaders(t *testing.T) {
+	h := newTestHandler()
+	s, addr := startServer(t, h)
+	alone, behind := dial(t, addr), dial(t, addr)
+	alone.send("GET /now/x HT")
+	behind.send(get("/hold/a") + "GET /now/x HTTP/1.1\r\nHost")
+	eventually(t, "the first runs", waitLimit, func() bool { return h.hasStarted("a") })
+	time.Sleep(20 * time.Millisecond) // the part of the header is read
+	ended := make(chan error, 1)
+	start := time.Now()
+	go func() { ended <- s.Shutdown(context.Background()) }()
+	alone.expectEnd()
+	_ = alone.conn.Close()
+	h.release("a")
+	behind.expect("a")
+	behind.expectEnd()
+	_ = behind.conn.Close()
+	if err := <-ended; err != nil || time.Since(start) > s.Limits().HeaderTimeout/2 {
+		t.Errorf("Shutdown took %v, %v", time.Since(start), err)
+	}
+}
+
 // TestShutdownIsBounded: a request that does not end must not hold Shutdown longer than its
 // context, and Close must cancel it.
 func TestShutdownIsBounded(t *testing.T) {
