--- a/connection/caller/pipeline_test.go
+++ b/connection/caller/pipeline_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -94,8 +95,9 @@
 	}
 }
 
-// FuzzReadHead: whatever a caller sends, a request is either rejected or has one reading:
-// one length of the body, one host, and no line end that another reader could see.
+// FuzzReadHead: whatever a caller sends, each request is either rejected or has one reading:
+// one length of the body, one host, and no line end that another reader could see. The next
+// request starts where it ends. The corpus in testdata holds a case for each way.
 func FuzzReadHead(f *testing.F) {
 	for _, bad := range badRequests {
 		f.Add([]byte(bad.text))
@@ -104,28 +106,47 @@
 	f.Add([]byte(post("/now/a", "text")))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		h := newHeadReader(bytes.NewReader(data), 16<<10)
-		r, err := h.read()
-		if err != nil {
-			return
-		}
-		head := data[:headEnd(data, 0)]
-		lines := strings.Split(string(head), "\r\n")
-		if strings.ContainsAny(strings.Join(lines, ""), "\r\n\x00") {
-			t.Errorf("a header with a bare line end was accepted: %q", head)
-		}
-		lengths := 0
-		for _, line := range lines[1:] {
-			name, _, _ := strings.Cut(strings.ToLower(line), ":")
-			if name == "content-length" || name == "transfer-encoding" {
-				lengths++
+		for rest := data; ; {
+			r, err := h.read()
+			if err != nil {
+				return
 			}
-		}
-		if lengths > 1 || (lengths == 0 && r.Body != http.NoBody) {
-			t.Errorf("%d lengths were accepted: %q", lengths, head)
+			head := rest[:headEnd(rest, 0)]
+			checkReading(t, r, head)
+			n, err := io.Copy(io.Discard, r.Body)
+			if err != nil || r.ContentLength < 0 {
+				return
+			}
+			if n != r.ContentLength {
+				t.Fatalf("a body of %d bytes was read as %d: %q", r.ContentLength, n, head)
+			}
+			rest = rest[len(head)+int(n):] // the next request must start here
 		}
 	})
 }
 
+// checkReading checks that an accepted header has one reading and was parsed as r.
+func checkReading(t *testing.T, r *http.Request, head []byte) {
+	t.Helper()
+	lines := strings.Split(string(head), "\r\n")
+	if strings.ContainsAny(strings.Join(lines, ""), "\r\n\x00") {
+		t.Errorf("a header with a bare line end was accepted: %q", head)
+	}
+	if lines[0] != r.Method+" "+r.RequestURI+" "+r.Proto {
+		t.Errorf("%q was read as %s %s %s", lines[0], r.Method, r.RequestURI, r.Proto)
+	}
+	lengths := 0
+	for _, line := range lines[1:] {
+		name, _, _ := strings.Cut(strings.ToLower(line), ":")
+		if name == "content-length" || name == "transfer-encoding" {
+			lengths++
+		}
+	}
+	if lengths > 1 || (lengths == 0 && r.Body != http.NoBody) {
+		t.Errorf("%d lengths were accepted: %q", lengths, head)
+	}
+}
+
 // BenchmarkKeepAlive compares this server with http.Server on plain keep-alive connections.
 func BenchmarkKeepAlive(b *testing.B) {
 	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
