Soak: half of the callers, chosen by the seed, send requests ahead

Each response must be that to the request in its place; requests behind a closing response count as not read and are sent again.

--- a/tools/cli/soak.go
+++ b/tools/cli/soak.go
@@ -61,8 +61,8 @@
 	for _, n := range r.Faults {
 		faults += n
 	}
-	fmt.Printf("seed %d: %d faults, %d requests: %d served, %d not run, %d failed, %d dropped; %.3f served after the last fault; %d violations\n",
-		seed, faults, r.Sent, r.Served, r.Refused, r.Failed, r.Dropped, r.RecoveredShare, len(r.Violations))
+	fmt.Printf("seed %d: %d faults, %d requests: %d served, %d not run, %d failed, %d dropped, %d sent again; %.3f served after the last fault; %d violations\n",
+		seed, faults, r.Sent, r.Served, r.Refused, r.Failed, r.Dropped, r.SentAgain, r.RecoveredShare, len(r.Violations))
 	for _, violation := range r.Violations {
 		fmt.Println("  violation:", violation)
 	}
--- a/tools/soak/checker.go
+++ b/tools/soak/checker.go
@@ -17,6 +17,10 @@
 	requestPause = 20 * time.Millisecond
 	// requestTimeout limits the wait for a response. The timeout of the route is shorter.
 	requestTimeout = 3 * time.Second
+	// dialTimeout limits the time for opening a connection to a host.
+	dialTimeout = time.Second
+	// maxBookings bounds the length of a request body, in repetitions of a text.
+	maxBookings = 2000
 	// callerTimeout is the deadline that callers send with a request.
 	callerTimeout = 2500 * time.Millisecond
 	// inForceLimit is the time within which a new desired state must be in force on hosts
@@ -49,7 +53,7 @@
 	// shutting down after SIGTERM.
 	droppedByStop []string
 
-	sent, served, notRun, failed, dropped atomic.Int64
+	sent, served, notRun, failed, dropped, sentAgain atomic.Int64
 }
 
 func newChecker(c *cluster) *checker {
@@ -110,7 +114,7 @@
 		sleep(ctx, requestPause)
 		if conn == nil {
 			var err error
-			if conn, err = standin.Dial(c.cluster.hosts[host].entry, time.Second); err != nil {
+			if conn, err = standin.Dial(c.cluster.hosts[host].entry, dialTimeout); err != nil {
 				conn = nil
 				continue
 			}
@@ -128,15 +132,7 @@
 // sendRequest sends one request and checks its response. It returns false if the
 // connection must not be reused.
 func (c *checker) sendRequest(conn *standin.Caller, host int, id string, n int) bool {
-	request := standin.Call{ID: id, Method: "GET", Path: "/search/1", Object: fmt.Sprint(n % 20), Timeout: callerTimeout}
-	if n%3 == 0 {
-		request.Method, request.Path, request.Body = "POST", "/book/1", strings.Repeat("a booking ", 1+n%2000)
-		c.mu.Lock()
-		c.nonIdempotent[id] = true
-		c.mu.Unlock()
-	}
-	c.sent.Add(1)
-	response, err := conn.Send(request, requestTimeout)
+	response, err := conn.Send(c.newCall(id, n), requestTimeout)
 	if err != nil {
 		c.recordDropped(host, id)
 		return false
@@ -145,6 +141,20 @@
 	return !response.Closes
 }
 
+// newCall returns a request and counts it as sent. Every third n gives one that is not
+// idempotent, with a body.
+func (c *checker) newCall(id string, n int) standin.Call {
+	call := standin.Call{ID: id, Method: "GET", Path: "/search/1", Object: fmt.Sprint(n % 20), Timeout: callerTimeout}
+	if n%3 == 0 {
+		call.Method, call.Path, call.Body = "POST", "/book/1", strings.Repeat("a booking ", 1+n%maxBookings)
+		c.mu.Lock()
+		c.nonIdempotent[id] = true
+		c.mu.Unlock()
+	}
+	c.sent.Add(1)
+	return call
+}
+
 func (c *checker) checkResponse(id string, response standin.Response) {
 	switch response.Status {
 	case http.StatusOK:
--- a/tools/soak/plan_test.go
+++ b/tools/soak/plan_test.go
@@ -26,3 +26,23 @@
 		t.Errorf("50 seeds contain %d of %d types of faults", len(seen), len(kinds))
 	}
 }
+
+// TestPipelinedCallers checks that the choice of the callers that send requests ahead is that
+// of the seed, and that each seed has some of both kinds among 20 callers.
+func TestPipelinedCallers(t *testing.T) {
+	for seed := range uint64(50) {
+		ahead := 0
+		for i := range 20 {
+			first := isPipelined(seed, i/4, i%4)
+			if again := isPipelined(seed, i/4, i%4); again != first {
+				t.Errorf("two choices of seed %d differ", seed)
+			}
+			if first {
+				ahead++
+			}
+		}
+		if ahead == 0 || ahead == 20 {
+			t.Errorf("seed %d: %d of 20 callers send ahead", seed, ahead)
+		}
+	}
+}
--- a/tools/soak/run.go
+++ b/tools/soak/run.go
@@ -31,6 +31,9 @@
 	// 400 and 404, which are violations. Dropped counts requests that received no complete
 	// response in time.
 	Sent, Served, Refused, Failed, Dropped int64
+	// SentAgain counts requests that a host had not read, since they were behind a response
+	// that closed the connection.
+	SentAgain int64
 	// RecoveredShare is the share of requests that were served in the last seconds of the run,
 	// after the last fault.
 	RecoveredShare float64
@@ -72,6 +75,10 @@
 	var callers sync.WaitGroup
 	for h := range c.hosts {
 		for caller := range opts.Callers {
+			if isPipelined(opts.Seed, h, caller) {
+				callers.Go(func() { in.checker.sendPipelined(callCtx, opts.Seed, h, caller) })
+				continue
+			}
 			callers.Go(func() { in.checker.sendRequests(callCtx, h, caller) })
 		}
 	}
@@ -106,7 +113,7 @@
 	c := in.checker
 	return Result{
 		Faults: in.counts, Sent: c.sent.Load(), Served: c.served.Load(), Refused: c.notRun.Load(),
-		Failed: c.failed.Load(), Dropped: c.dropped.Load(), RecoveredShare: recovered,
+		Failed: c.failed.Load(), Dropped: c.dropped.Load(), SentAgain: c.sentAgain.Load(), RecoveredShare: recovered,
 		Violations: c.violations[:min(maxViolations, len(c.violations))], Folder: folder,
 	}
 }
