--- a/client/client.go
+++ b/client/client.go
@@ -61,6 +61,10 @@
 	Unkeyed bool
 	// Transport sends the requests. Default: an http.Transport.
 	Transport http.RoundTripper
+	// Pipeline is the number of idempotent requests without a body that may be in flight on
+	// one connection to an entry host; responses come in their order. With 0 a connection has
+	// one request at a time.
+	Pipeline int
 	// Now is the clock. Default time.Now.
 	Now func() time.Time
 }
@@ -95,6 +99,9 @@
 		}
 	}
 	c.lookups = newCache(o, c.transport, c.suspects)
+	if o.Pipeline > 0 {
+		c.transport = NewPipelined(c.transport, o.Pipeline, c.dialer.DialContext)
+	}
 	return c, nil
 }
 
--- a/tools/cli/load.go
+++ b/tools/cli/load.go
@@ -24,6 +24,7 @@
 	BodyBytes int           `help:"Size of each request's body."`
 	TimeoutMS int           `name:"timeout-ms" help:"Deadline that each caller states, in milliseconds."`
 	Attempts  int           `default:"3" help:"How often a caller may send one request."`
+	Ahead     int           `help:"How many idempotent requests without a body are sent on a connection before the first is answered; 0 or 1 for one after the other."`
 	Clients   string        `default:"198.18.0.0/24" help:"IPv4 block that the callers' addresses are drawn from."`
 	Seed      uint64        `default:"1" help:"Seed of the arrivals."`
 }
@@ -36,6 +37,9 @@
 	ctx, stop := signalContext()
 	defer stop()
 	sender := load.NewClientSender(c.API, c.Attempts)
+	if c.Ahead > 1 {
+		sender = load.NewPipelinedSender(c.API, c.Attempts, c.Ahead)
+	}
 	defer sender.Close()
 	kind := load.Kind{
 		Name: c.Service, Service: c.Service, Path: c.Path, Method: c.Method, RatePerSecond: c.Rate,
--- a/tools/lab/load/sender.go
+++ b/tools/lab/load/sender.go
@@ -22,12 +22,18 @@
 type ClientSender struct {
 	api       []string
 	attempts  int
-	transport *http.Transport
+	transport idleCloser
 
 	mu      sync.Mutex
 	clients map[netip.Addr]*client.Client
 }
 
+// idleCloser is a RoundTripper whose idle connections can be closed.
+type idleCloser interface {
+	http.RoundTripper
+	CloseIdleConnections()
+}
+
 // NewClientSender returns a sender that looks up entry hosts at the API addresses
 // and makes at most the given number of attempts for each request.
 func NewClientSender(api []string, attempts int) *ClientSender {
@@ -35,6 +41,14 @@
 	return &ClientSender{api: api, attempts: attempts, transport: transport, clients: make(map[netip.Addr]*client.Client)}
 }
 
+// NewPipelinedSender returns a NewClientSender that sends up to ahead idempotent requests on a
+// connection before the first is answered.
+func NewPipelinedSender(api []string, attempts, ahead int) *ClientSender {
+	s := NewClientSender(api, attempts)
+	s.transport = client.NewPipelined(s.transport, ahead, nil)
+	return s
+}
+
 // Send implements Sender.
 func (s *ClientSender) Send(ctx context.Context, service string, addr netip.Addr, r *http.Request) (*http.Response, verdict.Verdict, error) {
 	c, err := s.client(addr)
