Callers: an idle connection no longer keeps the buffer of a long header

The limit is 1 MB, so that idle connections could hold far more than the stated 4 KB, and later requests were read ahead that far.

Cause: the buffer that a long header needs was kept for the life of the connection, with a copy of its half.

Evidence: TestLongHeaderIsNotKept against the code before: the idle connection has a buffer of 16,384 bytes, want 4,096.

Why it works: before the next request is waited for, an empty buffer above the initial size is replaced. What was copied has been read by then, since a whole request was.

--- a/connection/caller/head.go
+++ b/connection/caller/head.go
@@ -22,14 +22,26 @@
 // headReader reads request headers from a connection. It checks each header as bytes
 // before it is parsed, so that a request with more than one reading is never passed on.
 type headReader struct {
+	conn io.Reader
+	// source gives the bytes of conn, after those that grow took from an earlier buffer.
 	source io.Reader
 	buffer *bufio.Reader
+	// initial is the size in bytes of the buffer between requests.
+	initial int
 	// limit is the largest header in bytes.
 	limit int
 }
 
-func newHeadReader(source io.Reader, limit int) *headReader {
-	return &headReader{source: source, buffer: bufio.NewReaderSize(source, min(initialHeadBuffer, limit)), limit: limit}
+func newHeadReader(conn io.Reader, limit int) *headReader {
+	h := &headReader{conn: conn, initial: min(initialHeadBuffer, limit), limit: limit}
+	h.reset()
+	return h
+}
+
+// reset replaces the buffer, which must be empty, by one of the initial size.
+func (h *headReader) reset() {
+	h.source = h.conn
+	h.buffer = bufio.NewReaderSize(h.conn, h.initial)
 }
 
 // awaitByte waits until at least one byte more than the buffered ones has arrived. When the
@@ -40,8 +52,11 @@
 }
 
 // awaitFirstByte waits until the first byte of a request is buffered. It discards the empty
-// lines in front of it.
+// lines in front of it. The buffer of a long header is given up first.
 func (h *headReader) awaitFirstByte() error {
+	if h.buffer.Size() > h.initial && h.buffer.Buffered() == 0 {
+		h.reset() // what grow took is read, since a request was
+	}
 	for {
 		first, err := h.buffer.Peek(1)
 		if err != nil || first[0] != '\r' {
--- a/connection/caller/server_test.go
+++ b/connection/caller/server_test.go
@@ -605,6 +605,32 @@
 	}
 }
 
+// TestLongHeaderIsNotKept: the buffer for a long header must not stay with an idle connection,
+// and requests behind it must be served.
+func TestLongHeaderIsNotKept(t *testing.T) {
+	h := newTestHandler()
+	s, addr := startServer(t, h)
+	c := dial(t, addr)
+	long := func(path string) string {
+		return "GET " + path + " HTTP/1.1\r\nHost: x\r\nA: " + strings.Repeat("a", 3*initialHeadBuffer) + "\r\n\r\n"
+	}
+	c.send(long("/now/a") + get("/now/b") + long("/now/c") + post("/now/d", "text"))
+	for _, want := range []string{"a", "b", "c", "dtext"} {
+		c.expect(want)
+	}
+	served := s.openConns()[0]
+	eventually(t, "the connection is idle", waitLimit, func() bool {
+		served.mu.Lock()
+		defer served.mu.Unlock()
+		return served.state == readIdle && served.inFlight == 0
+	})
+	_ = c.conn.Close()
+	s.running.Wait()
+	if size := served.head.buffer.Size(); size != initialHeadBuffer {
+		t.Errorf("the idle connection had a buffer of %d bytes, want %d", size, initialHeadBuffer)
+	}
+}
+
 // TestIdleConnectionEnds: an idle connection must end after the idle time, one with a
 // request in flight must not.
 func TestIdleConnectionEnds(t *testing.T) {
