Callers: an idle connection no longer keeps its last request; figures of memory

Seen: 11.5 KB of heap for each idle connection, both ends, and with a long header its text.

Cause: the connection points to the exchange that was started last, with request and response header, until the next one.

Evidence: TestLongHeaderIsNotKept, extended, against the code before: "not within 10s: the connection is idle without a request".

Why it works: the pointer says whether a request in flight is the last one and which response a new one waits for. It is dropped when none is in flight, when nothing asks for either.

--- a/connection/caller/conn.go
+++ b/connection/caller/conn.go
@@ -51,7 +51,7 @@
 	inFlight int
 	// headStart is the time of the first byte of the header that is being read.
 	headStart time.Time
-	// last is the exchange that was started last.
+	// last is the exchange that was started last, nil if none is in flight.
 	last *exchange
 	// exclusive is true while last is served alone.
 	exclusive bool
@@ -327,6 +327,9 @@
 	if c.last == x {
 		c.exclusive = false
 	}
+	if c.inFlight == 0 {
+		c.last = nil
+	}
 	switch c.state {
 	case readIdle, readEnding:
 		c.setStateLocked(c.state)
--- a/connection/caller/server_test.go
+++ b/connection/caller/server_test.go
@@ -606,7 +606,7 @@
 }
 
 // TestLongHeaderIsNotKept: the buffer for a long header must not stay with an idle connection,
-// and requests behind it must be served.
+// nor the request, and requests behind it must be served.
 func TestLongHeaderIsNotKept(t *testing.T) {
 	h := newTestHandler()
 	s, addr := startServer(t, h)
@@ -619,10 +619,10 @@
 		c.expect(want)
 	}
 	served := s.openConns()[0]
-	eventually(t, "the connection is idle", waitLimit, func() bool {
+	eventually(t, "the connection is idle without a request", waitLimit, func() bool {
 		served.mu.Lock()
 		defer served.mu.Unlock()
-		return served.state == readIdle && served.inFlight == 0
+		return served.state == readIdle && served.inFlight == 0 && served.last == nil
 	})
 	_ = c.conn.Close()
 	s.running.Wait()
