Stop: a reload that hangs no longer keeps SIGTERM from ending a host

Seen: a host whose settings file could not be read on at once (a named pipe in the test) took no notice of SIGTERM.

Cause: SIGHUP, SIGTERM and SIGINT shared a channel of four, read by the loop that reloads. A reload that hangs held the loop, and with four signals waiting SIGTERM was dropped.

Why it works: the signals that stop a host have a channel of their own, on which nothing else is waited for. Reloads run in a goroutine; one that waits reads the newest file.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -105,20 +105,22 @@
 }
 
 // runEntry runs an entry host on the users' platform until SIGTERM or SIGINT stops it. SIGHUP
-// reloads the settings.
+// reloads the settings. The signals have channels of their own, and reloads a goroutine, so
+// that a stop waits for neither.
 func runEntry(s *entry.Settings, path string) error {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	signal.Notify(reload, syscall.SIGHUP)
 	host := entry.New(s, path, os.Stdout)
 	if err := host.Start(context.Background()); err != nil {
 		return err
 	}
-	for sig := range signals {
-		if sig != syscall.SIGHUP {
-			break
+	go func() {
+		for range reload {
+			host.Reload()
 		}
-		host.Reload()
-	}
+	}()
+	<-stop
 	host.Stop(context.Background())
 	return nil
 }
