--- a/connection/caller/conn.go
+++ b/connection/caller/conn.go
@@ -44,12 +44,14 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	// handlers counts the running handlers.
-	handlers sync.WaitGroup
+	handlers handlerGroup
 
 	mu       sync.Mutex
 	state    readState
 	inFlight int
-	// last is the exchange that was started last.
+	// headStart is the time of the first byte of the header that is being read.
+	headStart time.Time
+	// last is the exchange that was started last, nil if none is in flight.
 	last *exchange
 	// exclusive is true while last is served alone.
 	exclusive bool
@@ -66,6 +68,7 @@
 		server: s, net: accepted, head: newHeadReader(accepted, s.Limits().HeaderBytes), remote: accepted.RemoteAddr().String(),
 		changed: make(chan struct{}, 1),
 	}
+	c.handlers.workers = s.workers
 	c.writer = bufio.NewWriter(deadlineWriter{accepted})
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
@@ -94,7 +97,9 @@
 	if err := c.head.awaitFirstByte(); err != nil {
 		return c.readFailed(err)
 	}
-	c.setState(readHead)
+	if !c.head.isComplete() {
+		c.setState(readHead)
+	}
 	c.head.limit = c.server.Limits().HeaderBytes
 	r, err := c.head.read()
 	if err != nil {
@@ -275,6 +280,9 @@
 
 // setStateLocked changes the state and sets the read deadline for it. mu must be held.
 func (c *conn) setStateLocked(s readState) {
+	if s == readHead && c.state != readHead {
+		c.headStart = time.Now()
+	}
 	c.state = s
 	deadline := time.Time{}
 	switch {
@@ -283,19 +291,20 @@
 	case s == readIdle && c.inFlight == 0:
 		deadline = time.Now().Add(c.server.Limits().IdleTimeout)
 	case s == readHead:
-		deadline = time.Now().Add(c.server.Limits().HeaderTimeout)
+		deadline = c.headStart.Add(c.server.headerTimeout())
 	case s == readEnding && c.inFlight == 0:
 		deadline = pastDeadline
 	}
 	_ = c.net.SetReadDeadline(deadline) // fails only on a closed connection, as the read does then
 }
 
-// updateDeadline sets the read deadline of an idle connection again.
+// updateDeadline sets the read deadline of a connection that waits for a request or the rest
+// of a header again.
 func (c *conn) updateDeadline() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state == readIdle {
-		c.setStateLocked(readIdle)
+	if c.state == readIdle || c.state == readHead {
+		c.setStateLocked(c.state)
 	}
 }
 
@@ -318,6 +327,9 @@
 	if c.last == x {
 		c.exclusive = false
 	}
+	if c.inFlight == 0 {
+		c.last = nil
+	}
 	switch c.state {
 	case readIdle, readEnding:
 		c.setStateLocked(c.state)
--- a/connection/caller/server_test.go
+++ b/connection/caller/server_test.go
@@ -454,6 +454,30 @@
 	c.expectEnd()
 }
 
+// TestShutdownEndsPartialHeaders: a caller that has sent a part of a header must not hold
+// Shutdown for the header timeout. What it sent before must be answered.
+func TestShutdownEndsPartialHeaders(t *testing.T) {
+	h := newTestHandler()
+	s, addr := startServer(t, h)
+	alone, behind := dial(t, addr), dial(t, addr)
+	alone.send("GET /now/x HT")
+	behind.send(get("/hold/a") + "GET /now/x HTTP/1.1\r\nHost")
+	eventually(t, "the first runs", waitLimit, func() bool { return h.hasStarted("a") })
+	time.Sleep(20 * time.Millisecond) // the part of the header is read
+	ended := make(chan error, 1)
+	start := time.Now()
+	go func() { ended <- s.Shutdown(context.Background()) }()
+	alone.expectEnd()
+	_ = alone.conn.Close()
+	h.release("a")
+	behind.expect("a")
+	behind.expectEnd()
+	_ = behind.conn.Close()
+	if err := <-ended; err != nil || time.Since(start) > s.Limits().HeaderTimeout/2 {
+		t.Errorf("Shutdown took %v, %v", time.Since(start), err)
+	}
+}
+
 // TestShutdownIsBounded: a request that does not end must not hold Shutdown longer than its
 // context, and Close must cancel it.
 func TestShutdownIsBounded(t *testing.T) {
@@ -581,6 +605,32 @@
 	}
 }
 
+// TestLongHeaderIsNotKept: the buffer for a long header must not stay with an idle connection,
+// nor the request, and requests behind it must be served.
+func TestLongHeaderIsNotKept(t *testing.T) {
+	h := newTestHandler()
+	s, addr := startServer(t, h)
+	c := dial(t, addr)
+	long := func(path string) string {
+		return "GET " + path + " HTTP/1.1\r\nHost: x\r\nA: " + strings.Repeat("a", 3*initialHeadBuffer) + "\r\n\r\n"
+	}
+	c.send(long("/now/a") + get("/now/b") + long("/now/c") + post("/now/d", "text"))
+	for _, want := range []string{"a", "b", "c", "dtext"} {
+		c.expect(want)
+	}
+	served := s.openConns()[0]
+	eventually(t, "the connection is idle without a request", waitLimit, func() bool {
+		served.mu.Lock()
+		defer served.mu.Unlock()
+		return served.state == readIdle && served.inFlight == 0 && served.last == nil
+	})
+	_ = c.conn.Close()
+	s.running.Wait()
+	if size := served.head.buffer.Size(); size != initialHeadBuffer {
+		t.Errorf("the idle connection had a buffer of %d bytes, want %d", size, initialHeadBuffer)
+	}
+}
+
 // TestIdleConnectionEnds: an idle connection must end after the idle time, one with a
 // request in flight must not.
 func TestIdleConnectionEnds(t *testing.T) {
