--- /dev/null
+++ b/process/partner/message.go
@@ -0,0 +1,47 @@
+package partner
+
+import (
+	"time"
+
+	"quetzalknot/process/crash"
+	"quetzalknot/process/mirror"
+)
+
+// Heartbeat is the heartbeat message, sent as a call and as its reply.
+type Heartbeat struct {
+	From    Member
+	Leaving bool
+	// Positions holds the revision up to which the sender's copy of each table is
+	// complete, and Eras the store's era of that revision. Earlier releases send no Eras.
+	Positions map[string]uint64
+	Eras      map[string]uint64
+	Crashes   []crash.Count
+	// Rate is the sender's recent rate of incoming requests per second.
+	Rate float64
+	// Fresh says that the sender itself reads the store and gets responses; Troubled says
+	// that some of its calls to the store failed recently.
+	Fresh, Troubled bool
+	// Age is the time since the store last answered a Fresh sender, for the table for which that
+	// is longest ago. Earlier releases send none.
+	Age time.Duration
+}
+
+// StoreStatus is the store's status as this host's own calls show it: Reachable when this host
+// reads the store and gets responses, the oldest of them Age ago; Failing when calls failed
+// recently.
+type StoreStatus struct {
+	Reachable, Failing bool
+	Age                time.Duration
+}
+
+// position returns the position of the sender's copy of a table.
+func (h *Heartbeat) position(table string) mirror.Position {
+	return mirror.Position{Era: h.Eras[table], Revision: h.Positions[table]}
+}
+
+// PullRequest requests the records of a table that are newer than revision After of an era.
+type PullRequest struct {
+	Table string
+	After uint64
+	Era   uint64
+}
--- a/process/partner/partner.go
+++ b/process/partner/partner.go
@@ -67,45 +67,6 @@
 	Capacity float64
 }
 
-// Heartbeat is the heartbeat message, sent as a call and as its reply.
-type Heartbeat struct {
-	From    Member
-	Leaving bool
-	// Positions holds the revision up to which the sender's copy of each table is
-	// complete, and Eras the store's era of that revision. Earlier releases send no Eras.
-	Positions map[string]uint64
-	Eras      map[string]uint64
-	Crashes   []crash.Count
-	// Rate is the sender's recent rate of incoming requests per second.
-	Rate float64
-	// Fresh says that the sender itself reads the store and gets responses; Troubled says
-	// that some of its calls to the store failed recently.
-	Fresh, Troubled bool
-	// Age is the time since the store last answered a Fresh sender, for the table for which that
-	// is longest ago. Earlier releases send none.
-	Age time.Duration
-}
-
-// StoreStatus is the store's status as this host's own calls show it: Reachable when this host
-// reads the store and gets responses, the oldest of them Age ago; Failing when calls failed
-// recently.
-type StoreStatus struct {
-	Reachable, Failing bool
-	Age                time.Duration
-}
-
-// position returns the position of the sender's copy of a table.
-func (h *Heartbeat) position(table string) mirror.Position {
-	return mirror.Position{Era: h.Eras[table], Revision: h.Positions[table]}
-}
-
-// PullRequest requests the records of a table that are newer than revision After of an era.
-type PullRequest struct {
-	Table string
-	After uint64
-	Era   uint64
-}
-
 // Options holds the settings and dependencies of a Group.
 type Options struct {
 	Self   Member
@@ -174,37 +135,6 @@
 // Register registers the group's net/rpc service with a server.
 func (g *Group) Register(s *peer.Server) error { return s.Register(serviceName, &service{g}) }
 
-// service is the net/rpc service of the group.
-type service struct{ g *Group }
-
-// Beat handles a partner's heartbeat and replies with this host's own.
-func (s *service) Beat(received *Heartbeat, reply *Heartbeat) error {
-	s.g.receive(received)
-	*reply = s.g.heartbeat()
-	return nil
-}
-
-// Pull returns the records of a table that are newer than the caller's revision.
-func (s *service) Pull(pull *PullRequest, reply *mirror.Delta) error {
-	*reply = s.g.opts.Mirror.DeltaSince(pull.Table, mirror.Position{Era: pull.Era, Revision: pull.After})
-	return nil
-}
-
-// heartbeat returns this host's current heartbeat message.
-func (g *Group) heartbeat() Heartbeat {
-	now := g.opts.Now()
-	status := g.opts.StoreStatus()
-	h := Heartbeat{Fresh: status.Reachable, Age: status.Age, Troubled: status.Failing, From: g.opts.Self, Positions: make(map[string]uint64), Eras: make(map[string]uint64), Rate: g.opts.RequestRate(), Crashes: g.opts.Crashes.Recent(crashCountMaxAge, now)}
-	for _, name := range g.opts.Tables {
-		position := g.opts.Mirror.Position(name)
-		h.Positions[name], h.Eras[name] = position.Revision, position.Era
-	}
-	g.mu.Lock()
-	h.Leaving = g.leaving
-	g.mu.Unlock()
-	return h
-}
-
 // AddMembers adds the members that the store lists. They count as alive only after a
 // heartbeat or reply from them.
 func (g *Group) AddMembers(members []Member) {
@@ -265,74 +195,6 @@
 	}
 }
 
-// pullNewer starts a pull of each table of which the sender of a heartbeat has a newer
-// revision.
-func (g *Group) pullNewer(h *Heartbeat) {
-	if !g.mayPullFrom(h.From) {
-		return
-	}
-	if !g.HasTables() {
-		g.startSnapshotPull(h)
-		return
-	}
-	for _, name := range g.opts.Tables {
-		own := g.opts.Mirror.Position(name)
-		if h.position(name).Compare(own) <= 0 || !g.startPull(name) {
-			continue
-		}
-		go g.pullTable(h.From, name, own)
-	}
-}
-
-// startPull marks a table as being pulled; it returns false when it already is.
-func (g *Group) startPull(name string) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.pullsRunning[name] {
-		return false
-	}
-	g.pullsRunning[name] = true
-	return true
-}
-
-// pullDelay is how long a host that reads the store waits before it pulls, because the
-// store's change feed usually brings the same records.
-const pullDelay = 250 * time.Millisecond
-
-// pullTable fetches and applies the records of a table that are newer than own, unless the
-// store's change feed brought newer ones meanwhile.
-func (g *Group) pullTable(from Member, name string, own mirror.Position) {
-	defer g.endPull(name)
-	if g.opts.StoreStatus().Reachable {
-		time.Sleep(pullDelay)
-	}
-	if g.opts.Mirror.Position(name).Compare(own) > 0 {
-		return
-	}
-	g.pullDelta(from, name, own)
-}
-
-// endPull records that a pull has ended.
-func (g *Group) endPull(name string) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.pullsRunning[name] = false
-}
-
-// pullDelta fetches and applies the records of a table that are newer than own.
-func (g *Group) pullDelta(from Member, name string, own mirror.Position) {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	delta := new(mirror.Delta)
-	g.opts.Metrics.Counter("partners.pulls").Add(1)
-	if err := g.opts.Client.Call(ctx, from.Peer, serviceName+".Pull", &PullRequest{Table: name, After: own.Revision, Era: own.Era}, delta); err != nil {
-		return
-	}
-	evSynchronised.Log(g.opts.Log).Str("member", from.Name).Str("table", name).Uint64("revision", delta.UpTo).
-		Int("records", len(delta.Records)).Send()
-	g.opts.Apply(*delta)
-}
-
 // Run sends heartbeats to the partners until ctx ends.
 func (g *Group) Run(ctx context.Context) {
 	ticker := time.NewTicker(heartbeatInterval)
--- /dev/null
+++ b/process/partner/pull.go
@@ -0,0 +1,76 @@
+package partner
+
+import (
+	"context"
+	"time"
+
+	"quetzalknot/process/mirror"
+)
+
+// pullNewer starts a pull of each table of which the sender of a heartbeat has a newer
+// revision.
+func (g *Group) pullNewer(h *Heartbeat) {
+	if !g.mayPullFrom(h.From) {
+		return
+	}
+	if !g.HasTables() {
+		g.startSnapshotPull(h)
+		return
+	}
+	for _, name := range g.opts.Tables {
+		own := g.opts.Mirror.Position(name)
+		if h.position(name).Compare(own) <= 0 || !g.startPull(name) {
+			continue
+		}
+		go g.pullTable(h.From, name, own)
+	}
+}
+
+// startPull marks a table as being pulled; it returns false when it already is.
+func (g *Group) startPull(name string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.pullsRunning[name] {
+		return false
+	}
+	g.pullsRunning[name] = true
+	return true
+}
+
+// pullDelay is how long a host that reads the store waits before it pulls, because the
+// store's change feed usually brings the same records.
+const pullDelay = 250 * time.Millisecond
+
+// pullTable fetches and applies the records of a table that are newer than own, unless the
+// store's change feed brought newer ones meanwhile.
+func (g *Group) pullTable(from Member, name string, own mirror.Position) {
+	defer g.endPull(name)
+	if g.opts.StoreStatus().Reachable {
+		time.Sleep(pullDelay)
+	}
+	if g.opts.Mirror.Position(name).Compare(own) > 0 {
+		return
+	}
+	g.pullDelta(from, name, own)
+}
+
+// endPull records that a pull has ended.
+func (g *Group) endPull(name string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.pullsRunning[name] = false
+}
+
+// pullDelta fetches and applies the records of a table that are newer than own.
+func (g *Group) pullDelta(from Member, name string, own mirror.Position) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	delta := new(mirror.Delta)
+	g.opts.Metrics.Counter("partners.pulls").Add(1)
+	if err := g.opts.Client.Call(ctx, from.Peer, serviceName+".Pull", &PullRequest{Table: name, After: own.Revision, Era: own.Era}, delta); err != nil {
+		return
+	}
+	evSynchronised.Log(g.opts.Log).Str("member", from.Name).Str("table", name).Uint64("revision", delta.UpTo).
+		Int("records", len(delta.Records)).Send()
+	g.opts.Apply(*delta)
+}
--- /dev/null
+++ b/process/partner/service.go
@@ -0,0 +1,34 @@
+package partner
+
+import "quetzalknot/process/mirror"
+
+// service is the net/rpc service of the group.
+type service struct{ g *Group }
+
+// Beat handles a partner's heartbeat and replies with this host's own.
+func (s *service) Beat(received *Heartbeat, reply *Heartbeat) error {
+	s.g.receive(received)
+	*reply = s.g.heartbeat()
+	return nil
+}
+
+// Pull returns the records of a table that are newer than the caller's revision.
+func (s *service) Pull(pull *PullRequest, reply *mirror.Delta) error {
+	*reply = s.g.opts.Mirror.DeltaSince(pull.Table, mirror.Position{Era: pull.Era, Revision: pull.After})
+	return nil
+}
+
+// heartbeat returns this host's current heartbeat message.
+func (g *Group) heartbeat() Heartbeat {
+	now := g.opts.Now()
+	status := g.opts.StoreStatus()
+	h := Heartbeat{Fresh: status.Reachable, Age: status.Age, Troubled: status.Failing, From: g.opts.Self, Positions: make(map[string]uint64), Eras: make(map[string]uint64), Rate: g.opts.RequestRate(), Crashes: g.opts.Crashes.Recent(crashCountMaxAge, now)}
+	for _, name := range g.opts.Tables {
+		position := g.opts.Mirror.Position(name)
+		h.Positions[name], h.Eras[name] = position.Revision, position.Era
+	}
+	g.mu.Lock()
+	h.Leaving = g.leaving
+	g.mu.Unlock()
+	return h
+}
