Soak: a store that comes back older, calls that it never answers; the state in force is watched

Silences leave calls unanswered with open connections. Targets also leave by losing their report.

New: a target that left gets no new request, every request has a response, all hosts are ready at the end.

--- a/tools/soak/checker.go
+++ b/tools/soak/checker.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -19,18 +20,17 @@
 	requestTimeout = 3 * time.Second
 	// callerTimeout is the deadline that callers send with a request.
 	callerTimeout = 2500 * time.Millisecond
-	// inForceLimit is the time within which a new desired state must be in force on hosts
-	// without a recent fault.
-	inForceLimit = 5 * time.Second
-	// settleTime is the time after a fault for which a host is not checked for new desired
-	// states.
-	settleTime = 5 * time.Second
+	// deliveryMargin is the time that a request may spend on its way to a target.
+	deliveryMargin = 500 * time.Millisecond
 )
 
 // checker sends the callers' requests, and records the responses and the violations of
 // guarantees.
 type checker struct {
 	cluster *cluster
+	// processes are the disturbances of the hosts' processes, and states those that delay the
+	// newest desired state or the targets' reports on a host.
+	processes, states *disturbances
 
 	mu sync.Mutex
 	// violations are the messages about broken guarantees.
@@ -41,8 +41,8 @@
 	// nonIdempotent those with an unsafe method, which must not run twice.
 	reportedNotRun map[string]bool
 	nonIdempotent  map[string]bool
-	// lastDisturbed is the time at which each host's last fault began or ended, by index.
-	lastDisturbed []time.Time
+	// departed are the departures of targets, by host, that were violated already.
+	departed map[string]bool
 	// stopping are the hosts that are shutting down after SIGTERM.
 	stopping map[int]bool
 	// droppedByStop are the requests that received no complete response while the host was
@@ -53,7 +53,15 @@
 }
 
 func newChecker(c *cluster) *checker {
-	return &checker{cluster: c, reportedNotRun: make(map[string]bool), nonIdempotent: make(map[string]bool), stopping: make(map[int]bool), lastDisturbed: make([]time.Time, len(c.hosts))}
+	checker := &checker{
+		cluster: c, processes: newDisturbances(len(c.hosts)), states: newDisturbances(len(c.hosts)),
+		reportedNotRun: make(map[string]bool), nonIdempotent: make(map[string]bool), stopping: make(map[int]bool),
+		departed: make(map[string]bool),
+	}
+	for _, t := range c.targets {
+		t.Observe(func(id string) { checker.checkDeparture(t.ID, id) })
+	}
+	return checker
 }
 
 // recordViolation records that a guarantee was broken.
@@ -72,13 +80,6 @@
 	}
 }
 
-// markDisturbed records that a fault of a host begins or ends now.
-func (c *checker) markDisturbed(i int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.lastDisturbed[i] = time.Now()
-}
-
 // setStopping records that a host begins or has finished a graceful shutdown.
 func (c *checker) setStopping(i int, stopping bool) {
 	c.mu.Lock()
@@ -86,36 +87,79 @@
 	c.stopping[i] = stopping
 }
 
-// recordDropped records a request that received no complete response in time.
-func (c *checker) recordDropped(host int, id string) {
+// recordDropped records a request that received no complete response in time. It is a
+// violation when there was no response at all though the process of the generation, to which
+// the connection leads, was undisturbed.
+func (c *checker) recordDropped(host, generation int, id string, sentAt time.Time, status int) {
 	c.dropped.Add(1)
+	if c.recordDroppedByStop(host, id) || status != 0 {
+		return
+	}
+	if c.processes.settledAt(host, sentAt) && c.cluster.hosts[host].currentGeneration() == generation {
+		c.recordViolation("request %s got no response after %v", id, time.Since(sentAt).Round(time.Millisecond))
+	}
+}
+
+// recordDroppedByStop records a dropped request if its host is stopping, and reports whether
+// it is.
+func (c *checker) recordDroppedByStop(host int, id string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.stopping[host] {
 		c.droppedByStop = append(c.droppedByStop, id)
 	}
+	return c.stopping[host]
+}
+
+// requestID returns the id of a request that is sent to a host.
+func requestID(host int, sender string, n int) string {
+	return fmt.Sprintf("%d-%s-%d", host, sender, n)
+}
+
+// checkDeparture checks that a target that gets a request has not left before. The first
+// request from each host after that is a violation.
+func (c *checker) checkDeparture(target, id string) {
+	now, leftAt := time.Now(), c.cluster.leftAt(target)
+	if leftAt.IsZero() || now.Sub(leftAt) <= changeBound+deliveryMargin {
+		return
+	}
+	number, _, _ := strings.Cut(id, "-")
+	host, err := strconv.Atoi(number)
+	if err != nil {
+		c.recordViolation("%s got a request with the wrong id %q", target, id)
+		return
+	}
+	if c.states.settledAt(host, now) && c.isFirst(fmt.Sprint(number, target, leftAt.UnixNano())) {
+		c.recordViolation("request %s reached %s %v after it had left", id, target, now.Sub(leftAt).Round(time.Millisecond))
+	}
 }
 
-func (c *checker) undisturbedSince(i int, since time.Time) bool {
+// isFirst reports whether a departure is violated for the first time.
+func (c *checker) isFirst(departure string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.lastDisturbed[i].Before(since.Add(-settleTime))
+	known := c.departed[departure]
+	c.departed[departure] = true
+	return !known
 }
 
-// sendRequests sends requests to one host until ctx is cancelled. It reuses its connection
-// until the host closes it or a request fails.
-func (c *checker) sendRequests(ctx context.Context, host, caller int) {
+// sendRequests sends requests to one host until ctx is cancelled, with pauses of the given
+// length. It reuses its connection, also of a host that is no longer ready, until the host
+// closes it or a request fails.
+func (c *checker) sendRequests(ctx context.Context, host int, name string, pause func() time.Duration) {
 	var conn *standin.Caller
+	generation := 0
 	for n := 0; ctx.Err() == nil; n++ {
-		sleep(ctx, requestPause)
+		sleep(ctx, pause())
 		if conn == nil {
 			var err error
+			generation = c.cluster.hosts[host].currentGeneration()
 			if conn, err = standin.Dial(c.cluster.hosts[host].entry, time.Second); err != nil {
 				conn = nil
 				continue
 			}
 		}
-		if !c.sendRequest(conn, host, fmt.Sprintf("%d-%d-%d", host, caller, n), n) {
+		if !c.sendRequest(conn, host, generation, requestID(host, name, n), n) {
 			conn.Close()
 			conn = nil
 		}
@@ -127,7 +171,7 @@
 
 // sendRequest sends one request and checks its response. It returns false if the
 // connection must not be reused.
-func (c *checker) sendRequest(conn *standin.Caller, host int, id string, n int) bool {
+func (c *checker) sendRequest(conn *standin.Caller, host, generation int, id string, n int) bool {
 	request := standin.Call{ID: id, Method: "GET", Path: "/search/1", Object: fmt.Sprint(n % 20), Timeout: callerTimeout}
 	if n%3 == 0 {
 		request.Method, request.Path, request.Body = "POST", "/book/1", strings.Repeat("a booking ", 1+n%2000)
@@ -136,9 +180,10 @@
 		c.mu.Unlock()
 	}
 	c.sent.Add(1)
+	sentAt := time.Now()
 	response, err := conn.Send(request, requestTimeout)
 	if err != nil {
-		c.recordDropped(host, id)
+		c.recordDropped(host, generation, id, sentAt, response.Status)
 		return false
 	}
 	c.checkResponse(id, response)
@@ -167,40 +212,13 @@
 	}
 }
 
-// expectVersion checks, in a goroutine, that hosts without a recent fault serve the route
-// of a new version within inForceLimit.
-func (c *checker) expectVersion(version int) {
-	since := time.Now()
-	go func() {
-		time.Sleep(inForceLimit)
-		for i, h := range c.cluster.hosts {
-			if !c.undisturbedSince(i, since) {
-				continue
-			}
-			c.cluster.mu.Lock()
-			isNewest := c.cluster.version == version
-			c.cluster.mu.Unlock()
-			if status := probeVersion(h.entry, version); isNewest && status == http.StatusNotFound && c.undisturbedSince(i, since) {
-				c.recordViolation("%s responds with 404 to the route of version %d, %v after the version was written", h.name, version, inForceLimit)
-			}
+// checkReady checks that all hosts are ready.
+func (c *checker) checkReady() {
+	for _, h := range c.cluster.hosts {
+		if !h.isReady() {
+			c.recordViolation("%s is not ready after the last fault", h.name)
 		}
-	}()
-}
-
-// probeVersion returns the response status of a request for the route of a version, or 0 if
-// there is no response.
-func probeVersion(addr string, version int) int {
-	conn, err := standin.Dial(addr, time.Second)
-	if err != nil {
-		return 0
-	}
-	defer conn.Close()
-	id := fmt.Sprint("probe-", version, "-", time.Now().UnixNano())
-	response, err := conn.Send(standin.Call{ID: id, Method: "GET", Path: fmt.Sprintf("/v%d/x", version), Timeout: callerTimeout}, requestTimeout)
-	if err != nil {
-		return 0
 	}
-	return response.Status
 }
 
 // checkExecutions compares the runs that targets counted with the responses that callers
--- a/tools/soak/cluster.go
+++ b/tools/soak/cluster.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -14,16 +16,20 @@
 	"quetzalknot/platform/standin"
 )
 
+// readyTimeout limits a readiness check.
+const readyTimeout = 500 * time.Millisecond
+
 // failureDomains are pairs of a failure domain and its region.
 var failureDomains = [][2]string{{"sv-hofn", "sudvestur"}, {"no-gler", "nordur"}, {"au-fjord", "austur"}}
 
 // host is one quetzald process with its own connection to the store.
 type host struct {
-	name string
-	// entry is the address on which the host serves callers, and settings the path of its
-	// settings file.
-	entry    string
-	settings string
+	name  string
+	index int
+	// entry is the address on which the host serves callers, ready that of its readiness check,
+	// and settings the path of its settings file.
+	entry, ready string
+	settings     string
 	// endpoint is the store's address for this host only, and storeProxy the proxy in
 	// front of it.
 	endpoint   *standin.Endpoint
@@ -31,29 +37,23 @@
 
 	mu      sync.Mutex
 	process *exec.Cmd
-	// started is set once the process has been started.
-	started bool
+	// generation counts the processes that were started.
+	generation int
 }
 
 // cluster holds the store, the hosts and the targets of a run.
 type cluster struct {
+	*operator
 	program string
 	folder  string
-	store   *standin.Store
 	hosts   []*host
 	targets []*standin.Target
 	// targetProxies are the proxies in front of the targets, in the same order.
 	targetProxies []*proxy
-	// version is the version of the newest desired state.
-	version int
-
-	mu sync.Mutex
-	// sequence is the sequence number of each target's last report, by target id.
-	sequence map[string]int
 }
 
 func newCluster(program, folder string, hosts, targets int) (*cluster, error) {
-	c := &cluster{program: program, folder: folder, store: standin.NewStore(), sequence: make(map[string]int)}
+	c := &cluster{operator: newOperator(standin.NewStore()), program: program, folder: folder}
 	c.publishNextState()
 	for i := range targets {
 		t, err := standin.NewTarget(fmt.Sprint("target-", i))
@@ -66,7 +66,7 @@
 			return c, err
 		}
 		c.targetProxies = append(c.targetProxies, targetProxy)
-		c.reportTarget(i, "ready")
+		c.setTargetState(i, targetReady)
 	}
 	for i := range hosts {
 		h, err := c.newHost(i)
@@ -74,33 +74,27 @@
 			return c, err
 		}
 		c.hosts = append(c.hosts, h)
-		if err := c.start(h); err != nil {
-			return c, err
-		}
 	}
 	return c, nil
 }
 
-// reportTarget writes a target's report with the given state to the store.
-func (c *cluster) reportTarget(i int, state string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	t := c.targets[i]
-	c.sequence[t.ID]++
-	c.store.PutTarget(t.ID, t.ReportWithAddr(c.targetProxies[i].addr(), "bokun", failureDomains[i%len(failureDomains)][0], state, c.sequence[t.ID]))
-}
+// States of targets. A target that is gone has no report.
+const (
+	targetReady    = "ready"
+	targetDraining = "draining"
+	targetGone     = ""
+)
 
-// coldRatePerSecond is the limit of requests a second for a cold target.
-const coldRatePerSecond = 50
-
-// publishNextState writes a new version of the desired state to the store and returns the
-// version. One of its routes contains the version in its prefix.
-func (c *cluster) publishNextState() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.version++
-	c.store.PutState(standin.DesiredState(c.version, coldRatePerSecond))
-	return c.version
+// setTargetState writes a target's report with the given state to the store.
+func (c *cluster) setTargetState(i int, state string) {
+	t := c.targets[i]
+	if state == targetGone {
+		c.reportTarget(t.ID, true, nil)
+		return
+	}
+	c.reportTarget(t.ID, state != targetReady, func(sequence int) string {
+		return t.ReportWithAddr(c.targetProxies[i].addr(), "bokun", failureDomains[i%len(failureDomains)][0], state, sequence)
+	})
 }
 
 func (c *cluster) newHost(i int) (*host, error) {
@@ -108,15 +102,18 @@
 	if err != nil {
 		return nil, err
 	}
-	h := &host{name: fmt.Sprint("front-", i), endpoint: c.store.NewEndpoint(), entry: fmt.Sprint("127.0.0.1:", ports[0])}
+	h := &host{
+		name: fmt.Sprint("front-", i), index: i, endpoint: c.store.NewEndpoint(),
+		entry: fmt.Sprint("127.0.0.1:", ports[0]), ready: fmt.Sprint("127.0.0.1:", ports[1]),
+	}
 	if h.storeProxy, err = newProxy(h.endpoint.Addr()); err != nil {
 		return nil, err
 	}
 	domain := failureDomains[i%len(failureDomains)]
 	text := fmt.Sprintf("[host]\nname = %q\nregion = %q\nfailure_domain = %q\nip = \"127.0.0.1\"\n"+
-		"[listen]\nentry = %q\nready = \"127.0.0.1:%d\"\ndirectory = \"127.0.0.1:%d\"\nfirst_peer_port = %d\nlast_peer_port = 65535\n"+
+		"[listen]\nentry = %q\nready = %q\ndirectory = \"127.0.0.1:%d\"\nfirst_peer_port = %d\nlast_peer_port = 65535\n"+
 		"[store]\naddress = %q\n[bounds]\ngrace = \"6s\"\nretry_ratio = 0.2\nretry_extra = 60.0\n[regions]\n",
-		h.name, domain[1], domain[0], h.entry, ports[1], ports[2], ports[3], h.storeProxy.addr())
+		h.name, domain[1], domain[0], h.entry, h.ready, ports[2], ports[3], h.storeProxy.addr())
 	for _, d := range failureDomains {
 		text += fmt.Sprintf("%q = %q\n", d[0], d[1])
 	}
@@ -124,8 +121,8 @@
 	return h, os.WriteFile(h.settings, []byte(text), 0o600)
 }
 
-// start starts a host's process. Its log is appended to a file next to the settings.
-func (c *cluster) start(h *host) error {
+// launch starts a host's process. Its log is appended to a file next to the settings.
+func (c *cluster) launch(h *host) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.process != nil {
@@ -142,10 +139,36 @@
 	if err := process.Start(); err != nil {
 		return errors.Wrap(err, "start a host")
 	}
-	h.process, h.started = process, true
+	h.process = process
+	h.generation++
 	return nil
 }
 
+// currentGeneration returns the number of the host's newest process, from 1.
+func (h *host) currentGeneration() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.generation
+}
+
+// isRunning reports whether the process of a generation has not been awaited yet.
+func (h *host) isRunning(generation int) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.process != nil && h.generation == generation
+}
+
+// isReady reports whether the host's readiness check succeeds.
+func (h *host) isReady() bool {
+	client := http.Client{Timeout: readyTimeout}
+	resp, err := client.Get("http://" + h.ready + "/-/readiness")
+	if err != nil {
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return resp.StatusCode == http.StatusOK
+}
+
 // signal sends a signal to the host's process, if it has one.
 func (h *host) signal(sig syscall.Signal) {
 	h.mu.Lock()
--- a/tools/soak/plan.go
+++ b/tools/soak/plan.go
@@ -3,9 +3,12 @@
 // to callers while it runs.
 //
 // plan.go generates the faults of a seed, proxy.go is a loopback proxy that delays, resets
-// or drops traffic, cluster.go starts and stops the processes, faults.go injects the faults,
-// checker.go sends requests and checks the responses and the targets' runs, and run.go
-// runs the complete test.
+// or drops traffic, cluster.go starts and stops the processes, operator.go writes the desired
+// states and the targets' reports, and copies.go keeps copies of the store. faults.go injects
+// the faults, with a file each for those of hosts, targets and the store. checker.go sends
+// requests and checks the responses and the targets' runs, versions.go checks the desired state
+// in force, and disturbances.go says since when a host is undisturbed. run.go runs the complete
+// test.
 package soak
 
 import (
@@ -42,6 +45,12 @@
 	TargetLinkReset    Kind = "way-reset"
 	TargetLinkOneWay   Kind = "way-one-way"
 	TargetLinkSilent   Kind = "way-silent"
+	// StoreRestored takes the store away for a moment; it comes back from an older copy.
+	StoreRestored Kind = "store-restored"
+	// StoreSilent makes the store leave calls unanswered, whose connections stay open.
+	StoreSilent Kind = "store-silent"
+	// TargetGone removes a target's report.
+	TargetGone Kind = "target-gone"
 )
 
 // kinds lists the types of faults. Its order decides which faults a seed generates.
@@ -49,6 +58,7 @@
 	KillHost, PauseHost, StopHost, ReloadHost, StoreError, StoreSlow, StoreLoseResponses, StoreCompact,
 	StoreLinkDelay, StoreLinkReset, StoreLinkOneWay, StoreLinkSilent, TargetMisbehaves, TargetSlow, TargetDrains, NewState,
 	PowerLoss, TargetLinkDelay, TargetLinkReset, TargetLinkOneWay, TargetLinkSilent,
+	StoreRestored, StoreRestored, StoreSilent, TargetGone,
 }
 
 // Fault is one fault of a plan.
@@ -66,8 +76,8 @@
 const (
 	// seriesCount is the number of series of faults that run concurrently.
 	seriesCount = 3
-	// A fault lasts for minDuration and up to faultRange more; the time between two faults
-	// of a series is minDuration and up to pauseRange more.
+	// A fault lasts for minDuration and up to faultRange more, but not beyond the plan; the time
+	// between two faults of a series is minDuration and up to pauseRange more.
 	faultRange  = 4 * time.Second
 	pauseRange  = 2 * time.Second
 	minDuration = 300 * time.Millisecond
@@ -78,21 +88,29 @@
 func Plan(seed uint64, length time.Duration) []Fault {
 	var plan []Fault
 	for series := range uint64(seriesCount) {
-		r := rand.New(rand.NewPCG(seed, series))
-		at := time.Duration(0)
-		for {
-			at += minDuration + time.Duration(r.Int64N(int64(pauseRange)))
-			f := Fault{
-				At: at, Duration: minDuration + time.Duration(r.Int64N(int64(faultRange))),
-				Kind: kinds[r.IntN(len(kinds))], Victim: r.IntN(1 << 20), Variant: r.IntN(1 << 20),
-			}
-			at += f.Duration
-			if at > length {
-				break
-			}
-			plan = append(plan, f)
-		}
+		plan = append(plan, planSeries(rand.New(rand.NewPCG(seed, series)), length)...)
 	}
 	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
+
+// planSeries returns the faults of a series.
+func planSeries(r *rand.Rand, length time.Duration) []Fault {
+	var plan []Fault
+	at := time.Duration(0)
+	for {
+		at += minDuration + rangeOf(r, pauseRange)
+		f := Fault{
+			At: at, Duration: minDuration + rangeOf(r, faultRange),
+			Kind: kinds[r.IntN(len(kinds))], Victim: r.IntN(1 << 20), Variant: r.IntN(1 << 20),
+		}
+		if at+minDuration > length {
+			return plan
+		}
+		f.Duration = min(f.Duration, length-at)
+		at += f.Duration
+		plan = append(plan, f)
+	}
+}
+
+func rangeOf(r *rand.Rand, d time.Duration) time.Duration { return time.Duration(r.Int64N(int64(d))) }
--- a/tools/soak/plan_test.go
+++ b/tools/soak/plan_test.go
@@ -22,7 +22,9 @@
 			seen[f.Kind] = true
 		}
 	}
-	if len(seen) != len(kinds) {
-		t.Errorf("50 seeds contain %d of %d types of faults", len(seen), len(kinds))
+	for _, kind := range kinds {
+		if !seen[kind] {
+			t.Errorf("50 seeds do not contain the fault %s", kind)
+		}
 	}
 }
--- a/tools/soak/run.go
+++ b/tools/soak/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"sync"
 	"time"
@@ -61,32 +62,67 @@
 		defer func() { _ = os.RemoveAll(folder) }()
 	}
 	c, err := newCluster(opts.Program, folder, opts.Hosts, opts.Targets)
+	in := newInjector(c)
+	defer in.starts.Wait()
 	defer c.close()
 	if err != nil {
 		return Result{}, err
 	}
-	in := &injector{cluster: c, checker: newChecker(c), reserved: make(map[int]bool), counts: make(map[Kind]int)}
+	background := in.startBackground(ctx)
+	in.startAll(ctx)
 	sleep(ctx, warmUpTime)
-	callCtx, stopCallers := context.WithCancel(ctx)
-	defer stopCallers()
-	var callers sync.WaitGroup
-	for h := range c.hosts {
-		for caller := range opts.Callers {
-			callers.Go(func() { in.checker.sendRequests(callCtx, h, caller) })
-		}
-	}
+	stopCallers := in.startCallers(ctx, opts)
 	injectPlan(ctx, in, Plan(opts.Seed, opts.FaultTime))
 	sleep(ctx, coolDownTime-recoveryTime)
 	sent, served := in.checker.sent.Load(), in.checker.served.Load()
 	sleep(ctx, recoveryTime)
 	recovered := float64(in.checker.served.Load()-served) / float64(max(1, in.checker.sent.Load()-sent))
 	stopCallers()
-	callers.Wait()
+	background()
+	in.checkEnd(ctx, recovered)
+	return in.result(recovered, folder), in.checker.harnessErr
+}
+
+// startBackground starts to take copies of the store. The returned function ends that.
+func (in *injector) startBackground(ctx context.Context) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	in.copies.add(time.Now(), in.store.Snapshot())
+	var loops sync.WaitGroup
+	loops.Go(func() { in.copies.take(ctx, in.store) })
+	return func() {
+		cancel()
+		loops.Wait()
+	}
+}
+
+// startCallers starts the callers of each host and the checks of the state in force. The returned function ends them.
+func (in *injector) startCallers(ctx context.Context, opts Options) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	var callers sync.WaitGroup
+	for i, h := range in.hosts {
+		for caller := range opts.Callers {
+			pause := func() time.Duration { return requestPause }
+			callers.Go(func() { in.checker.sendRequests(ctx, i, fmt.Sprint(caller), pause) })
+		}
+		monitor := &versionMonitor{checker: in.checker, host: h}
+		callers.Go(func() { monitor.run(ctx) })
+	}
+	return func() {
+		cancel()
+		callers.Wait()
+	}
+}
+
+// checkEnd checks what must hold after the last fault.
+func (in *injector) checkEnd(ctx context.Context, recovered float64) {
+	if ctx.Err() != nil {
+		return
+	}
 	in.checker.checkExecutions()
-	if recovered < minRecovered && ctx.Err() == nil {
+	in.checker.checkReady()
+	if recovered < minRecovered {
 		in.checker.recordViolation("only %.2f of the requests are served after the last fault", recovered)
 	}
-	return in.result(recovered, folder), in.checker.harnessErr
 }
 
 func injectPlan(ctx context.Context, in *injector, plan []Fault) {
