--- a/tools/cli/soak.go
+++ b/tools/cli/soak.go
@@ -20,6 +20,7 @@
 	Hosts   int           `default:"5" help:"Number of hosts, at least 2."`
 	Targets int           `default:"9" help:"Number of targets."`
 	Callers int           `default:"4" help:"Callers for each host."`
+	Large   bool          `help:"Run many hosts and targets, in place of the numbers above."`
 	Keep    bool          `help:"Leave the settings and logs of the hosts behind."`
 	Plan    bool          `help:"Print the faults of the seed and start nothing."`
 }
@@ -31,6 +32,9 @@
 	if c.Hosts < 2 || c.Targets < 1 {
 		return errors.Newf("%d hosts and %d targets are too few", c.Hosts, c.Targets)
 	}
+	if c.Large {
+		c.Hosts, c.Targets, c.Callers = soak.LargeHosts, soak.LargeTargets, soak.LargeCallers
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	violations := 0
--- a/tools/soak/checker.go
+++ b/tools/soak/checker.go
@@ -20,6 +20,8 @@
 	requestTimeout = 3 * time.Second
 	// callerTimeout is the deadline that callers send with a request.
 	callerTimeout = 2500 * time.Millisecond
+	// maxIdle limits the time for which an idle caller keeps its connection between requests.
+	maxIdle = 10 * time.Second
 	// deliveryMargin is the time that a request may spend on its way to a target.
 	deliveryMargin = 500 * time.Millisecond
 )
--- a/tools/soak/plan.go
+++ b/tools/soak/plan.go
@@ -81,6 +81,11 @@
 	faultRange  = 4 * time.Second
 	pauseRange  = 2 * time.Second
 	minDuration = 300 * time.Millisecond
+	// One fault in burstOdds is followed by up to maxBurst more, each up to burstRange after the
+	// one before it.
+	burstOdds  = 3
+	maxBurst   = 3
+	burstRange = 1500 * time.Millisecond
 )
 
 // Plan returns the faults of a seed in order of time. It is deterministic: the same seed
@@ -94,7 +99,7 @@
 	return plan
 }
 
-// planSeries returns the faults of a series.
+// planSeries returns the faults of a series, of which those of a burst overlap.
 func planSeries(r *rand.Rand, length time.Duration) []Fault {
 	var plan []Fault
 	at := time.Duration(0)
@@ -110,7 +115,29 @@
 		f.Duration = min(f.Duration, length-at)
 		at += f.Duration
 		plan = append(plan, f)
+		if r.IntN(burstOdds) == 0 {
+			plan = append(plan, planBurst(r, f, length)...)
+		}
+	}
+}
+
+// planBurst returns the faults that follow soon after a first one: the same fault again, or
+// another one of the same victim.
+func planBurst(r *rand.Rand, first Fault, length time.Duration) []Fault {
+	var burst []Fault
+	f := first
+	for range 1 + r.IntN(maxBurst) {
+		f.At += rangeOf(r, burstRange)
+		f.Variant = r.IntN(1 << 20)
+		if r.IntN(2) == 0 {
+			f.Kind = kinds[r.IntN(len(kinds))]
+		}
+		if f.At+minDuration <= length {
+			f.Duration = min(f.Duration, length-f.At)
+			burst = append(burst, f)
+		}
 	}
+	return burst
 }
 
 func rangeOf(r *rand.Rand, d time.Duration) time.Duration { return time.Duration(r.Int64N(int64(d))) }
--- a/tools/soak/plan_test.go
+++ b/tools/soak/plan_test.go
@@ -28,3 +28,29 @@
 		}
 	}
 }
+
+// TestPlanOverlapsFaults checks that 50 seeds contain the same fault twice within a burst, and
+// two restores of the store that overlap.
+func TestPlanOverlapsFaults(t *testing.T) {
+	const length = 20 * time.Second
+	repeated, restoresOverlap := 0, 0
+	for seed := range uint64(50) {
+		plan := Plan(seed, length)
+		for i, a := range plan {
+			if a.At+a.Duration > length {
+				t.Errorf("seed %d: fault %+v lasts longer than the plan", seed, a)
+			}
+			for _, b := range plan[i+1:] {
+				if a.Kind == b.Kind && a.Victim == b.Victim && b.At-a.At < burstRange {
+					repeated++
+				}
+				if a.Kind == StoreRestored && b.Kind == StoreRestored && b.At < a.At+a.Duration {
+					restoresOverlap++
+				}
+			}
+		}
+	}
+	if repeated == 0 || restoresOverlap == 0 {
+		t.Errorf("%d faults are repeated within %v, and %d restores overlap", repeated, burstRange, restoresOverlap)
+	}
+}
--- a/tools/soak/run.go
+++ b/tools/soak/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"sync"
 	"time"
@@ -22,6 +23,13 @@
 	Keep bool
 }
 
+// Sizes of a large run, in which each target and each caller is part of the soak's own process.
+const (
+	LargeHosts   = 36
+	LargeTargets = 300
+	LargeCallers = 2
+)
+
 // Result holds the counts and the violations of a run.
 type Result struct {
 	// Faults is the number of faults of each type, including process faults that were
@@ -95,13 +103,18 @@
 	}
 }
 
-// startCallers starts the callers of each host and the checks of the state in force. The returned function ends them.
+// startCallers starts the callers of each host, the last of which is mostly idle, and the
+// checks of the state in force. The returned function ends them.
 func (in *injector) startCallers(ctx context.Context, opts Options) (stop func()) {
 	ctx, cancel := context.WithCancel(ctx)
 	var callers sync.WaitGroup
 	for i, h := range in.hosts {
 		for caller := range opts.Callers {
 			pause := func() time.Duration { return requestPause }
+			if caller == opts.Callers-1 && caller > 0 {
+				r := rand.New(rand.NewPCG(opts.Seed, uint64(i)))
+				pause = func() time.Duration { return rangeOf(r, maxIdle) }
+			}
 			callers.Go(func() { in.checker.sendRequests(ctx, i, fmt.Sprint(caller), pause) })
 		}
 		monitor := &versionMonitor{checker: in.checker, host: h}
