--- a/tools/soak/checker.go
+++ b/tools/soak/checker.go
@@ -20,6 +20,9 @@
 	requestTimeout = 3 * time.Second
 	// callerTimeout is the deadline that callers send with a request.
 	callerTimeout = 2500 * time.Millisecond
+	// maxAttempts is the number of targets to which the routes allow an idempotent request to be
+	// sent.
+	maxAttempts = 2
 	// maxIdle limits the time for which an idle caller keeps its connection between requests.
 	maxIdle = 10 * time.Second
 	// deliveryMargin is the time that a request may spend on its way to a target.
@@ -39,10 +42,10 @@
 	violations []string
 	// harnessErr is the first error of the soak run itself.
 	harnessErr error
-	// reportedNotRun are requests whose caller was told that they did not run, and
-	// nonIdempotent those with an unsafe method, which must not run twice.
+	// reportedNotRun are requests whose caller was told that they did not run.
 	reportedNotRun map[string]bool
-	nonIdempotent  map[string]bool
+	// maxRuns are the numbers of times that requests may run.
+	maxRuns map[string]int
 	// departed are the departures of targets, by host, that were violated already.
 	departed map[string]bool
 	// stopping are the hosts that are shutting down after SIGTERM.
@@ -57,7 +60,7 @@
 func newChecker(c *cluster) *checker {
 	checker := &checker{
 		cluster: c, processes: newDisturbances(len(c.hosts)), states: newDisturbances(len(c.hosts)),
-		reportedNotRun: make(map[string]bool), nonIdempotent: make(map[string]bool), stopping: make(map[int]bool),
+		reportedNotRun: make(map[string]bool), maxRuns: make(map[string]int), stopping: make(map[int]bool),
 		departed: make(map[string]bool),
 	}
 	for _, t := range c.targets {
@@ -175,12 +178,14 @@
 // connection must not be reused.
 func (c *checker) sendRequest(conn *standin.Caller, host, generation int, id string, n int) bool {
 	request := standin.Call{ID: id, Method: "GET", Path: "/search/1", Object: fmt.Sprint(n % 20), Timeout: callerTimeout}
+	maxRuns := maxAttempts
 	if n%3 == 0 {
 		request.Method, request.Path, request.Body = "POST", "/book/1", strings.Repeat("a booking ", 1+n%2000)
-		c.mu.Lock()
-		c.nonIdempotent[id] = true
-		c.mu.Unlock()
+		maxRuns = 1
 	}
+	c.mu.Lock()
+	c.maxRuns[id] = maxRuns
+	c.mu.Unlock()
 	c.sent.Add(1)
 	sentAt := time.Now()
 	response, err := conn.Send(request, requestTimeout)
@@ -233,13 +238,13 @@
 			}
 		}
 	}
-	for id := range c.nonIdempotent {
+	for id, maxRuns := range c.maxRuns {
 		runs := 0
 		for _, t := range c.cluster.targets {
 			runs += t.RunsOf(id)
 		}
-		if runs > 1 {
-			c.recordViolation("request %s ran %d times", id, runs)
+		if runs > maxRuns {
+			c.recordViolation("request %s ran %d times, at most %d are allowed", id, runs, maxRuns)
 		}
 		if runs > 0 && c.reportedNotRun[id] {
 			c.recordViolation("request %s was reported as not run, but ran", id)
--- a/tools/soak/checks_test.go
+++ b/tools/soak/checks_test.go
@@ -255,3 +255,48 @@
 		t.Errorf("violations %q, want one of %q", c.violations, want)
 	}
 }
+
+func TestCheckExecutions(t *testing.T) {
+	target, err := standin.NewTarget("i-0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(target.Close)
+	c := newFakeCluster(t, new(fakeHost))
+	c.targets = []*standin.Target{target}
+	c.reportTarget("i-0", false, func(int) string { return "{}" })
+	checker := newChecker(c)
+	for id, runs := range map[string]int{"0-1-once": 1, "0-1-twice": 2, "0-2-twice": 2, "0-2-thrice": 3} {
+		for range runs {
+			run(t, target, id)
+		}
+	}
+	checker.maxRuns = map[string]int{"0-1-once": 1, "0-2-twice": maxAttempts}
+	checker.checkExecutions()
+	expectViolation(t, checker, "")
+	for id, maxRuns := range map[string]int{"0-1-twice": 1, "0-2-thrice": maxAttempts} {
+		checker.violations, checker.maxRuns = nil, map[string]int{id: maxRuns}
+		checker.checkExecutions()
+		expectViolation(t, checker, "request "+id+" ran")
+	}
+	checker.violations, checker.maxRuns = nil, map[string]int{"0-2-twice": maxAttempts}
+	checker.reportedNotRun["0-2-twice"] = true
+	checker.checkExecutions()
+	expectViolation(t, checker, "reported as not run")
+}
+
+// run makes a target run a request.
+func run(t *testing.T, target *standin.Target, id string) {
+	t.Helper()
+	request, err := http.NewRequest(http.MethodGet, "http://"+target.Addr()+"/", http.NoBody)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Request-Identifier", id)
+	request.Header.Set("Expected-Instance", target.ID)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+}
