--- a/tools/soak/pipelined.go
+++ b/tools/soak/pipelined.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"time"
 
 	"quetzalknot/platform/standin"
 )
@@ -33,6 +34,8 @@
 	host, caller int
 	random       *rand.Rand
 	conn         *standin.Caller
+	// generation is that of the process to which conn leads.
+	generation int
 	// unread are requests that the host has not read, since they were behind a response that
 	// closed the connection. They are sent again.
 	unread []standin.Call
@@ -53,6 +56,7 @@
 // sendGroup sends one group of requests and checks the responses.
 func (p *pipelinedCaller) sendGroup() {
 	if p.conn == nil {
+		p.generation = p.cluster.hosts[p.host].currentGeneration()
 		conn, err := standin.Dial(p.cluster.hosts[p.host].entry, dialTimeout)
 		if err != nil {
 			return
@@ -60,6 +64,7 @@
 		p.conn = conn
 	}
 	group := p.nextGroup()
+	sentAt := time.Now()
 	responses, err := p.conn.SendPipelined(group, requestTimeout)
 	closes := false
 	for i, response := range responses {
@@ -71,7 +76,7 @@
 	switch {
 	case err != nil:
 		for _, call := range rest {
-			p.recordDropped(p.host, call.ID)
+			p.recordDropped(p.host, p.generation, call.ID, sentAt, 0)
 		}
 		p.disconnect()
 	case closes:
@@ -86,7 +91,7 @@
 	group := p.unread
 	p.unread = nil
 	for size := 1 + p.random.IntN(maxPipelined); len(group) < size; p.count++ {
-		group = append(group, p.newCall(fmt.Sprintf("%d-%d-%d", p.host, p.caller, p.count), p.random.IntN(maxBookings)))
+		group = append(group, p.newCall(requestID(p.host, fmt.Sprint(p.caller), p.count), p.random.IntN(maxBookings)))
 	}
 	return group
 }
--- a/tools/soak/run.go
+++ b/tools/soak/run.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
 	"os"
 	"sync"
 	"time"
@@ -21,6 +23,13 @@
 	Keep bool
 }
 
+// Sizes of a large run, in which each target and each caller is part of the soak's own process.
+const (
+	LargeHosts   = 36
+	LargeTargets = 300
+	LargeCallers = 2
+)
+
 // Result holds the counts and the violations of a run.
 type Result struct {
 	// Faults is the number of faults of each type, including process faults that were
@@ -64,36 +73,77 @@
 		defer func() { _ = os.RemoveAll(folder) }()
 	}
 	c, err := newCluster(opts.Program, folder, opts.Hosts, opts.Targets)
+	in := newInjector(c)
+	defer in.starts.Wait()
 	defer c.close()
 	if err != nil {
 		return Result{}, err
 	}
-	in := &injector{cluster: c, checker: newChecker(c), reserved: make(map[int]bool), counts: make(map[Kind]int)}
+	background := in.startBackground(ctx)
+	in.startAll(ctx)
 	sleep(ctx, warmUpTime)
-	callCtx, stopCallers := context.WithCancel(ctx)
-	defer stopCallers()
-	var callers sync.WaitGroup
-	for h := range c.hosts {
-		for caller := range opts.Callers {
-			if isPipelined(opts.Seed, h, caller) {
-				callers.Go(func() { in.checker.sendPipelined(callCtx, opts.Seed, h, caller) })
-				continue
-			}
-			callers.Go(func() { in.checker.sendRequests(callCtx, h, caller) })
-		}
-	}
+	stopCallers := in.startCallers(ctx, opts)
 	injectPlan(ctx, in, Plan(opts.Seed, opts.FaultTime))
 	sleep(ctx, coolDownTime-recoveryTime)
 	sent, served := in.checker.sent.Load(), in.checker.served.Load()
 	sleep(ctx, recoveryTime)
 	recovered := float64(in.checker.served.Load()-served) / float64(max(1, in.checker.sent.Load()-sent))
 	stopCallers()
-	callers.Wait()
-	in.checker.finish()
-	if recovered < minRecovered && ctx.Err() == nil {
+	background()
+	in.checkEnd(ctx, recovered)
+	return in.result(recovered, folder), in.checker.harnessErr
+}
+
+// startBackground starts to take copies of the store. The returned function ends that.
+func (in *injector) startBackground(ctx context.Context) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	in.copies.add(time.Now(), in.store.Snapshot())
+	var loops sync.WaitGroup
+	loops.Go(func() { in.copies.take(ctx, in.store) })
+	return func() {
+		cancel()
+		loops.Wait()
+	}
+}
+
+// startCallers starts the callers of each host, the last of which is mostly idle, and the
+// checks of the state in force. The returned function ends them.
+func (in *injector) startCallers(ctx context.Context, opts Options) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	var callers sync.WaitGroup
+	for i, h := range in.hosts {
+		for caller := range opts.Callers {
+			pause := func() time.Duration { return requestPause }
+			idle := caller == opts.Callers-1 && caller > 0
+			if idle {
+				r := rand.New(rand.NewPCG(opts.Seed, uint64(i)))
+				pause = func() time.Duration { return rangeOf(r, maxIdle) }
+			}
+			if !idle && isPipelined(opts.Seed, i, caller) {
+				callers.Go(func() { in.checker.sendPipelined(ctx, opts.Seed, i, caller) })
+				continue
+			}
+			callers.Go(func() { in.checker.sendRequests(ctx, i, fmt.Sprint(caller), pause) })
+		}
+		monitor := &versionMonitor{checker: in.checker, host: h}
+		callers.Go(func() { monitor.run(ctx) })
+	}
+	return func() {
+		cancel()
+		callers.Wait()
+	}
+}
+
+// checkEnd checks what must hold after the last fault.
+func (in *injector) checkEnd(ctx context.Context, recovered float64) {
+	if ctx.Err() != nil {
+		return
+	}
+	in.checker.checkExecutions()
+	in.checker.checkReady()
+	if recovered < minRecovered {
 		in.checker.recordViolation("only %.2f of the requests are served after the last fault", recovered)
 	}
-	return in.result(recovered, folder), in.checker.harnessErr
 }
 
 func injectPlan(ctx context.Context, in *injector, plan []Fault) {
