Client: a look-up is not ended by the first host that does not know the service

What callers saw: a look-up failed with status 404 although another API host knew the service, and a cached answer was thrown away with it. Cause: client/cache.go ended the look-up at the first 404. A host counts as up to date with a state of up to 15 s of age, so another one may know a service that was just added. Why this works: the other API hosts are asked after a 404 too, each once. If none knows the service, the failure is 404 even when some are down or not up to date: the host that said 404 is up to date, and silence does not contradict it.

--- a/client/cache.go
+++ b/client/cache.go
@@ -94,6 +94,9 @@
 	return entry.answer, nil
 }
 
+// refresh asks the API hosts in turn until one answers. A host that does not know the service
+// may only lack its newest version, so the others are asked too; if none of them knows the
+// service either, the failure has status 404 even when some did not respond.
 func (c *cache) refresh(ctx context.Context, service string) (lookup.Answer, error) {
 	start := int(c.nextAPI.Add(1))
 	failure := &LookupError{Service: service, Err: errors.New("no API host answered")}
@@ -105,8 +108,10 @@
 			c.storeAnswer(service, answer)
 			return answer, nil
 		}
-		failure = err
-		if err.Status == http.StatusNotFound || err.Status == http.StatusBadRequest {
+		if failure.Status != http.StatusNotFound {
+			failure = err
+		}
+		if err.Status == http.StatusBadRequest {
 			break
 		}
 	}
--- a/client/errors.go
+++ b/client/errors.go
@@ -51,12 +51,13 @@
 // Unwrap returns the cause of the last failure.
 func (e *Error) Unwrap() error { return e.Err }
 
-// LookupError reports a failed look-up: every API host failed, one rejected the look-up,
-// or the caller's context ended first.
+// LookupError reports a failed look-up: no API host knew the service, every one failed, one
+// rejected the look-up, or the caller's context ended first.
 type LookupError struct {
 	Service string
-	// Status is the HTTP status of the last API host that was tried, or 0 when that
-	// host sent no valid response.
+	// Status is 404 when an API host that is up to date does not know the service and no
+	// other one does. Else it is the HTTP status of the last API host that was tried, or 0
+	// when that host sent no valid response.
 	Status int
 	Err    error
 }
