Unknown services are not denied by a host that is not up to date

Cause: forward.parseRequest and the resolver did not ask whether the configuration is up to date. Why this works: both get UpToDate and answer 503 with Retry-After while it is false. The configuration is looked at again after the question, so that a 404 is said by a state that includes all that was confirmed; a service in the configuration that the look-up view lacks yet gets 503, too. Known services are answered as before. A look-up of a batch has another error text.

--- a/host.go
+++ b/host.go
@@ -93,7 +93,8 @@
 	})
 	h.resolver = resolver.New(resolver.Options{
 		Settings: s, Objects: opts.Platform.Objects, Config: config, Members: members, Client: clients, Sites: h.sites,
-		Keys: gateway.Keys{Claims: s.Claims}, HasAllTickets: h.replica.Engine().Complete, Metrics: h.metrics, Log: h.log,
+		Keys: gateway.Keys{Claims: s.Claims}, HasAllTickets: h.replica.Engine().Complete, UpToDate: h.replica.UpToDate,
+		Metrics: h.metrics, Log: h.log,
 	})
 	h.gateway = gateway.New(gateway.Options{
 		Settings: s, Table: opts.Platform.Table, Config: config, Members: members, Client: clients,
--- a/request/forward/forward.go
+++ b/request/forward/forward.go
@@ -29,6 +29,7 @@
 	"quetzalknot/request/claim"
 	"quetzalknot/request/trace"
 	"quetzalknot/verdict"
+	"quetzalknot/version/config"
 	"quetzalknot/version/state"
 )
 
@@ -71,6 +72,8 @@
 	Recorder *trace.Recorder
 	// Leaving reports whether this host is about to stop. Default: false.
 	Leaving func() bool
+	// UpToDate reports whether the configuration is known to be the newest. Default: true.
+	UpToDate func() bool
 }
 
 func (o *Options) applyDefaults() {
@@ -86,6 +89,9 @@
 	if o.Leaving == nil {
 		o.Leaving = func() bool { return false }
 	}
+	if o.UpToDate == nil {
+		o.UpToDate = func() bool { return true }
+	}
 }
 
 // Handler forwards callers' requests. It is an http.Handler.
@@ -189,11 +195,9 @@
 		err := errors.Newf("request header has %d bytes; at most %d are allowed", n, h.opts.Limits.HeaderBytes)
 		return nil, nil, &refusal{http.StatusRequestHeaderFieldsTooLarge, err}
 	}
-	snap := h.config.Load()
-	name := request.ServiceName(r)
-	svc := snap.Services[name]
-	if svc == nil {
-		return nil, nil, &refusal{http.StatusNotFound, errors.Newf("service %q is unknown", name)}
+	snap, svc, refused := h.findService(request.ServiceName(r))
+	if refused != nil {
+		return nil, nil, refused
 	}
 	info, err := request.Parse(r, svc, now)
 	if err != nil {
@@ -202,6 +206,24 @@
 	return info, snap, nil
 }
 
+// findService returns the service with a name and the configuration that has it. A service
+// that this host does not know may have been added while the configuration is not up to
+// date; the refusal is status 404 only if it is.
+func (h *Handler) findService(name string) (*state.Snapshot, *config.Service, *refusal) {
+	if snap := h.config.Load(); snap.Services[name] != nil {
+		return snap, snap.Services[name], nil
+	}
+	if !h.opts.UpToDate() {
+		err := errors.Newf("service %q is unknown, and the configuration is not up to date", name)
+		return nil, nil, &refusal{http.StatusServiceUnavailable, err}
+	}
+	snap := h.config.Load() // again: a configuration from before UpToDate may be an older one
+	if snap.Services[name] == nil {
+		return nil, nil, &refusal{http.StatusNotFound, errors.Newf("service %q is unknown", name)}
+	}
+	return snap, snap.Services[name], nil
+}
+
 func headerBytes(r *http.Request) int {
 	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
 	for name, values := range r.Header {
--- a/request/forward/status.go
+++ b/request/forward/status.go
@@ -13,8 +13,11 @@
 	"quetzalknot/verdict"
 )
 
-// refuse responds to a request that no target ran.
+// refuse responds to a request that no target ran. Status 503 has a Retry-After.
 func refuse(w http.ResponseWriter, status int, err error) {
+	if status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", retryAfter(err))
+	}
 	writeFailure(w, status, verdict.NotRun, err)
 }
 
--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -97,6 +97,7 @@
 		Limits: opts.Settings.Limits, Host: opts.Settings.Host.Name, Owners: g, Claims: g.claims,
 		Quarantine: g.quarantine, PushMarks: g.replicator.Push, Recorder: g.recorder,
 		Leaving: func() bool { return opts.Members.Self().Leaving }, OwnsSuspects: g.ownsSuspects,
+		UpToDate: opts.UpToDate,
 	})
 	return g
 }
--- a/version/resolver/handlers.go
+++ b/version/resolver/handlers.go
@@ -84,8 +84,7 @@
 	view := l.view.Load()
 	answer, queryErr := l.answer(view, q)
 	if queryErr != nil {
-		l.opts.Metrics.Counter("lookup.refused_calls").Add(1)
-		httpapi.WriteError(w, queryErr.status, queryErr.err)
+		l.refuse(w, queryErr)
 		return
 	}
 	tag := `"` + view.TagText() + "." + l.opts.Keys.Period() + `"`
@@ -98,6 +97,26 @@
 	httpapi.WriteJSON(w, http.StatusOK, answer)
 }
 
+// refuse responds to a look-up that cannot be answered. Status 503 has a Retry-After.
+func (l *Resolver) refuse(w http.ResponseWriter, q *queryError) {
+	l.opts.Metrics.Counter("lookup.refused_calls").Add(1)
+	if q.status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", "1")
+	}
+	httpapi.WriteError(w, q.status, q.err)
+}
+
+// unknownService returns the error for a service that the view lacks. The service may have
+// been added while the configuration is not up to date or newer than the view; the status
+// is 404 only if neither is so.
+func (l *Resolver) unknownService(name string) *queryError {
+	if !l.opts.UpToDate() || l.opts.Config.Load().Services[name] != nil {
+		err := errors.Newf("service = %q: not known on this host, whose state is not up to date", name)
+		return &queryError{status: http.StatusServiceUnavailable, err: err}
+	}
+	return &queryError{status: http.StatusNotFound, err: errors.Newf("service = %q: no such service", name)}
+}
+
 // answer returns the answer to one look-up from a view.
 func (l *Resolver) answer(view *lookup.View, q LookupQuery) (*lookup.Answer, *queryError) {
 	switch {
@@ -106,7 +125,7 @@
 	case len(q.Caller) > maxNameBytes:
 		return nil, badQuery("caller", truncate(q.Caller), "a name of at most 200 bytes")
 	case !view.HasService(q.Service):
-		return nil, &queryError{status: http.StatusNotFound, err: errors.Newf("service = %q: no such service", q.Service)}
+		return nil, l.unknownService(q.Service)
 	}
 	client, err := netip.ParseAddr(q.Client)
 	if err != nil || client.Zone() != "" {
--- a/version/resolver/handlers_test.go
+++ b/version/resolver/handlers_test.go
@@ -31,7 +31,7 @@
 	s := &settings.Settings{Host: settings.Host{Name: "h1", Region: "a", FailureDomain: "a-1"}, Lookup: settings.Lookup{PerCaller: perCaller}}
 	l := New(Options{
 		Settings: s, Config: new(state.Holder), Members: membership.New(), Keys: noKeys{},
-		HasAllTickets: func() bool { return false }, Metrics: metrics.NewSet(), Log: zerolog.Nop(),
+		HasAllTickets: func() bool { return false }, UpToDate: func() bool { return true }, Metrics: metrics.NewSet(), Log: zerolog.Nop(),
 	})
 	l.view.Store(versionView(t, 1))
 	l.unreadyReason = func() string { return "" }
@@ -194,3 +194,22 @@
 		}
 	}
 }
+
+// TestUnknownServiceOnStaleHostReturnsUnavailable sends look-ups of an unknown service to a
+// host that is not up to date. It must respond with 503, since the service may have been
+// added, and go on to answer for the services that it knows.
+func TestUnknownServiceOnStaleHostReturnsUnavailable(t *testing.T) {
+	l := newTestResolver(t, 1000)
+	l.opts.UpToDate = func() bool { return false }
+	w := send(l, "GET", "/v1/lookup?service=rota&client=10.0.0.1", "")
+	if w.Code != http.StatusServiceUnavailable || w.Header().Get("Retry-After") == "" {
+		t.Errorf("unknown service: got %d %s", w.Code, w.Body)
+	}
+	if w = send(l, "GET", "/v1/lookup?service=bokun&client=10.0.0.1", ""); w.Code != http.StatusOK {
+		t.Errorf("known service: got %d %s", w.Code, w.Body)
+	}
+	w = send(l, "POST", "/v1/lookups", `{"lookups":[{"service":"rota","client":"10.0.0.1"}]}`)
+	if strings.Contains(w.Body.String(), "no such service") {
+		t.Errorf("unknown service in a batch: got %s", w.Body)
+	}
+}
--- a/version/resolver/resolver.go
+++ b/version/resolver/resolver.go
@@ -60,8 +60,10 @@
 	Keys     Keys
 	// HasAllTickets reports whether this host has all tickets that had been accepted when it started.
 	HasAllTickets func() bool
-	Metrics       *metrics.Set
-	Log           zerolog.Logger
+	// UpToDate reports whether this host's configuration is known to be the newest.
+	UpToDate func() bool
+	Metrics  *metrics.Set
+	Log      zerolog.Logger
 }
 
 // Resolver serves look-ups. It is safe for concurrent use.
@@ -161,10 +163,11 @@
 const tableGracePeriod = 30 * time.Second
 
 // notLoadedReason returns why this host cannot answer look-ups yet, or "". A host that has not
-// loaded the state must not report a service as unknown, nor send callers to distant
-// regions while its block table is being loaded. A host that has not discovered the others
-// must not name itself alone, since callers cache the answer and need another host when
-// the first fails.
+// loaded the state must not answer, nor send callers to distant regions while its block
+// table is being loaded. A host that has not discovered the others must not name itself
+// alone, since callers cache the answer and need another host when the first fails. A host
+// whose state is no longer up to date answers for the services that it knows; see
+// unknownService for the others.
 func (l *Resolver) notLoadedReason() string {
 	switch {
 	case !l.discovered.Load():
