Leases: a host that is cut off from the others does not renew its own

A host that is cut off from all others but reads the table service used its shares of links although the others had taken them over. Cause: the host considers all others dead after a while and then counted as the only one, so that each read of the table service renewed its lease. Why this works: a host without a reachable member reads the member rows with each poll and renews its lease only if the rows of all others have expired, which those of running hosts do not. The lease counts from the start of the poll. TestLastHostRenewsLeaseOnceRowsHaveExpired checks that a host that really is alone gets it.

--- a/process/membership/rows.go
+++ b/process/membership/rows.go
@@ -89,10 +89,10 @@
 	return errors.Wrap(err, "write own member row")
 }
 
-// Changed reads a page of the rows written after a revision and returns the members
-// whose rows have not expired, and the revision to continue from. It deletes rows
+// Changed reads a page of the rows written after a revision and returns those that have
+// not expired, and the revision to continue from. It deletes rows
 // that expired more than expiredRowRetention ago.
-func (r *Rows) Changed(ctx context.Context, after int64, limit int, now time.Time) (members []Member, next int64, more bool, err error) {
+func (r *Rows) Changed(ctx context.Context, after int64, limit int, now time.Time) (rows []Row, next int64, more bool, err error) {
 	page, err := r.table.Changes(ctx, hostPrefix, after, limit)
 	if err != nil {
 		return nil, after, false, errors.Wrap(err, "read member rows")
@@ -104,7 +104,7 @@
 			continue // cannot be decoded; the process replaces it at its next renewal
 		}
 		if row.LeaseUntil.After(now) {
-			members = append(members, row.Member)
+			rows = append(rows, row)
 			continue
 		}
 		if now.Sub(row.LeaseUntil) > expiredRowRetention && deleted < maxDeletesPerRead {
@@ -114,5 +114,5 @@
 			_, _ = r.table.Commit(ctx, []platform.Condition{condition}, []platform.Write{{Key: stored.Key, Delete: true}})
 		}
 	}
-	return members, page.Next, page.More, nil
+	return rows, page.Next, page.More, nil
 }
--- a/version/spread/poller.go
+++ b/version/spread/poller.go
@@ -61,7 +61,9 @@
 	// The fields below are used only by Run.
 
 	// memberCursor is the table revision up to which the member rows have been read.
-	memberCursor  int64
+	memberCursor int64
+	// othersUntil is when the member row of each other host expires, as read last.
+	othersUntil   map[string]time.Time
 	polls         int
 	storeDown     bool
 	renewAt       time.Time
@@ -77,7 +79,10 @@
 	retryBackoff := backoff.NewExponentialBackOff()
 	retryBackoff.InitialInterval = pollInterval
 	retryBackoff.MaxInterval = maxStoreBackoff
-	return &Poller{Sources: sources, engine: e, tickets: t, state: s, limiter: rate.NewLimiter(readsPerSecond, readsPerSecond), retryBackoff: retryBackoff}
+	return &Poller{
+		Sources: sources, engine: e, tickets: t, state: s, othersUntil: make(map[string]time.Time),
+		limiter: rate.NewLimiter(readsPerSecond, readsPerSecond), retryBackoff: retryBackoff,
+	}
 }
 
 // Run loads the state and then polls, whenever this host is one of the pollers, until
@@ -126,15 +131,20 @@
 	if !p.isPoller() {
 		return nil
 	}
+	began := time.Now()
 	if err := p.poll(ctx); err != nil {
 		return err
 	}
 	p.polls++
-	if p.polls%memberReadPolls == 1 || p.confirmsAlone(time.Now()) {
+	unconnected := len(p.engine.Members.Reachable()) == 0
+	if p.polls%memberReadPolls == 1 || unconnected || p.confirmsAlone(time.Now()) {
 		if err := p.readMembers(ctx); err != nil {
 			return err
 		}
 	}
+	if unconnected {
+		p.renewLeaseIfAlone(began)
+	}
 	p.writeSnapshotIfDue(ctx)
 	return nil
 }
@@ -211,7 +221,6 @@
 		}
 		if !page.More {
 			p.engine.RecordRead(began, page.Next)
-			p.renewLeaseIfAlone(began)
 			return nil
 		}
 		p.engine.watermark.advance(time.Time{}, page.Next)
@@ -225,9 +234,15 @@
 	return p.Store.Page(ctx, p.engine.Revision(), pageRows)
 }
 
-// renewLeaseIfAlone renews the lease of a host that has no other reachable member to
-// confirm it.
+// renewLeaseIfAlone renews the lease of a host that has no other member to confirm it. A
+// host that cannot reach the others is not alone: the others may consider it dead. So it
+// renews the lease only once the rows of all other members have expired.
 func (p *Poller) renewLeaseIfAlone(began time.Time) {
+	for _, until := range p.othersUntil {
+		if until.After(began) {
+			return
+		}
+	}
 	if len(p.engine.Members.Reachable()) == 0 {
 		p.engine.Members.Lease().Renew(began)
 	}
@@ -242,17 +257,12 @@
 		}
 		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 		p.engine.Metrics.Counter("spread.store_reads_total").Add(1)
-		members, next, more, err := p.Rows.Changed(callCtx, p.memberCursor, pageRows, time.Now())
+		rows, next, more, err := p.Rows.Changed(callCtx, p.memberCursor, pageRows, time.Now())
 		cancel()
 		if err != nil {
 			return err
 		}
-		self := p.engine.Members.Self()
-		for _, m := range members {
-			if m.Host != self.Host || m.Incarnation > self.Incarnation {
-				p.engine.Members.MergeRow(m)
-			}
-		}
+		p.mergeRows(rows)
 		p.memberCursor = next
 		if !more {
 			p.engine.Members.Discovery().RowsRead(began)
@@ -261,6 +271,19 @@
 	}
 }
 
+// mergeRows adds members from their rows and notes when the rows of other hosts expire.
+func (p *Poller) mergeRows(rows []membership.Row) {
+	self := p.engine.Members.Self()
+	for _, row := range rows {
+		if row.Host != self.Host {
+			p.othersUntil[row.Host] = row.LeaseUntil
+		}
+		if row.Host != self.Host || row.Incarnation > self.Incarnation {
+			p.engine.Members.MergeRow(row.Member)
+		}
+	}
+}
+
 // renewRow writes the member row of this process when its renewal is due or when its
 // Leaving flag has changed.
 func (p *Poller) renewRow(ctx context.Context) {
