Requests: no status 413 by a limit of a state that is not confirmed

A host that is not up to date refused a body with 413, a final status, though a newer state may have raised the limit. Cause: readBody did not ask whether the configuration is up to date. Why this works: while UpToDate is false the refusal is 503, as that of a request without a route is, so that the caller may retry.

--- a/request/serve/serve.go
+++ b/request/serve/serve.go
@@ -184,7 +184,7 @@
 		return true
 	}
 	if limit := q.config.Limits.BodyBytes; limit > 0 && q.r.ContentLength > limit {
-		return q.refuse(http.StatusRequestEntityTooLarge, errors.Newf("request body has %d bytes; at most %d are allowed", q.r.ContentLength, limit))
+		return q.refuseBody(limit)
 	}
 	if q.r.ContentLength > maxBufferedBody {
 		q.streamed = true
@@ -201,6 +201,16 @@
 	return true
 }
 
+// refuseBody refuses a body above the limit, in bytes. The limit may have been raised while
+// the configuration is not up to date; the caller may retry then. It always returns false.
+func (q *request) refuseBody(limit int64) bool {
+	status := http.StatusRequestEntityTooLarge
+	if !q.h.UpToDate() {
+		status = http.StatusServiceUnavailable
+	}
+	return q.refuse(status, errors.Newf("request body has %d bytes; at most %d are allowed", q.r.ContentLength, limit))
+}
+
 // bodyFailed ends a request whose body could not be read. It always returns false.
 func (q *request) bodyFailed(err error) bool {
 	switch {
