Targets: only the report in a restored copy is doubted, and a held target with a report stays

A live target could be lost: its report expired while the store was away, the restored store had an older one, which was ignored and did not end the hold, and after 2 s the target was removed; its own report, written again with the same sequence, was then refused as that of a target that had left. Such a refusal also needed no restore.

TestLiveTargetReturnsWithCopyOfOlderReport failed before, both checks. TestOldReportOfDepartedTarget asks the same of the copy's report, and now also that a later one counts.

--- a/entry/apply.go
+++ b/entry/apply.go
@@ -102,5 +102,9 @@
 		h.fleet.Discard(r.Key, now)
 		return
 	}
+	if restored {
+		h.fleet.UpsertRestored(e, now)
+		return
+	}
 	h.fleet.Upsert(e, now)
 }
--- a/process/fleet/departed.go
+++ b/process/fleet/departed.go
@@ -33,10 +33,11 @@
 	}
 }
 
-// contains reports whether a report is not newer than the last one of a removed target.
-func (d departures) contains(e Entry) bool {
+// contains reports whether a report is not newer than the last one of a target that was removed
+// within departureRetention.
+func (d departures) contains(e Entry, now time.Time) bool {
 	last, ok := d[e.ID]
-	return ok && (e.Born < last.born || (e.Born == last.born && e.Sequence <= last.sequence))
+	return ok && now.Sub(last.at) <= departureRetention && (e.Born < last.born || (e.Born == last.born && e.Sequence <= last.sequence))
 }
 
 // expire removes the reports that were kept for departureRetention.
--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -67,17 +67,35 @@
 }
 
 // Upsert adds or updates a target from its report. A report older than the known one is
-// ignored, and so is one of a removed target that is not newer than its last one.
+// ignored.
 func (f *Fleet) Upsert(e Entry, now time.Time) {
 	f.Lock()
 	defer f.Unlock()
+	f.upsert(e, now)
+}
+
+// UpsertRestored is Upsert for a report from a store that was restored from a copy. A report of a
+// removed target that is not newer than its last one is ignored.
+func (f *Fleet) UpsertRestored(e Entry, now time.Time) {
+	f.Lock()
+	defer f.Unlock()
+	if f.targets[e.ID] == nil && f.departed.contains(e, now) {
+		evStale.Log(f.log).Str("target", e.ID).Int64("sequence", e.Sequence).Bool("departed", true).Send()
+		return
+	}
+	f.upsert(e, now)
+}
+
+// upsert is Upsert; the lock must be held.
+func (f *Fleet) upsert(e Entry, now time.Time) {
 	t := f.targets[e.ID]
 	switch {
-	case t == nil && f.departed.contains(e):
-		evStale.Log(f.log).Str("target", e.ID).Int64("sequence", e.Sequence).Bool("departed", true).Send()
 	case t == nil || e.Born > t.Born:
 		f.replace(e, now)
-	case e.Born < t.Born || e.Sequence < t.Sequence:
+	case e.Born == t.Born && e.Sequence < t.Sequence:
+		t.removeAt = time.Time{} // the target has a report, if an older one
+		fallthrough
+	case e.Born < t.Born:
 		evStale.Log(f.log).Str("target", e.ID).Int64("sequence", e.Sequence).Int64("known", t.Sequence).Send()
 	default:
 		f.update(t, e, now)
