Mirror: records of an unknown or earlier era do not count once the era is known

Beside hosts of an earlier release, which state no era, the old meaning of a number could win again: a delta without era was merged by revision, and tables taken from such a host blocked the first read of the restored store for good (the era was taken over without the data). Records of an unknown era are now refused once the era is known; a table of unknown era enters the store's era with a full read. A read that is refused counts as a failed call, so that the host does not call itself up to date on it.

--- a/entry/apply.go
+++ b/entry/apply.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"quetzalknot/platform/adapter"
@@ -22,8 +23,12 @@
 // operators have written again by then.
 const missingReportHold = 2 * time.Second
 
-// apply applies records read from the store or pulled from a partner.
-func (h *Host) apply(d mirror.Delta) {
+// errRefused reports that the store gave records of an earlier era than the known ones.
+var errRefused = errors.New("the store's records are of an earlier era")
+
+// apply applies records read from the store or pulled from a partner. It returns false if they are
+// of an era that does not count.
+func (h *Host) apply(d mirror.Delta) bool {
 	h.applyMu.Lock()
 	defer h.applyMu.Unlock()
 	now := time.Now()
@@ -40,6 +45,7 @@
 		}
 		h.applyOperator(r, now, change.Restored)
 	}
+	return !change.Refused
 }
 
 func (h *Host) applyOperator(r mirror.Record, now time.Time, restored bool) {
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -92,7 +92,9 @@
 		return err
 	}
 	evTableRead.Log(h.log).Str("table", table).Uint64("revision", delta.UpTo).Int("records", len(delta.Records)).Send()
-	h.apply(delta)
+	if !h.apply(delta) {
+		return errRefused
+	}
 	h.storeSucceeded(table)
 	return nil
 }
@@ -106,7 +108,9 @@
 		return err
 	}
 	h.storeStatus.recordDelay(table, time.Since(started)-wait)
-	h.apply(delta)
+	if !h.apply(delta) {
+		return errRefused
+	}
 	h.storeSucceeded(table)
 	if len(delta.Records) > 0 {
 		h.group.NotifyNonReaders(ctx)
--- a/process/mirror/mirror.go
+++ b/process/mirror/mirror.go
@@ -109,21 +109,26 @@
 	// Restored is true if the delta started a later era, so that Records are the differences
 	// between what was known and the restored store.
 	Restored bool
+	// Refused is true if the delta is of an earlier or unknown era, or of a later one without
+	// being a snapshot.
+	Refused bool
 }
 
 // Apply merges a delta and returns what changed. Newer records in the mirror stay, and a
-// snapshot older than the mirror is ignored. Of a later era only a snapshot is accepted.
+// snapshot older than the mirror is ignored. Of a later era only a snapshot is accepted, and
+// nothing of an unknown era once the table's era is known.
 func (m *Mirror) Apply(d Delta) Change {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	t := m.table(d.Table)
-	if t.era != 0 && d.Era != 0 && d.Era != t.era {
-		if d.Era < t.era || !d.Whole {
-			return Change{}
-		}
+	switch {
+	case t.upTo == 0 && len(t.records) == 0:
+		t.era = d.Era
+	case d.Era < t.era || (d.Era > t.era && !d.Whole):
+		return Change{Refused: true}
+	case d.Era > t.era:
 		return Change{Records: t.enterEra(d), Restored: true}
 	}
-	t.era = max(t.era, d.Era)
 	return Change{Records: t.merge(d)}
 }
 
