--- a/entry/apply.go
+++ b/entry/apply.go
@@ -37,6 +37,7 @@
 		evStoreRestored.Log(h.log).Str("table", d.Table).Uint64("era", d.Era).Uint64("revision", d.UpTo).
 			Int("changed", len(change.Records)).Send()
 		h.announceAgain()
+		h.restartHolds(now)
 	}
 	for _, r := range change.Records {
 		if d.Table == adapter.TargetTable {
@@ -80,6 +81,15 @@
 	h.fleet.SetEvacuated(domain, !r.Removed, now)
 }
 
+// restartHolds lets what is held stay for the full time from now, since the store was restored once
+// more and what it lacks is written again only after that. applyMu must be held.
+func (h *Host) restartHolds(now time.Time) {
+	for domain := range h.evacuationHolds {
+		h.evacuationHolds[domain] = now.Add(missingReportHold)
+	}
+	h.fleet.RestartHolds(now, missingReportHold)
+}
+
 // endHeldEvacuations ends the evacuations whose hold has expired.
 func (h *Host) endHeldEvacuations(now time.Time) {
 	h.applyMu.Lock()
--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -193,6 +193,17 @@
 	f.byService[t.Service] = kept
 }
 
+// RestartHolds keeps the targets that are held for a time from now.
+func (f *Fleet) RestartHolds(now time.Time, hold time.Duration) {
+	f.Lock()
+	defer f.Unlock()
+	for _, t := range f.targets {
+		if !t.removeAt.IsZero() {
+			t.removeAt = now.Add(hold)
+		}
+	}
+}
+
 // RemoveExpired removes the targets whose hold has ended.
 func (f *Fleet) RemoveExpired(now time.Time) {
 	f.Lock()
