Mirror: a copy without rows starts an era too

What could happen: a store restored from a copy without rows of a table, after which records of the era before come back from a partner that has not noticed, and count. Cause: a table without records and position counted as one that had never been read, so that it took the era of whatever came next. TestEmptyCopyKeepsEra failed before (a record of era 1 was taken in era 2). Why this works: only a table whose era is not known takes the era of what comes; the era of an empty copy is known.

--- a/process/mirror/mirror.go
+++ b/process/mirror/mirror.go
@@ -122,7 +122,7 @@
 	defer m.mu.Unlock()
 	t := m.table(d.Table)
 	switch {
-	case t.upTo == 0 && len(t.records) == 0:
+	case t.era == 0 && t.upTo == 0 && len(t.records) == 0:
 		t.era = d.Era
 	case d.Era < t.era || (d.Era > t.era && !d.Whole):
 		return Change{Refused: true}
