Mirror: a replica whose era is not known lacks what a partner of a known era has

What could happen: in a fleet of two releases, a host that took its tables over from a host of the earlier release (which states no era) refused all changes of partners that know the era, and called itself up to date by comparing numbers of two eras. Cause: an unknown era was taken for the other's era, whichever side did not know it. A partner that states no era is compared by revision as before, so that a host that is behind it reads the store itself.

--- a/process/mirror/mirror.go
+++ b/process/mirror/mirror.go
@@ -31,17 +31,17 @@
 	Removed bool
 }
 
-// Position is a point in the history of a table. Positions are ordered by era, then by
-// revision. Era 0 is unknown and is taken to be the era of the other position.
+// Position is the point in the history of a table up to which a replica is complete. Era 0 is
+// unknown.
 type Position struct{ Era, Revision uint64 }
 
-// Compare returns a negative number if p is before q, zero if they are equal, and a positive
-// number if p is after q.
-func (p Position) Compare(q Position) int {
-	if p.Era == 0 || q.Era == 0 {
-		return cmp.Compare(p.Revision, q.Revision)
+// Lacks reports whether a replica at p may lack records that a replica at q has. A replica whose
+// own era is unknown lacks those of a known one. If only q's era is unknown, it is taken to be p's.
+func (p Position) Lacks(q Position) bool {
+	if q.Era == 0 || p.Era == q.Era {
+		return p.Revision < q.Revision
 	}
-	return cmp.Or(cmp.Compare(p.Era, q.Era), cmp.Compare(p.Revision, q.Revision))
+	return p.Era < q.Era
 }
 
 // Delta is a set of records of one table, to be applied to a replica.
@@ -234,14 +234,14 @@
 }
 
 // DeltaSince returns the records that a replica at the given position lacks: newer records,
-// or a snapshot if the replica is empty or of an earlier era, or if tombstones that it needs
-// were pruned.
+// or a snapshot if the replica is empty or of an earlier or unknown era, or if tombstones that it
+// needs were pruned.
 func (m *Mirror) DeltaSince(name string, after Position) Delta {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	t := m.table(name)
 	revision := after.Revision
-	if after.Era != 0 && after.Era < t.era {
+	if after.Era < t.era {
 		revision = 0
 	}
 	d := Delta{Table: name, Era: t.era, UpTo: t.upTo, Whole: revision < t.prunedUpTo || revision == 0}
--- a/process/partner/pull.go
+++ b/process/partner/pull.go
@@ -19,7 +19,7 @@
 	}
 	for _, name := range g.opts.Tables {
 		own := g.opts.Mirror.Position(name)
-		if h.position(name).Compare(own) <= 0 || !g.startPull(name) {
+		if !own.Lacks(h.position(name)) || !g.startPull(name) {
 			continue
 		}
 		go g.pullTable(h.From, name, own)
@@ -48,7 +48,7 @@
 	if g.opts.StoreStatus().Reachable {
 		time.Sleep(pullDelay)
 	}
-	if g.opts.Mirror.Position(name).Compare(own) > 0 {
+	if own.Lacks(g.opts.Mirror.Position(name)) {
 		return
 	}
 	g.pullDelta(from, name, own)
--- a/process/partner/readers.go
+++ b/process/partner/readers.go
@@ -68,7 +68,7 @@
 // hasAll reports whether this host's copy of each table is complete up to its position.
 func (g *Group) hasAll(positions []mirror.Position) bool {
 	for i, name := range g.opts.Tables {
-		if g.opts.Mirror.Position(name).Compare(positions[i]) < 0 {
+		if g.opts.Mirror.Position(name).Lacks(positions[i]) {
 			return false
 		}
 	}
