Store: a host's row is written again if it was written in an era before the store's

What could happen: the row of a host that starts was lost with a restored copy when the restore came between the write of the row and the host's first read of a table: nobody discovered the host until its next start. Cause: the row was written again only when a table that the host had read came back in a later era. Why this works: the answer to the write states the era; each delta, and the write itself, compares the latest known era with it.

--- a/entry/apply.go
+++ b/entry/apply.go
@@ -33,10 +33,10 @@
 	defer h.applyMu.Unlock()
 	now := time.Now()
 	change := h.mirror.Apply(d)
+	h.checkRow(h.storeEra())
 	if change.Restored {
 		evStoreRestored.Log(h.log).Str("table", d.Table).Uint64("era", d.Era).Uint64("revision", d.UpTo).
 			Int("changed", len(change.Records)).Send()
-		h.announceAgain()
 		h.restartHolds(now)
 	}
 	for _, r := range change.Records {
--- a/entry/discover.go
+++ b/entry/discover.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"quetzalknot/platform/adapter"
 )
 
 const (
@@ -45,12 +47,31 @@
 	if h.leaving.Load() || h.announced.Load() {
 		return true
 	}
-	h.announced.Store(h.store.Announce(ctx, h.self) == nil)
-	return h.announced.Load()
+	era, err := h.store.Announce(ctx, h.self)
+	if err != nil {
+		return false
+	}
+	h.rowEra.Store(era)
+	h.announced.Store(true)
+	h.checkRow(h.storeEra())
+	return true
+}
+
+// storeEra returns the latest era of the store that this host knows of.
+func (h *Host) storeEra() uint64 {
+	era := uint64(0)
+	for _, name := range adapter.Tables() {
+		era = max(era, h.mirror.Position(name).Era)
+	}
+	return era
 }
 
-// announceAgain makes discoverHosts write this host's row again, since the store may have lost it.
-func (h *Host) announceAgain() {
+// checkRow makes discoverHosts write this host's row again if it was written in an era before the
+// given one: the store may have lost it.
+func (h *Host) checkRow(era uint64) {
+	if !h.announced.Load() || era <= h.rowEra.Load() {
+		return
+	}
 	select {
 	case h.rowLost <- struct{}{}:
 	default:
--- a/entry/host.go
+++ b/entry/host.go
@@ -91,8 +91,9 @@
 
 	rate    peakRate
 	leaving atomic.Bool
-	// announced is true once this host's row is written.
+	// announced is true once this host's row is written, in the store's era rowEra.
 	announced atomic.Bool
+	rowEra    atomic.Uint64
 	// rowLost receives a value when this host's row may be lost and must be written again.
 	rowLost chan struct{}
 	// lastUnreadyReason is the reason that logReadiness logged last: why the host was not ready,
--- a/entry/load.go
+++ b/entry/load.go
@@ -39,7 +39,7 @@
 	announcing := make(chan struct{})
 	go func() {
 		defer close(announcing)
-		h.announced.Store(h.store.Announce(ctx, h.self) == nil)
+		h.announce(ctx)
 	}()
 	defer func() { <-announcing }()
 	domain := h.readDomain(ctx)
