Entry test: the moment of a claim is taken before the question

TestStateNotConfirmedBeyondTheBound failed once in the whole package with -race beside other work (load 22 on 8 cores): a host that reads the store itself was 2.5 s after its last answer, over the bound by less than the rounding of 10 ms. The test took the time after the question, so that a pause of its own between the two counted as the host's. The host compares the age at the question with the bound. Taken before the question, the time is at most that of the host's comparison: a claim beyond the bound is still found 5 ms later. The bound is the same.

--- a/entry/claim_age_test.go
+++ b/entry/claim_age_test.go
@@ -32,8 +32,8 @@
 	lastClaim := make([]time.Time, hosts)
 	for end := time.Now().Add(9 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
 		for i, h := range c.hosts {
-			if h.stateConfirmed() {
-				lastClaim[i] = time.Now()
+			if asked := time.Now(); h.stateConfirmed() {
+				lastClaim[i] = asked
 			}
 		}
 	}
