Hosts: a state older than a partner's is not confirmed

What callers could see: status 404 for a route that had been acknowledged, from a host that started on a restored store (or was cut off from the others meanwhile): it knew only the copy and took it for confirmed, while its partners had the newer state in force. Cause: what the store says was taken for all that was acknowledged; a restored store may have lost it. Why this works: heartbeats carry the version of the desired state in force, which the operator counts, not the store. A host whose own is older does not take it for confirmed and answers 503 until the operator has written again. It waits up to 2 s after its start to hear of a partner, unless the store lists none.

--- a/entry/discover.go
+++ b/entry/discover.go
@@ -29,7 +29,7 @@
 		members, err := h.store.Hosts(ctx)
 		hostsRead = hostsRead || err == nil
 		if err == nil {
-			h.group.AddMembers(members)
+			h.group.AddListedMembers(members)
 		}
 		if err != nil || !announced {
 			pause(ctx, backoff/2+rand.N(backoff))
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -162,10 +162,24 @@
 func (h *Host) upToDate() bool { return h.storeStatus.ok() || h.group.FollowsStore(time.Now()) }
 
 // stateConfirmed reports whether the store has confirmed this host's state within the bound for
-// changes, in a response to this host or to a partner whose changes this host has.
+// changes, in a response to this host or to a partner whose changes this host has. A state that is
+// older than a partner's is not confirmed: a restored store may lack the newer one.
 func (h *Host) stateConfirmed() bool {
-	age, ok := h.confirmedAge(time.Now())
-	return ok && age <= time.Duration(h.settings.Load().Bounds.Change)
+	now := time.Now()
+	age, ok := h.confirmedAge(now)
+	if !ok || age > time.Duration(h.settings.Load().Bounds.Change) {
+		return false
+	}
+	return h.group.Introduced(now) && h.stateVersion() >= h.group.StateVersion()
+}
+
+// stateVersion returns the version of the desired state in force; 0 means none.
+func (h *Host) stateVersion() uint64 {
+	c := h.config.Load()
+	if c == nil {
+		return 0
+	}
+	return c.Version
 }
 
 // confirmedAge returns the time since the store last confirmed this host's state. ok is false if
--- a/entry/host.go
+++ b/entry/host.go
@@ -129,7 +129,7 @@
 	h.peers = peer.NewServer(nil)
 	h.group = partner.New(partner.Options{
 		Self: h.self, Tables: adapter.Tables(), Mirror: h.mirror, Apply: func(d mirror.Delta) { h.apply(d) }, Crashes: h.crashes,
-		RequestRate: h.rate.perSecond, StoreStatus: h.ownStoreStatus, Client: h.clients, Metrics: h.metrics, Log: h.log, Now: time.Now,
+		RequestRate: h.rate.perSecond, StoreStatus: h.ownStoreStatus, StateVersion: h.stateVersion, Client: h.clients, Metrics: h.metrics, Log: h.log, Now: time.Now,
 	})
 	h.fleet = fleet.New(h.log, h.group.Owns)
 	h.chooser = place.New(h.fleet, place.Options{
--- a/process/partner/message.go
+++ b/process/partner/message.go
@@ -24,6 +24,9 @@
 	// Age is the time since the store last answered a Fresh sender, for the table for which that
 	// is longest ago. Earlier releases send none.
 	Age time.Duration
+	// StateVersion is the version of the desired state that the sender has in force; 0 means none.
+	// Earlier releases send none.
+	StateVersion uint64
 }
 
 // StoreStatus is the store's status as this host's own calls show it: Reachable when this host
--- a/process/partner/partner.go
+++ b/process/partner/partner.go
@@ -45,6 +45,8 @@
 	// aliveTimeout is how long after its last heartbeat or reply a partner counts as
 	// alive.
 	aliveTimeout = 3200 * time.Millisecond
+	// introductionTime is how long a starting host waits to hear what its partners know.
+	introductionTime = 2 * time.Second
 	// nearPartners and farPartners bound the partners in this host's region and in each
 	// other region.
 	nearPartners, farPartners = 12, 3
@@ -79,10 +81,13 @@
 	RequestRate func() float64
 	// StoreStatus returns the store's status as this host's own calls show it.
 	StoreStatus func() StoreStatus
-	Client      peer.RPCClient
-	Metrics     *metrics.Set
-	Log         zerolog.Logger
-	Now         func() time.Time
+	// StateVersion returns the version of the desired state in force on this host, which partners
+	// are told; 0 means none. May be nil.
+	StateVersion func() uint64
+	Client       peer.RPCClient
+	Metrics      *metrics.Set
+	Log          zerolog.Logger
+	Now          func() time.Time
 }
 
 // Group is the set of known hosts. It is safe for concurrent use.
@@ -104,6 +109,11 @@
 	// without failures.
 	nearReaderAt time.Time
 	startedAt    time.Time
+	// stateVersion is the latest version of the desired state that a partner had in force.
+	stateVersion uint64
+	// heard is true once a heartbeat or reply of another host has arrived, and listed once all
+	// members that the store lists were added.
+	heard, listed bool
 	// hasMembers is true once the members were taken over from another host.
 	hasMembers bool
 	snapshot   snapshotCache
@@ -146,6 +156,14 @@
 	}
 }
 
+// AddListedMembers is AddMembers for all members that the store lists.
+func (g *Group) AddListedMembers(members []Member) {
+	g.AddMembers(members)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.listed = true
+}
+
 // addMember adds a member, or replaces an older incarnation of it. It returns nil for this
 // host itself and for an incarnation older than the known one. The lock must be held.
 func (g *Group) addMember(m Member, now time.Time) *memberState {
@@ -171,7 +189,9 @@
 	g.mu.Lock()
 	s := g.addMember(h.From, now)
 	if s != nil {
+		g.heard = true
 		s.requestRate = h.Rate
+		g.stateVersion = max(g.stateVersion, h.StateVersion)
 		g.recordStoreStatus(s, h, now)
 		g.markSeen(s, h.Leaving, now)
 	}
--- a/process/partner/readers.go
+++ b/process/partner/readers.go
@@ -65,6 +65,23 @@
 	return age, ok
 }
 
+// StateVersion returns the latest version of the desired state that a partner has reported to have in
+// force; 0 if none has.
+func (g *Group) StateVersion() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.stateVersion
+}
+
+// Introduced reports whether this host knows what its partners know: one has told it, there is
+// none, or none has answered within introductionTime of the start.
+func (g *Group) Introduced(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	alone := g.listed && len(g.members) == 0
+	return g.heard || alone || now.Sub(g.startedAt) >= introductionTime
+}
+
 // hasAll reports whether this host's copy of each table is complete up to its position.
 func (g *Group) hasAll(positions []mirror.Position) bool {
 	for i, name := range g.opts.Tables {
