Store: one that answers some calls late is slow, not unavailable

Cause: each quick response, also one that came early because of a change, made the next call wait for the full time, and a call that ran into its limit was never measured as late. Why this works: for 10 s after a late response, or a failed call, calls for changes of all tables ask for a short wait and leave the rest of their limit for the way. A response that came with changes says nothing of the delay.

--- a/entry/follow.go
+++ b/entry/follow.go
@@ -95,7 +95,7 @@
 	if !h.apply(delta) {
 		return errRefused
 	}
-	h.storeSucceeded(table)
+	h.storeSucceeded(table, time.Now())
 	return nil
 }
 
@@ -107,11 +107,14 @@
 	if err != nil {
 		return err
 	}
-	h.storeStatus.recordDelay(table, time.Since(started)-wait)
+	arrived := time.Now()
+	if len(delta.Records) == 0 {
+		h.storeStatus.recordDelay(arrived.Sub(started)-wait, arrived)
+	}
 	if !h.apply(delta) {
 		return errRefused
 	}
-	h.storeSucceeded(table)
+	h.storeSucceeded(table, arrived)
 	if len(delta.Records) > 0 {
 		h.group.NotifyNonReaders(ctx)
 	}
@@ -121,7 +124,7 @@
 // pollTimes returns how long the store may keep the next call for changes of a table open, and
 // how much longer the call may take.
 func (h *Host) pollTimes(table string) (wait, margin time.Duration) {
-	if !h.storeStatus.polls(table) {
+	if !h.storeStatus.polls(table, time.Now()) {
 		return recoveryPollWait, recoveryPollMargin
 	}
 	bound := float64(h.settings.Load().Bounds.Change)
@@ -207,8 +210,9 @@
 	return h.group.SinceReader(now)
 }
 
-func (h *Host) storeSucceeded(table string) {
-	change := h.storeStatus.recordSuccess(table, time.Now())
+// storeSucceeded handles a call for a table that the store answered at the given time.
+func (h *Host) storeSucceeded(table string, answered time.Time) {
+	change := h.storeStatus.recordSuccess(table, answered)
 	if change.ReadsStore {
 		evReaderChanged.Log(h.log).Bool("reads", true).Send()
 	}
--- a/entry/storestatus.go
+++ b/entry/storestatus.go
@@ -11,13 +11,19 @@
 // mean that the store lost the report, so that the target is not dropped at once.
 const storeFailureWindow = 3 * time.Second
 
-// slowResponse is the delay from which a response counts as late.
-const slowResponse = 250 * time.Millisecond
+// slowResponse is the delay from which a response counts as late, and slowMemory how long the store
+// counts as slow after one.
+const (
+	slowResponse = 250 * time.Millisecond
+	slowMemory   = 10 * time.Second
+)
 
 // storeStatus records for each mirrored table whether this host's calls to the store succeed.
 type storeStatus struct {
 	mu     sync.Mutex
 	tables map[string]*tableStatus
+	// slowAt is when a response last came late, or a call last failed.
+	slowAt time.Time
 	// reads is true from the first time that all tables were answered until stopReading.
 	reads bool
 }
@@ -28,12 +34,11 @@
 	answered bool
 	// down is true if the last call failed.
 	down bool
-	// answeredAt and failedAt are when a call was last answered and when one last failed.
+	// answeredAt is when the store last answered, which is before the answer arrived, and failedAt
+	// when a call last failed.
 	answeredAt, failedAt time.Time
 	// readingSince is when this host made its first call since it began to read the table.
 	readingSince time.Time
-	// slow is true if the last response came late.
-	slow bool
 }
 
 // statusChange says what a successful call has changed.
@@ -61,20 +66,23 @@
 	}
 }
 
-// recordDelay records by how much a response came later than the wait that it was asked for.
-func (s *storeStatus) recordDelay(table string, delay time.Duration) {
+// recordDelay records by how much a response without changes came later than the wait that it was
+// asked for.
+func (s *storeStatus) recordDelay(delay time.Duration, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.tables[table].slow = delay > slowResponse
+	if delay > slowResponse {
+		s.slowAt = now
+	}
 }
 
-// recordSuccess records a call for a table that was answered.
-func (s *storeStatus) recordSuccess(table string, now time.Time) statusChange {
+// recordSuccess records a call for a table that the store answered at the given time.
+func (s *storeStatus) recordSuccess(table string, answered time.Time) statusChange {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.tables[table]
 	change := statusChange{Regained: t.down}
-	t.answered, t.down, t.answeredAt = true, false, now
+	t.answered, t.down, t.answeredAt = true, false, answered
 	change.ReadsStore = !s.reads && s.allOK()
 	s.reads = s.reads || change.ReadsStore
 	return change
@@ -88,6 +96,7 @@
 	t := s.tables[table]
 	wasUp := !t.down
 	t.down, t.failedAt = true, now
+	s.slowAt = now // the response may have been on the way
 	return wasUp
 }
 
@@ -133,12 +142,12 @@
 }
 
 // polls reports whether the next call for a table may wait for changes for the full time: the
-// last one was answered, and in time.
-func (s *storeStatus) polls(table string) bool {
+// last one was answered, and within slowMemory no call for any table failed or was answered late.
+func (s *storeStatus) polls(table string, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t := s.tables[table]
-	return t.ok() && !t.slow
+	slow := !s.slowAt.IsZero() && now.Sub(s.slowAt) < slowMemory
+	return s.tables[table].ok() && !slow
 }
 
 // ok reports whether this host reads all tables and its last call for each succeeded.
