Store: an answer confirms the state as of when it was made, not when it arrived

Cause: the age of the state counted from the arrival of the answer. TestReadConfirmsFromItsStart failed before (counts from 602 ms after its start). Why this works: a full read counts from its start; a call for changes counts from its arrival less the delay that was last measured, at the earliest from its start.

--- a/entry/follow.go
+++ b/entry/follow.go
@@ -86,7 +86,8 @@
 }
 
 func (h *Host) readTable(ctx context.Context, table string) error {
-	h.storeStatus.recordCall(table, time.Now())
+	started := time.Now()
+	h.storeStatus.recordCall(table, started)
 	delta, err := h.store.Read(ctx, table)
 	if err != nil {
 		return err
@@ -95,7 +96,7 @@
 	if !h.apply(delta) {
 		return errRefused
 	}
-	h.storeSucceeded(table, time.Now())
+	h.storeSucceeded(table, started)
 	return nil
 }
 
@@ -109,18 +110,26 @@
 	}
 	arrived := time.Now()
 	if len(delta.Records) == 0 {
-		h.storeStatus.recordDelay(arrived.Sub(started)-wait, arrived)
+		h.storeStatus.recordDelay(table, arrived.Sub(started)-wait, arrived)
 	}
 	if !h.apply(delta) {
 		return errRefused
 	}
-	h.storeSucceeded(table, arrived)
+	h.storeSucceeded(table, latest(started, arrived.Add(-h.storeStatus.delay(table))))
 	if len(delta.Records) > 0 {
 		h.group.NotifyNonReaders(ctx)
 	}
 	return nil
 }
 
+// latest returns the later of two times.
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // pollTimes returns how long the store may keep the next call for changes of a table open, and
 // how much longer the call may take.
 func (h *Host) pollTimes(table string) (wait, margin time.Duration) {
--- a/entry/late_answer_test.go
+++ b/entry/late_answer_test.go
@@ -9,11 +9,13 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"quetzalknot/platform/standin"
 )
 
-// startBehind starts a host whose calls to the store pass through a proxy that holds each answer back
-// for the time that delay returns. The other hosts of the cluster are closed.
-func (c *cluster) startBehind(name string, delay func(*http.Response) time.Duration) *Host {
+// newBehind returns a host whose calls to the store pass through a proxy that holds each answer back
+// for the time that delay returns.
+func (c *cluster) newBehind(name string, delay func(*http.Response) time.Duration) *Host {
 	c.t.Helper()
 	store, err := url.Parse("http://" + c.endpoints[0].Addr())
 	if err != nil {
@@ -30,10 +32,16 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	for _, h := range c.hosts {
-		h.close()
+	return New(settings, "", c.logs)
+}
+
+// startBehind starts such a host in place of the hosts of the cluster, which are closed.
+func (c *cluster) startBehind(name string, delay func(*http.Response) time.Duration) *Host {
+	c.t.Helper()
+	h := c.newBehind(name, delay)
+	for _, other := range c.hosts {
+		other.close()
 	}
-	h := New(settings, "", c.logs)
 	if err := h.Start(c.t.Context()); err != nil {
 		c.t.Fatal(err)
 	}
@@ -42,6 +50,30 @@
 	return h
 }
 
+// TestLateAnswerDoesNotConfirmTooLong: an answer that was long on the way confirms the state as of
+// when it was made.
+func TestLateAnswerDoesNotConfirmTooLong(t *testing.T) {
+	const onTheWay = 1200 * time.Millisecond
+	c := newCluster(t, 1, 1)
+	h := c.startBehind("front-far", func(*http.Response) time.Duration { return onTheWay })
+	time.Sleep(6 * time.Second)
+	worst := time.Duration(0)
+	for version := 10; version < 20; version++ {
+		c.store.PutState(standin.DesiredState(version, coldPerSecond))
+		acknowledged := time.Now()
+		for h.stateVersion() < uint64(version) && time.Since(acknowledged) < 8*time.Second {
+			if asked := time.Now(); h.stateConfirmed() {
+				worst = max(worst, asked.Sub(acknowledged))
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+		time.Sleep(time.Duration(version) * 331 * time.Millisecond % time.Second)
+	}
+	if worst > changeBound {
+		t.Errorf("a host took its state as confirmed %v after a newer one was acknowledged; at most %v are allowed", worst, changeBound)
+	}
+}
+
 // TestUnevenStoreIsNotUnavailable: a store that answers every call, some at once and some late, is slow,
 // not unavailable.
 func TestUnevenStoreIsNotUnavailable(t *testing.T) {
@@ -68,3 +100,17 @@
 		t.Errorf("a store that answers each call was lost %d times in 15 s", losses)
 	}
 }
+
+// TestReadConfirmsFromItsStart: what a full read says is as old as the call may have taken.
+func TestReadConfirmsFromItsStart(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	const onTheWay = 600 * time.Millisecond
+	h := c.newBehind("front-far", func(*http.Response) time.Duration { return onTheWay })
+	started := time.Now()
+	if err := h.readTable(t.Context(), "op"); err != nil {
+		t.Fatal(err)
+	}
+	if answered := h.storeStatus.tables["op"].answeredAt; answered.Sub(started) > onTheWay/2 {
+		t.Errorf("an answer of a read counts from %v after its start, though it was %v on the way", answered.Sub(started), onTheWay)
+	}
+}
