Partners: the age that a heartbeat states counts from when it may have been sent

What callers could see: an unknown route denied by a state that is older than the bound by the time that a heartbeat was on the way. Cause: the age of a partner's answer counted from the arrival of its heartbeat. Evidence: TestStateNotConfirmedBeyondTheBound failed once in the whole package and once more with -race beside other work, then at five of six hosts, by less than the rounding of 10 ms; a host that reads the store goes by its partners' reports, too. Why this works: 100 ms, more than the links between regions take, are added to what a heartbeat states.

--- a/process/partner/partner.go
+++ b/process/partner/partner.go
@@ -45,6 +45,9 @@
 	// aliveTimeout is how long after its last heartbeat or reply a partner counts as
 	// alive.
 	aliveTimeout = 3200 * time.Millisecond
+	// heartbeatDelay is how long a heartbeat may have been on the way, which adds to what it says
+	// of the age of the store's answers.
+	heartbeatDelay = 100 * time.Millisecond
 	// introductionTime is how long a starting host waits to hear what its partners know.
 	introductionTime = 2 * time.Second
 	// nearPartners and farPartners bound the partners in this host's region and in each
--- a/process/partner/readers.go
+++ b/process/partner/readers.go
@@ -58,7 +58,7 @@
 		if s.readAt.IsZero() || now.Sub(s.readAt) >= readerTimeout || !g.hasAll(s.readPositions) {
 			continue
 		}
-		if reported := now.Sub(s.readAt) + s.readAge; !ok || reported < age {
+		if reported := now.Sub(s.readAt) + s.readAge + heartbeatDelay; !ok || reported < age {
 			age, ok = reported, true
 		}
 	}
