--- a/entry/follow.go
+++ b/entry/follow.go
@@ -30,9 +30,11 @@
 	// the calls to a store whose responses are slow.
 	recoveryPollWait   = 200 * time.Millisecond
 	recoveryPollMargin = 1500 * time.Millisecond
-	// feedPause is the pause between two calls for the changes of a table. It lets changes
-	// in quick succession share one call.
-	feedPause = 900 * time.Millisecond
+	// feedPause is the longest pause between two calls for the changes of a table. It lets changes
+	// in quick succession share one call. feedPauseSpread is by how much a pause may be shorter, so
+	// that the readers' calls do not stay in step.
+	feedPause       = 900 * time.Millisecond
+	feedPauseSpread = 300 * time.Millisecond
 	// minBackoff and maxBackoff bound the exponential backoff after failed calls.
 	minBackoff = 150 * time.Millisecond
 	maxBackoff = 1200 * time.Millisecond
@@ -81,12 +83,13 @@
 			continue
 		}
 		fullRead, backoff = false, minBackoff
-		pause(ctx, feedPause)
+		pause(ctx, feedPause-rand.N(feedPauseSpread))
 	}
 }
 
 func (h *Host) readTable(ctx context.Context, table string) error {
-	h.storeStatus.recordCall(table, time.Now())
+	started := time.Now()
+	h.storeStatus.recordCall(table, started)
 	delta, err := h.store.Read(ctx, table)
 	if err != nil {
 		return err
@@ -95,7 +98,7 @@
 	if !h.apply(delta) {
 		return errRefused
 	}
-	h.storeSucceeded(table)
+	h.storeSucceeded(table, started)
 	return nil
 }
 
@@ -107,21 +110,32 @@
 	if err != nil {
 		return err
 	}
-	h.storeStatus.recordDelay(table, time.Since(started)-wait)
+	arrived := time.Now()
+	if len(delta.Records) == 0 {
+		h.storeStatus.recordDelay(table, arrived.Sub(started)-wait, arrived)
+	}
 	if !h.apply(delta) {
 		return errRefused
 	}
-	h.storeSucceeded(table)
+	h.storeSucceeded(table, latest(started, arrived.Add(-h.storeStatus.delay(table))))
 	if len(delta.Records) > 0 {
 		h.group.NotifyNonReaders(ctx)
 	}
 	return nil
 }
 
+// latest returns the later of two times.
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // pollTimes returns how long the store may keep the next call for changes of a table open, and
 // how much longer the call may take.
 func (h *Host) pollTimes(table string) (wait, margin time.Duration) {
-	if !h.storeStatus.polls(table) {
+	if !h.storeStatus.polls(table, time.Now()) {
 		return recoveryPollWait, recoveryPollMargin
 	}
 	bound := float64(h.settings.Load().Bounds.Change)
@@ -162,10 +176,24 @@
 func (h *Host) upToDate() bool { return h.storeStatus.ok() || h.group.FollowsStore(time.Now()) }
 
 // stateConfirmed reports whether the store has confirmed this host's state within the bound for
-// changes, in a response to this host or to a partner whose changes this host has.
+// changes, in a response to this host or to a partner whose changes this host has. A state that is
+// older than a partner's is not confirmed: a restored store may lack the newer one.
 func (h *Host) stateConfirmed() bool {
-	age, ok := h.confirmedAge(time.Now())
-	return ok && age <= time.Duration(h.settings.Load().Bounds.Change)
+	now := time.Now()
+	age, ok := h.confirmedAge(now)
+	if !ok || age > time.Duration(h.settings.Load().Bounds.Change) {
+		return false
+	}
+	return h.group.Introduced(now) && h.stateVersion() >= h.group.StateVersion()
+}
+
+// stateVersion returns the version of the desired state in force; 0 means none.
+func (h *Host) stateVersion() uint64 {
+	c := h.config.Load()
+	if c == nil {
+		return 0
+	}
+	return c.Version
 }
 
 // confirmedAge returns the time since the store last confirmed this host's state. ok is false if
@@ -193,8 +221,9 @@
 	return h.group.SinceReader(now)
 }
 
-func (h *Host) storeSucceeded(table string) {
-	change := h.storeStatus.recordSuccess(table, time.Now())
+// storeSucceeded handles a call for a table that the store answered at the given time.
+func (h *Host) storeSucceeded(table string, answered time.Time) {
+	change := h.storeStatus.recordSuccess(table, answered)
 	if change.ReadsStore {
 		evReaderChanged.Log(h.log).Bool("reads", true).Send()
 	}
