Restored store: a held evacuation ends only once the store was read again

An evacuation that a restored store lacks ended 2 s after the restore was noticed, also when the store could not be read in that time and the operator had written it again. Requests then went to targets that must not get any.

Cause: the end of the hold was a matter of the clock alone. It now takes an answer of the store, to this host or to a partner whose changes it has, that came after the hold's end and did not bring the evacuation back.

--- a/entry/apply.go
+++ b/entry/apply.go
@@ -90,12 +90,18 @@
 	h.fleet.RestartHolds(now, missingReportHold)
 }
 
-// endHeldEvacuations ends the evacuations whose hold has expired.
+// endHeldEvacuations ends the evacuations whose hold has expired, once the store has answered
+// after that without bringing them back.
 func (h *Host) endHeldEvacuations(now time.Time) {
+	age, ok := h.confirmedAge(now)
+	if !ok {
+		return
+	}
+	confirmedAt := now.Add(-age)
 	h.applyMu.Lock()
 	defer h.applyMu.Unlock()
 	for domain, end := range h.evacuationHolds {
-		if now.Before(end) {
+		if confirmedAt.Before(end) {
 			continue
 		}
 		delete(h.evacuationHolds, domain)
--- /dev/null
+++ b/entry/unread_holds_test.go
@@ -0,0 +1,33 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"quetzalknot/platform/adapter"
+	"quetzalknot/platform/standin"
+)
+
+// TestHeldEvacuationNotEndedWhileStoreUnread guards against the end of an evacuation that a restored
+// store lacks, when the store could not be read since and the operator writes it again meanwhile.
+func TestHeldEvacuationNotEndedWhileStoreUnread(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	h := c.hosts[0]
+	older := c.store.Snapshot()
+	c.store.Evacuate("no-gler")
+	c.eventually("the evacuation is in force", func() bool { return h.fleet.Evacuated("no-gler") })
+	c.store.Restore(older)
+	c.eventually("the restore is seen", func() bool { return h.mirror.Position(adapter.OperatorTable).Era == 2 })
+	c.endpoints[0].SetFaults(standin.StoreFaults{Refuse: 503})
+	c.store.Evacuate("no-gler") // the operator writes it again
+	time.Sleep(2 * missingReportHold)
+	if !h.fleet.Evacuated("no-gler") {
+		t.Error("the evacuation ended although the store could not be read since the restore")
+	}
+	c.endpoints[0].SetFaults(standin.StoreFaults{})
+	c.eventually("the host is up to date", h.upToDate)
+	time.Sleep(missingReportHold)
+	if !h.fleet.Evacuated("no-gler") {
+		t.Error("the evacuation ended after it was written again")
+	}
+}
