Targets: holds count from the store's return, which is found within 0.3 s

After any failed call, each removal was held for 2 s from when it was noticed.

Cause: the hold for reports that are missing after an outage began with each host's notice of the removal, as long as a call had failed in the last 3 s. Calls that were lost in the silence fail up to 1.7 s after it.

- Calls are ordered by when they were sent: a call that was sent after the last failed one and was answered shows that the store is back.
The hold ends 2 s after that, also for removals that are noticed later; then none is held.
- A store reader calls a store that leaves calls unanswered every 0.3 s without waiting for its earlier calls.
When one is answered, the lost calls and the pauses end, so changes of all tables are read at once.
- A host that does not read the store goes by the reader's hold, which heartbeats carry (earlier releases send none).

The time cannot be shortened instead: a live target writes its report again within 2 s of the return.

--- a/entry/apply.go
+++ b/entry/apply.go
@@ -18,9 +18,9 @@
 	evStoreRestored  = eventlog.Define(1805, zerolog.WarnLevel, "store restored from a copy")
 )
 
-// missingReportHold is how long a target is kept after its report disappeared while the
-// store was failing, and what a restored store lacks stays in force. Live targets and
-// operators have written again by then.
+// missingReportHold is how long after the store's return from an outage a target without a report
+// is kept, and what a restored store lacks stays in force. Live targets and operators have
+// written again by then.
 const missingReportHold = 2 * time.Second
 
 // errRefused reports that the store gave records of an earlier era than the known ones.
@@ -111,8 +111,8 @@
 
 func (h *Host) applyTarget(r mirror.Record, now time.Time, restored bool) {
 	if r.Removed {
-		hold := time.Duration(0)
-		if restored || h.reportsMayBeMissing(now) {
+		hold := h.reportHold(now)
+		if restored {
 			hold = missingReportHold
 		}
 		h.fleet.Remove(r.Key, now, hold)
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -10,6 +10,7 @@
 
 	"quetzalknot/platform/adapter"
 	"quetzalknot/process/eventlog"
+	"quetzalknot/process/mirror"
 	"quetzalknot/process/partner"
 )
 
@@ -74,9 +75,13 @@
 			fullRead = true
 			continue
 		}
+		if errors.Is(err, errStoreReturned) {
+			backoff = minBackoff
+			continue
+		}
 		if err != nil {
 			h.storeFailed(table, err)
-			pause(ctx, backoff/2+rand.N(backoff))
+			h.pauseUntilReturn(ctx, backoff/2+rand.N(backoff))
 			backoff = min(maxBackoff, 2*backoff)
 			continue
 		}
@@ -86,8 +91,9 @@
 }
 
 func (h *Host) readTable(ctx context.Context, table string) error {
-	h.storeStatus.recordCall(table, time.Now())
-	delta, err := h.store.Read(ctx, table)
+	delta, err := h.callStore(ctx, table, func(ctx context.Context) (mirror.Delta, error) {
+		return h.store.Read(ctx, table)
+	})
 	if err != nil {
 		return err
 	}
@@ -102,8 +108,9 @@
 func (h *Host) readChanges(ctx context.Context, table string) error {
 	wait, margin := h.pollTimes(table)
 	started := time.Now()
-	h.storeStatus.recordCall(table, started)
-	delta, err := h.store.Feed(ctx, table, h.mirror.Position(table), wait, wait+margin)
+	delta, err := h.callStore(ctx, table, func(ctx context.Context) (mirror.Delta, error) {
+		return h.store.Feed(ctx, table, h.mirror.Position(table), wait, wait+margin)
+	})
 	if err != nil {
 		return err
 	}
@@ -147,14 +154,27 @@
 func (h *Host) ownStoreStatus() partner.StoreStatus {
 	now := time.Now()
 	age, ok := h.storeStatus.age(now)
-	return partner.StoreStatus{Reachable: ok, Age: age, Failing: h.storeStatus.recentlyFailed(now)}
+	return partner.StoreStatus{Reachable: ok, Age: age, Failing: h.storeStatus.recentlyFailed(now), ReportHold: h.outage.reportHold(now)}
 }
 
-// reportsMayBeMissing reports whether the reports of live targets may be missing for a
-// while because the store failed recently, as seen by this host or by a partner that reads
-// the store for it.
-func (h *Host) reportsMayBeMissing(now time.Time) bool {
-	return h.storeStatus.recentlyFailed(now) || (!h.storeStatus.ok() && h.group.StoreFailing(now))
+// reportsMayBeMissing reports whether the reports of live targets may be missing for a while.
+func (h *Host) reportsMayBeMissing(now time.Time) bool { return h.reportHold(now) > 0 }
+
+// reportHold returns for how long the reports of live targets may still be missing, since the store
+// was unavailable, as seen by this host or else by a partner that reads the store for it.
+func (h *Host) reportHold(now time.Time) time.Duration {
+	own := h.outage.reportHold(now)
+	away, _ := h.outage.isAway()
+	if h.storeStatus.ok() || (own > 0 && !away) {
+		return own
+	}
+	if hold, ok := h.group.ReportHold(now); ok {
+		return hold
+	}
+	if away || h.group.StoreFailing(now) {
+		return missingReportHold
+	}
+	return 0
 }
 
 // upToDate reports whether this host's state follows the store, read by the host itself or
@@ -210,13 +230,14 @@
 	}
 }
 
-// tick runs the periodic tasks until ctx ends: it drops targets whose hold has expired,
+// tick runs the periodic tasks until ctx ends: it asks whether the store has returned, drops targets whose hold has expired,
 // starts due liveness checks, and updates the request rate, the retry budgets and the logged
 // readiness. While the host is not up to date it limits the requests to each target, since
 // any of them may have become cold.
 func (h *Host) tick(ctx context.Context) {
 	for pause(ctx, tickInterval) {
 		now := time.Now()
+		h.checkReturn(ctx, now)
 		h.fleet.RemoveExpired(now)
 		h.endHeldEvacuations(now)
 		for _, c := range h.fleet.DueChecks(now) {
--- a/entry/host.go
+++ b/entry/host.go
@@ -71,16 +71,19 @@
 	mirror      *mirror.Mirror
 	store       *adapter.Store
 	storeStatus *storeStatus
-	fleet       *fleet.Fleet
-	chooser     *place.Chooser
-	pool        *target.Pool
-	budgets     *budget.SlidingWindows
-	crashes     *crash.Counts
-	group       *partner.Group
-	peers       *peer.Server
-	clients     *peer.ClientPool
-	handler     *serve.Handler
-	applyMu     sync.Mutex
+	outage      *outage
+	// returnCheckedAt is when tick last asked whether the store has returned.
+	returnCheckedAt time.Time
+	fleet           *fleet.Fleet
+	chooser         *place.Chooser
+	pool            *target.Pool
+	budgets         *budget.SlidingWindows
+	crashes         *crash.Counts
+	group           *partner.Group
+	peers           *peer.Server
+	clients         *peer.ClientPool
+	handler         *serve.Handler
+	applyMu         sync.Mutex
 	// evacuationHolds holds, for each failure domain whose evacuation a restored store lacks,
 	// when the evacuation ends. applyMu guards it.
 	evacuationHolds map[string]time.Time
@@ -106,7 +109,7 @@
 
 // New returns a host that has not started. Reload reads the settings from path.
 func New(s *Settings, path string, logs io.Writer) *Host {
-	h := &Host{path: path, lastUnreadyReason: "the host starts", metrics: metrics.NewSet(), mirror: mirror.New(), storeStatus: newStoreStatus(), rowLost: make(chan struct{}, 1), evacuationHolds: make(map[string]time.Time), logWriter: eventlog.NewAsyncWriter(logs)}
+	h := &Host{path: path, lastUnreadyReason: "the host starts", metrics: metrics.NewSet(), mirror: mirror.New(), storeStatus: newStoreStatus(), outage: newOutage(), rowLost: make(chan struct{}, 1), evacuationHolds: make(map[string]time.Time), logWriter: eventlog.NewAsyncWriter(logs)}
 	h.settings.Store(s)
 	h.log = eventlog.New(h.logWriter, s.Host.Name)
 	h.self = partner.Member{
--- /dev/null
+++ b/entry/returned.go
@@ -0,0 +1,75 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"quetzalknot/platform/adapter"
+	"quetzalknot/process/mirror"
+)
+
+// returnCheckInterval is the time between two calls by which a store reader finds that a store that
+// leaves calls unanswered has returned. A call may wait longer than that for its response.
+const returnCheckInterval = 300 * time.Millisecond
+
+// errStoreReturned reports that a call was given up since the store has answered a later one.
+var errStoreReturned = errors.New("the store has returned from an outage")
+
+// callStore makes a call for a table and records what it shows about the store. It returns
+// errStoreReturned if the store returns from an outage meanwhile.
+func (h *Host) callStore(ctx context.Context, table string, call func(context.Context) (mirror.Delta, error)) (mirror.Delta, error) {
+	sentAt := time.Now()
+	h.storeStatus.recordCall(table, sentAt)
+	callCtx, cancel := h.outage.callContext(ctx)
+	defer cancel()
+	delta, err := call(callCtx)
+	if err != nil && callCtx.Err() != nil && ctx.Err() == nil {
+		return delta, errStoreReturned
+	}
+	h.recordOutcome(table, sentAt, err)
+	return delta, err
+}
+
+// recordOutcome records what the outcome of a call for a table shows about the store.
+func (h *Host) recordOutcome(table string, sentAt time.Time, err error) {
+	if err != nil && !errors.Is(err, adapter.ErrHistoryGone) {
+		h.outage.recordFailure(sentAt, errors.Is(err, context.DeadlineExceeded))
+		return
+	}
+	if table == adapter.TargetTable {
+		h.outage.recordAnswer(sentAt, time.Now())
+	}
+}
+
+// pauseUntilReturn waits for a time, but not longer than until the store returns from an outage.
+func (h *Host) pauseUntilReturn(ctx context.Context, d time.Duration) {
+	pauseCtx, cancel := h.outage.callContext(ctx)
+	defer cancel()
+	pause(pauseCtx, d)
+}
+
+// checkReturn calls a store that leaves calls unanswered once more, at most once in
+// returnCheckInterval, without waiting for the earlier calls. Only the store readers do so.
+func (h *Host) checkReturn(ctx context.Context, now time.Time) {
+	_, unanswered := h.outage.isAway()
+	if !unanswered || now.Sub(h.returnCheckedAt) < returnCheckInterval || !h.group.IsStoreReader() {
+		return
+	}
+	position := h.mirror.Position(adapter.TargetTable)
+	if position.Revision == 0 {
+		return
+	}
+	h.returnCheckedAt = now
+	go func() {
+		delta, err := h.store.Feed(ctx, adapter.TargetTable, position, 0, recoveryPollMargin)
+		if ctx.Err() != nil {
+			return
+		}
+		h.recordOutcome(adapter.TargetTable, now, err)
+		if err == nil {
+			h.apply(delta)
+		}
+	}()
+}
--- a/process/partner/message.go
+++ b/process/partner/message.go
@@ -24,14 +24,17 @@
 	// Age is the time since the store last answered a Fresh sender, for the table for which that
 	// is longest ago. Earlier releases send none.
 	Age time.Duration
+	// ReportHold is for how long the reports of live targets may still be missing, as the sender's
+	// own calls show it. Earlier releases send none.
+	ReportHold time.Duration
 }
 
 // StoreStatus is the store's status as this host's own calls show it: Reachable when this host
 // reads the store and gets responses, the oldest of them Age ago; Failing when calls failed
-// recently.
+// recently. For ReportHold the reports of live targets may still be missing.
 type StoreStatus struct {
 	Reachable, Failing bool
-	Age                time.Duration
+	Age, ReportHold    time.Duration
 }
 
 // position returns the position of the sender's copy of a table.
--- a/process/partner/readers.go
+++ b/process/partner/readers.go
@@ -104,6 +104,24 @@
 	return !healthyReader && !g.storeFailedAt.IsZero() && now.Sub(g.storeFailedAt) < failureTimeout
 }
 
+// ReportHold returns for how long the reports of live targets may still be missing, by the least of
+// what the partners say that reported within readerTimeout that they read the store. ok is false
+// if there is none.
+func (g *Group) ReportHold(now time.Time) (hold time.Duration, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, s := range g.members {
+		elapsed := now.Sub(s.readAt)
+		if s.readAt.IsZero() || elapsed >= readerTimeout {
+			continue
+		}
+		if left := max(0, s.reportHold-elapsed); !ok || left < hold {
+			hold, ok = left, true
+		}
+	}
+	return hold, ok
+}
+
 // recordStoreStatus records the store status in the heartbeat of a partner s. The lock must be
 // held.
 func (g *Group) recordStoreStatus(s *memberState, h *Heartbeat, now time.Time) {
@@ -111,6 +129,7 @@
 	if h.Fresh {
 		g.readerAt = now
 		s.readAt, s.readAge, s.readPositions = now, h.Age, g.positions(h)
+		s.reportHold = h.ReportHold
 	}
 	if h.Fresh && !h.Troubled {
 		g.healthyReaderAt = now
--- a/process/partner/readers_test.go
+++ b/process/partner/readers_test.go
@@ -73,6 +73,28 @@
 	})
 }
 
+// TestReportHoldOfReaderCounts: a host that does not read the store must hold targets for as long as
+// a reader says, in place of the full time from its own notice.
+func TestReportHoldOfReaderCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &testNetwork{groups: make(map[string]*Group), cutLinks: make(map[string]bool)}
+		last, reader, failing := n.add("h00", "r", 1), n.add("h01", "r", 1), n.add("h02", "r", 1)
+		if _, ok := last.ReportHold(time.Now()); ok {
+			t.Error("a hold is known without a reader")
+		}
+		last.receive(&Heartbeat{From: reader.opts.Self, Fresh: true, Troubled: true, ReportHold: time.Second})
+		last.receive(&Heartbeat{From: failing.opts.Self, Troubled: true})
+		time.Sleep(400 * time.Millisecond)
+		if hold, ok := last.ReportHold(time.Now()); !ok || hold != 600*time.Millisecond {
+			t.Errorf("the hold is %v (known: %t), want the rest of the reader's", hold, ok)
+		}
+		time.Sleep(readerTimeout)
+		if _, ok := last.ReportHold(time.Now()); ok {
+			t.Error("the report of a reader that sent nothing since counts")
+		}
+	})
+}
+
 // TestReaderDoesNotVouchForMissingChanges: a host that cannot pull the changes that a store reader
 // reports must not count as following the store.
 func TestReaderDoesNotVouchForMissingChanges(t *testing.T) {
