Targets: a held target is not dropped while the reports cannot be read

A live target whose report was missing after an outage was dropped 2 s later, also when the store had become unavailable again meanwhile and the target had written its report, which no host could read.

Cause: the hold ended by the clock alone. It now lasts on while the last call for the reports failed and no partner reads them, and begins anew when they can be read again. A failure for another table alone does not prolong holds.

TestHeldTargetNotDroppedWhileStoreUnread failed before ("a live target was dropped although the store could not be read since").

--- a/entry/apply.go
+++ b/entry/apply.go
@@ -82,7 +82,7 @@
 }
 
 // restartHolds lets what is held stay for the full time from now, since the store was restored once
-// more and what it lacks is written again only after that. applyMu must be held.
+// more or was away, and what it lacks is written again only after that. applyMu must be held.
 func (h *Host) restartHolds(now time.Time) {
 	for domain := range h.evacuationHolds {
 		h.evacuationHolds[domain] = now.Add(missingReportHold)
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -238,7 +238,7 @@
 	for pause(ctx, tickInterval) {
 		now := time.Now()
 		h.checkReturn(ctx, now)
-		h.fleet.RemoveExpired(now)
+		h.removeExpired(now)
 		h.endHeldEvacuations(now)
 		for _, c := range h.fleet.DueChecks(now) {
 			go func() {
--- a/entry/outage.go
+++ b/entry/outage.go
@@ -11,9 +11,9 @@
 // answered shows nothing about the store's present state, whenever it fails.
 type outage struct {
 	mu sync.Mutex
-	// answered and failed are when the last of the calls for the targets' reports that were
-	// answered and the last of all calls that failed were sent.
-	answered, failed time.Time
+	// answered and reportsFailed are when the last of the calls for the targets' reports that were
+	// answered and that failed were sent, and failed is when the last of all that failed was sent.
+	answered, reportsFailed, failed time.Time
 	// unanswered is true if the call that was sent at failed got no response.
 	unanswered bool
 	// returnedAt is when the first answer after an outage came.
@@ -29,31 +29,41 @@
 	return o
 }
 
-// recordAnswer records the answer to a call for the targets' reports. It returns true if the store
-// has thereby returned; all contexts of callContext then end.
+// recordAnswer records the answer to a call for the targets' reports. If the store has thereby
+// returned, all contexts of callContext end. It returns true if the reports can be read again.
 func (o *outage) recordAnswer(sentAt, now time.Time) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	was := o.away()
+	was, reportsWere := o.away(), o.reportsFailed.After(o.answered)
 	if sentAt.After(o.answered) {
 		o.answered = sentAt
 	}
-	if !was || o.away() {
-		return false
+	if was && !o.away() {
+		o.returnedAt = now
+		o.endWaiting()
+		o.untilReturn, o.endWaiting = context.WithCancel(context.Background())
 	}
-	o.returnedAt = now
-	o.endWaiting()
-	o.untilReturn, o.endWaiting = context.WithCancel(context.Background())
-	return true
+	return reportsWere && !o.reportsFailed.After(o.answered)
 }
 
-// recordFailure records a failed call. unanswered says that it got no response.
-func (o *outage) recordFailure(sentAt time.Time, unanswered bool) {
+// recordFailure records a failed call. unanswered says that it got no response, and ofReports that
+// it was for the targets' reports.
+func (o *outage) recordFailure(sentAt time.Time, unanswered, ofReports bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if sentAt.After(o.failed) {
 		o.failed, o.unanswered = sentAt, unanswered
 	}
+	if ofReports && sentAt.After(o.reportsFailed) {
+		o.reportsFailed = sentAt
+	}
+}
+
+// reportsUnread reports whether the last call for the targets' reports failed.
+func (o *outage) reportsUnread() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.reportsFailed.After(o.answered)
 }
 
 // away reports whether the store is unavailable. The lock must be held.
--- a/entry/outage_test.go
+++ b/entry/outage_test.go
@@ -12,11 +12,11 @@
 	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
 	o := newOutage()
 	o.recordAnswer(at(0), at(1))
-	o.recordFailure(at(0.5), true)
+	o.recordFailure(at(0.5), true, true)
 	if !o.recordAnswer(at(2), at(2)) {
 		t.Error("the store has not returned with the answer to a later call")
 	}
-	o.recordFailure(at(1.9), true)
+	o.recordFailure(at(1.9), true, true)
 	if away, _ := o.isAway(); away {
 		t.Error("the store is away since a call failed that was sent before one that was answered")
 	}
@@ -33,7 +33,7 @@
 func TestOutageNotEndedByAnswerToEarlierCall(t *testing.T) {
 	start := time.Now()
 	o := newOutage()
-	o.recordFailure(start.Add(time.Second), true)
+	o.recordFailure(start.Add(time.Second), true, true)
 	if o.recordAnswer(start, start.Add(3*time.Second)) {
 		t.Error("the store has returned with the answer to a call from before the outage")
 	}
--- a/entry/returned.go
+++ b/entry/returned.go
@@ -32,14 +32,28 @@
 	return delta, err
 }
 
-// recordOutcome records what the outcome of a call for a table shows about the store.
+// recordOutcome records what the outcome of a call for a table shows about the store. When the
+// targets' reports can be read again, all that is held stays for the full time, since only from
+// then on can it be written again.
 func (h *Host) recordOutcome(table string, sentAt time.Time, err error) {
 	if err != nil && !errors.Is(err, adapter.ErrHistoryGone) {
-		h.outage.recordFailure(sentAt, errors.Is(err, context.DeadlineExceeded))
+		h.outage.recordFailure(sentAt, errors.Is(err, context.DeadlineExceeded), table == adapter.TargetTable)
 		return
 	}
-	if table == adapter.TargetTable {
-		h.outage.recordAnswer(sentAt, time.Now())
+	now := time.Now()
+	if table != adapter.TargetTable || !h.outage.recordAnswer(sentAt, now) {
+		return
+	}
+	h.applyMu.Lock()
+	defer h.applyMu.Unlock()
+	h.restartHolds(now)
+}
+
+// removeExpired drops the held targets whose hold has ended, unless neither this host nor a partner
+// can read the targets' reports.
+func (h *Host) removeExpired(now time.Time) {
+	if _, read := h.group.ReportHold(now); read || !h.outage.reportsUnread() {
+		h.fleet.RemoveExpired(now)
 	}
 }
 
--- a/entry/unread_holds_test.go
+++ b/entry/unread_holds_test.go
@@ -31,3 +31,23 @@
 		t.Error("the evacuation ended after it was written again")
 	}
 }
+
+// TestHeldTargetNotDroppedWhileStoreUnread guards against the loss of a live target whose report is
+// missing, when the store could not be read since and the target writes it again meanwhile.
+func TestHeldTargetNotDroppedWhileStoreUnread(t *testing.T) {
+	c := newCluster(t, 2, 1)
+	h := c.hosts[0]
+	c.endpoints[0].SetFaults(standin.StoreFaults{Refuse: 503})
+	c.eventually("the store is unavailable", func() bool { return !h.storeStatus.ok() })
+	c.store.RemoveTarget("i-1")
+	c.endpoints[0].SetFaults(standin.StoreFaults{})
+	c.eventually("the target is held", func() bool { return h.fleet.Count("missing", time.Now()) == 1 })
+	c.endpoints[0].SetFaults(standin.StoreFaults{Refuse: 503})
+	c.store.PutTarget("i-1", c.targets[1].Report("bokun", "no-gler", "ready", 2))
+	time.Sleep(2 * missingReportHold)
+	if h.fleet.Size() != 2 {
+		t.Error("a live target was dropped although the store could not be read since")
+	}
+	c.endpoints[0].SetFaults(standin.StoreFaults{})
+	c.eventually("the target has its report", func() bool { return h.fleet.Count("ready", time.Now()) == 2 })
+}
