--- a/process/partner/message.go
+++ b/process/partner/message.go
@@ -27,14 +27,17 @@
 	// StateVersion is the version of the desired state that the sender has in force; 0 means none.
 	// Earlier releases send none.
 	StateVersion uint64
+	// ReportHold is for how long the reports of live targets may still be missing, as the sender's
+	// own calls show it. Earlier releases send none.
+	ReportHold time.Duration
 }
 
 // StoreStatus is the store's status as this host's own calls show it: Reachable when this host
 // reads the store and gets responses, the oldest of them Age ago; Failing when calls failed
-// recently.
+// recently. For ReportHold the reports of live targets may still be missing.
 type StoreStatus struct {
 	Reachable, Failing bool
-	Age                time.Duration
+	Age, ReportHold    time.Duration
 }
 
 // position returns the position of the sender's copy of a table.
--- a/process/partner/service.go
+++ b/process/partner/service.go
@@ -24,7 +24,7 @@
 	status := g.opts.StoreStatus()
 	h := Heartbeat{
 		From: g.opts.Self, Rate: g.opts.RequestRate(), Crashes: g.opts.Crashes.Recent(crashCountMaxAge, now),
-		Fresh: status.Reachable, Age: status.Age, Troubled: status.Failing,
+		Fresh: status.Reachable, Age: status.Age, Troubled: status.Failing, ReportHold: status.ReportHold,
 		Positions: make(map[string]uint64), Eras: make(map[string]uint64),
 	}
 	if g.opts.StateVersion != nil {
