Spread: a ticket is pushed to the partners among all members known

What callers see: right after hosts have found each other, as at a start of all together, a ticket reaches some hosts seconds late if messages are lost. Cause: a full set of partners is chosen anew at most once a second, so pushes went to partners chosen among the few members known at first. Some hosts were the partner of none or one and got no push at all; only exchanges were left. Now a push of a ticket chooses the partners among all members known; pushes of the members themselves and of quiet topics keep the pause, which is there for the many changes of a start. A ticket goes to six partners as before.

--- a/version/spread/engine.go
+++ b/version/spread/engine.go
@@ -124,10 +124,10 @@
 
 // push sends a delta to all partners except the host that it came from.
 func (e *Engine) push(topic string, delta []byte, from string) {
-	if _, ok := e.topic(topic).(Quiet); !ok {
+	if !e.quiet(topic) {
 		e.noteChange()
 	}
-	for _, p := range e.currentPartners() {
+	for _, p := range e.partnersFor(topic) {
 		if p.Host == from {
 			continue
 		}
@@ -139,6 +139,22 @@
 	}
 }
 
+func (e *Engine) quiet(topic string) bool {
+	_, ok := e.topic(topic).(Quiet)
+	return ok
+}
+
+// partnersFor returns the partners to which a change of a topic is pushed. A change of the
+// members themselves or of a quiet topic goes to the current partners. Any other change is
+// rare and goes to the partners among all members known now: a host that only newer sets of
+// partners contain would otherwise get no push of it.
+func (e *Engine) partnersFor(topic string) []membership.Member {
+	if topic == MembersTopic || e.quiet(topic) {
+		return e.currentPartners()
+	}
+	return e.refreshPartners(0)
+}
+
 func (e *Engine) pushTo(p membership.Member, topic string, delta []byte) {
 	select {
 	case e.pushSlots <- struct{}{}:
@@ -184,10 +200,16 @@
 // currentPartners returns the partners, recomputing them if the members have changed.
 // A full set of partners is recomputed at most once per partnerRefreshInterval.
 func (e *Engine) currentPartners() []membership.Member {
+	return e.refreshPartners(partnerRefreshInterval)
+}
+
+// refreshPartners returns the partners, recomputing them if the members have changed and a
+// full set is at least minAge old.
+func (e *Engine) refreshPartners(minAge time.Duration) []membership.Member {
 	sum := e.Members.Sum()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	due := len(e.partners) < membership.MaxPartners || time.Since(e.partnersAt) >= partnerRefreshInterval
+	due := len(e.partners) < membership.MaxPartners || time.Since(e.partnersAt) >= minAge
 	if sum != e.partnerSum && due || e.partners == nil {
 		e.partnerSum = sum
 		e.partnersAt = time.Now()
--- a/version/spread/loss_test.go
+++ b/version/spread/loss_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
+
+	"quetzalknot/process/membership"
 )
 
 // Regression: after a lost call a host started no exchange with the partner until the indirect
@@ -38,3 +41,27 @@
 	})
 	return at
 }
+
+// Regression: right after the hosts had found each other, a ticket was pushed to partners that
+// had been chosen among fewer members, and some hosts were the partner of none.
+func TestTicketIsPushedToPartnersAmongAllMembersKnown(t *testing.T) {
+	run(t, func(t *testing.T) {
+		c := newCluster()
+		c.startAll(t.Context(), 30)
+		defer c.stopAll()
+		c.waitConverged(t)
+		c.net.startLog()
+		for i, h := range c.hosts {
+			h.submit(testTicket(uint64(i + 1)))
+		}
+		time.Sleep(time.Millisecond)
+		pushes := c.net.calledMethods("Push")
+		for _, h := range c.hosts {
+			for _, p := range membership.Partners(h.members.Self(), h.members.Reachable()) {
+				if !slices.ContainsFunc(pushes, func(r callRecord) bool { return r.from == h.name && r.to == p.Host }) {
+					t.Errorf("%s did not push its ticket to its partner %s", h.name, p.Host)
+				}
+			}
+		}
+	})
+}
