Spread: exchanges stay frequent while the tickets of two hosts differ

What callers see: with 30 % of messages lost, 1 of 1,600 runs still had a host without an accepted ticket after 5 s. Cause: a host that lacks a ticket goes back to the idle interval 3 s after the last change it heard of. In the failing run all three pushes were lost, then five deltas in a row, each after a comparison that showed the difference. Both hosts of a comparison in which the tickets differ now keep the short interval. Other topics do not: the members may differ for long. Calculated: an exchange brings the ticket with 0.7^4 = 0.24 if the host without it begins, with 0.7^3 = 0.34 if the other does. A host that gets no push, makes 7 exchanges of its own and gets 5 is missed with 0.76^7 x 0.66^5 = 1.8 % (seen before: 22 of 700 runs). With three pushers, pushes and exchanges unblocked: 0.3^3 x 0.76^13 x 0.66^6.5 = 5e-5, five such hosts 2.5e-4 a run (seen: 1 of 1,600). With this: 0.3^3 x 0.76^18 x 0.66^10 = 3e-6, 1.5e-5 a run. Bytes: an exchange is 165 bytes both ways (docs/CAPACITY.md) at any number of hosts; a host takes part in 2 a second when idle (330 B/s) and in 8 at the short interval (1.3 KB/s), below 2 KB/s. A comparison that differs adds the digests, as before; two hosts that could never agree would add them 4 times a second. Evidence: TestExchangesStayFrequentWhileTicketsDiffer failed before (5 of 5, 10 or 11 exchanges in 10 s).

--- a/version/spread/cluster_test.go
+++ b/version/spread/cluster_test.go
@@ -35,6 +35,8 @@
 	// broken reports whether a message from one host to another is lost.
 	broken func(from, to string) bool
 	calls  int
+	// lost holds the methods of which all requests are lost.
+	lost map[string]bool
 	// record is set while calls are written to log.
 	record bool
 	log    []callRecord
@@ -61,6 +63,7 @@
 	c.net.calls++
 	callee := c.net.hosts[addr]
 	requestLost, replyLost := c.net.broken(c.from, addr), c.net.broken(addr, c.from)
+	requestLost = requestLost || c.net.lost[method]
 	if c.net.record {
 		c.net.log = append(c.net.log, callRecord{time.Now(), c.from, addr, method, requestLost, replyLost})
 	}
--- a/version/spread/engine.go
+++ b/version/spread/engine.go
@@ -19,7 +19,8 @@
 const (
 	// idleInterval is the mean interval between exchanges started by a host.
 	idleInterval = time.Second
-	// activeInterval replaces idleInterval for activePeriod after a change.
+	// activeInterval replaces idleInterval for activePeriod after a change or after an
+	// exchange in which the tickets differed.
 	activeInterval = 250 * time.Millisecond
 	activePeriod   = 3 * time.Second
 	// callTimeout bounds one call between hosts.
@@ -197,6 +198,14 @@
 	e.lastChange = time.Now()
 }
 
+// noteDifference keeps the interval between exchanges short while the tickets differ from those
+// of another host. What either lacks may have been lost on the way.
+func (e *Engine) noteDifference(topic string) {
+	if topic == TicketsTopic {
+		e.noteChange()
+	}
+}
+
 // currentPartners returns the partners, recomputing them if the members have changed.
 // A full set of partners is recomputed at most once per partnerRefreshInterval.
 func (e *Engine) currentPartners() []membership.Member {
--- a/version/spread/exchange.go
+++ b/version/spread/exchange.go
@@ -60,6 +60,7 @@
 	}
 	ticketsEqual := true
 	for _, d := range reply.Digests {
+		e.noteDifference(d.Topic)
 		equal, err := e.sync(ctx, addr, d)
 		if err != nil {
 			evSyncFailed.Log(e.Log).Str("peer", addr).Str("topic", d.Topic).Err(err).Send()
--- a/version/spread/loss_test.go
+++ b/version/spread/loss_test.go
@@ -65,3 +65,32 @@
 		}
 	})
 }
+
+// Regression: a host that kept finding its tickets to differ, because the deltas were lost, went
+// back to the idle interval 3 s after the last change.
+func TestExchangesStayFrequentWhileTicketsDiffer(t *testing.T) {
+	run(t, func(t *testing.T) {
+		c := newCluster()
+		c.startAll(t.Context(), 7)
+		defer c.stopAll()
+		c.waitConverged(t)
+		time.Sleep(10 * time.Second)
+		c.net.mu.Lock()
+		c.net.lost = map[string]bool{serviceName + ".Push": true, serviceName + ".Sync": true}
+		c.net.mu.Unlock()
+		c.hosts[0].submit(testTicket(1))
+		time.Sleep(10 * time.Second)
+		c.net.startLog()
+		const span = 10 * time.Second
+		time.Sleep(span)
+		started := 0
+		for _, r := range c.net.calledMethods("Exchange") {
+			if r.from == "h1" {
+				started++
+			}
+		}
+		if least := int(span / (2 * activeInterval)); started < least {
+			t.Errorf("%d exchanges in %v, want at least %d", started, span, least)
+		}
+	})
+}
--- a/version/spread/service.go
+++ b/version/spread/service.go
@@ -26,6 +26,7 @@
 		if t == nil || t.Sum() == theirs.Sum {
 			continue
 		}
+		e.noteDifference(theirs.Topic)
 		reply.Digests = append(reply.Digests, TopicDigest{Topic: theirs.Topic, Digest: t.Digest()})
 	}
 	return nil
