Tickets: positions in the table are ordered by its era, then by revision

Cause: hosts read on after a revision that the restored table had not reached, and took the larger revision for the later one. The table gives revisions out again after a restore. The answer to a read of changes states the table's era (platform.Changes.Era), which rises with each restore.

Tickets stay as they are: they are ordered by their numbers.

Evidence: the memory table can be restored from a copy.

--- a/version/replica/submit.go
+++ b/version/replica/submit.go
@@ -41,7 +41,11 @@
 	if err == nil || t.CheckAgainst(CheckContext(r.settings.Topology)) != nil {
 		return err
 	}
-	page, readErr := r.store.Page(ctx, r.engine.Revision(), maxPageSize)
+	at := r.engine.Position()
+	page, readErr := r.store.Page(ctx, at.Revision, maxPageSize)
+	if readErr == nil && page.Era != at.Era {
+		page, readErr = r.store.Page(ctx, 0, maxPageSize)
+	}
 	if readErr != nil {
 		return err
 	}
--- a/version/spread/cluster_test.go
+++ b/version/spread/cluster_test.go
@@ -256,6 +256,11 @@
 // submit adds a ticket on one host, as if the ticket had been accepted through it.
 func (h *host) submit(r state.Record) { h.engine.Publish(TicketsTopic, h.tickets.Add(r)) }
 
+// memoryTable returns the table below those that tests put in front of it.
+func (c *cluster) memoryTable() *memory.Table {
+	return c.platform.Table.(*switchableTable).Table.(*memory.Table)
+}
+
 func (c *cluster) allHaveTicket(number uint64) bool {
 	for _, h := range c.hosts {
 		if h.state.Newest() < number {
--- a/version/spread/compatibility_test.go
+++ b/version/spread/compatibility_test.go
@@ -63,10 +63,10 @@
 	rapid.Check(t, func(t *rapid.T) {
 		var source, adopter watermark
 		read := time.Now().Add(-time.Duration(rapid.IntRange(0, 20_000).Draw(t, "age_ms")) * time.Millisecond)
-		source.advance(read, 1)
+		source.advance(read, Position{Revision: 1})
 		began := time.Now().Add(-time.Duration(rapid.IntRange(0, 2000).Draw(t, "call_ms")) * time.Millisecond)
-		ms, _ := source.ageMSAndRevision()
-		adopter.advance(began.Add(-time.Duration(ms)*time.Millisecond), 1)
+		ms := source.ageMS()
+		adopter.advance(began.Add(-time.Duration(ms)*time.Millisecond), Position{Revision: 1})
 		if adopter.at.After(read) {
 			t.Fatalf("adopted watermark %v is later than the read at %v", adopter.at, read)
 		}
--- a/version/spread/events.go
+++ b/version/spread/events.go
@@ -17,6 +17,8 @@
 	evUnreadable       = eventlog.Define(2014, zerolog.ErrorLevel, "ticket row cannot be decoded")
 	evSnapshot         = eventlog.Define(2015, zerolog.InfoLevel, "state snapshot written")
 	evSnapshotRejected = eventlog.Define(2016, zerolog.ErrorLevel, "state snapshot rejected")
+	// evRestored reports that the table service was restored from an older copy.
+	evRestored = eventlog.Define(2019, zerolog.WarnLevel, "table service was restored from a copy; all tickets are read again")
 	// evSnapshotFailed reports an object store failure. Reads of the table service continue.
 	evSnapshotFailed = eventlog.Define(2018, zerolog.WarnLevel, "reading or writing the state snapshot failed")
 	evLoaded         = eventlog.Define(2017, zerolog.InfoLevel, "state loaded")
@@ -24,8 +26,7 @@
 
 func (e *Engine) publishMetrics() {
 	e.Metrics.Gauge("spread.fresh_age_ms", func() int64 {
-		ms, _ := e.watermark.ageMSAndRevision()
-		return ms
+		return e.watermark.ageMS()
 	})
 	e.Metrics.Gauge("spread.partners_count", func() int64 { return int64(len(e.currentPartners())) })
 	e.Metrics.Gauge("membership.live_count", func() int64 { return int64(len(e.Members.Live())) })
--- a/version/spread/message.go
+++ b/version/spread/message.go
@@ -41,6 +41,8 @@
 	Revision int64 `cbor:"6,keyasint,omitempty"`
 	// CallerStatus is the status of the calling host in the membership of the responding one.
 	CallerStatus membership.Status `cbor:"7,keyasint,omitempty"`
+	// Era is the era of the table to which Revision belongs.
+	Era uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 // SyncArgs holds the values of a topic that the called host lacks, and a digest with
--- a/version/spread/poller.go
+++ b/version/spread/poller.go
@@ -37,6 +37,9 @@
 	snapshotInterval = 2 * time.Minute
 )
 
+// errEarlierEra reports an answer from before a restore of the table that this host has seen.
+var errEarlierEra = errors.New("the table answers from an earlier era")
+
 // Sources holds the platform services that a Poller uses.
 type Sources struct {
 	Store     *store.Store
@@ -62,6 +65,10 @@
 
 	// memberCursor is the table revision up to which the member rows have been read.
 	memberCursor int64
+	// readEra is the era of the table when this host last read tickets from it, and hasRead
+	// whether it ever did.
+	readEra uint64
+	hasRead bool
 	// othersUntil is when the member row of each other host expires, as read last.
 	othersUntil   map[string]time.Time
 	polls         int
@@ -195,22 +202,35 @@
 		return err
 	}
 	p.tickets.Add(snap.Records...)
-	p.engine.watermark.advance(time.Time{}, snap.Revision)
+	p.engine.watermark.advance(time.Time{}, Position{Era: snap.Era, Revision: snap.Revision})
 	return nil
 }
 
-// poll reads the tickets accepted after the engine's revision, which also advances
-// when another host's watermark is adopted, and pushes the new ones.
+// poll reads the tickets accepted after the engine's position, which also advances
+// when another host's watermark is adopted, and pushes the new ones. When the table was
+// restored since this host last read it, all tickets are read again.
 func (p *Poller) poll(ctx context.Context) error {
+	from := p.engine.Position()
 	for {
 		if err := p.limiter.Wait(ctx); err != nil {
 			return err
 		}
 		began := time.Now()
-		page, err := p.page(ctx)
+		page, err := p.page(ctx, from.Revision)
 		if err != nil {
 			return err
 		}
+		if page.Era < max(p.readEra, from.Era) {
+			return errEarlierEra
+		}
+		if page.Era > from.Era || p.hasRead && page.Era > p.readEra {
+			evRestored.Log(p.engine.Log).Uint64("era", page.Era).Int64("revision", page.Next).Send()
+			p.hasRead, p.readEra = true, page.Era
+			p.memberCursor = 0
+			from = Position{Era: page.Era}
+			continue
+		}
+		p.hasRead, p.readEra = true, page.Era
 		for _, key := range page.Unreadable {
 			if p.tickets.addUnreadable(key) {
 				evUnreadable.Log(p.engine.Log).Str("row", key).Send()
@@ -219,19 +239,20 @@
 		if delta := p.tickets.Add(page.Records...); delta != nil {
 			p.engine.Publish(TicketsTopic, delta)
 		}
+		from = Position{Era: page.Era, Revision: page.Next}
 		if !page.More {
-			p.engine.RecordRead(began, page.Next)
+			p.engine.RecordRead(began, from)
 			return nil
 		}
-		p.engine.watermark.advance(time.Time{}, page.Next)
+		p.engine.watermark.advance(time.Time{}, from)
 	}
 }
 
-func (p *Poller) page(ctx context.Context) (store.Page, error) {
+func (p *Poller) page(ctx context.Context, after int64) (store.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	p.engine.Metrics.Counter("spread.store_reads_total").Add(1)
-	return p.Store.Page(ctx, p.engine.Revision(), pageRows)
+	return p.Store.Page(ctx, after, pageRows)
 }
 
 // renewLeaseIfAlone renews the lease of a host that has no other member to confirm it. A
@@ -329,7 +350,8 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	sum := p.state.Sum()
-	snap := store.Snapshot{Revision: p.engine.Revision()}
+	at := p.engine.Position()
+	snap := store.Snapshot{Era: at.Era, Revision: at.Revision}
 	for _, n := range p.state.Numbers() {
 		if r, ok := p.state.Record(n); ok {
 			snap.Records = append(snap.Records, r)
--- a/version/spread/service.go
+++ b/version/spread/service.go
@@ -15,7 +15,9 @@
 	self := e.Members.Self()
 	reply.Host, reply.FailureDomain = self.Host, self.FailureDomain
 	reply.Complete = e.Complete()
-	reply.StateAgeMS, reply.Revision = e.watermark.ageMSAndRevision()
+	reply.StateAgeMS = e.watermark.ageMS()
+	at := e.Position()
+	reply.Era, reply.Revision = at.Era, at.Revision
 	if entry, ok := e.Members.Entry(args.From); ok && entry.Member.Incarnation == args.Incarnation {
 		reply.CallerStatus = entry.Status
 	} else if ok && entry.Member.Incarnation > args.Incarnation {
--- a/version/spread/watermark.go
+++ b/version/spread/watermark.go
@@ -14,23 +14,37 @@
 // members are in fewer failure domains.
 const minSyncedDomains = 2
 
-// watermark is the time and the table revision up to which the state contains all
+// Position is a revision of the table in one of its eras. Revisions compare within an era
+// only: a table that was restored from a copy gives them out again.
+type Position struct {
+	Era      uint64
+	Revision int64
+}
+
+// after reports whether p is later than o.
+func (p Position) after(o Position) bool {
+	return p.Era > o.Era || p.Era == o.Era && p.Revision > o.Revision
+}
+
+// watermark is the time and the table position up to which the state contains all
 // accepted tickets.
 type watermark struct {
 	mu sync.Mutex
 	// at is the last time at which the state is known to have matched the table service.
 	// It has a monotonic clock reading.
 	at       time.Time
-	revision int64
+	position Position
 }
 
-func (w *watermark) advance(at time.Time, revision int64) {
+func (w *watermark) advance(at time.Time, to Position) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if at.After(w.at) {
 		w.at = at
 	}
-	w.revision = max(w.revision, revision)
+	if to.after(w.position) {
+		w.position = to
+	}
 }
 
 func (w *watermark) age() (time.Duration, bool) {
@@ -39,16 +53,13 @@
 	return time.Since(w.at), !w.at.IsZero()
 }
 
-// ageMSAndRevision returns the age in milliseconds, rounded up, or -1 if it is unknown, and
-// the revision.
-func (w *watermark) ageMSAndRevision() (int64, int64) {
+// ageMS returns the age in milliseconds, rounded up, or -1 if it is unknown.
+func (w *watermark) ageMS() int64 {
 	age, known := w.age()
-	w.mu.Lock()
-	defer w.mu.Unlock()
 	if !known {
-		return -1, w.revision
+		return -1
 	}
-	return age.Milliseconds() + 1, w.revision
+	return age.Milliseconds() + 1
 }
 
 // UpToDate reports whether the state matched the table service less than MaxStateAge ago.
@@ -62,18 +73,17 @@
 // and false if that was never the case.
 func (e *Engine) StateAge() (time.Duration, bool) { return e.watermark.age() }
 
-// Revision returns the table revision up to which the state contains all accepted
-// tickets.
-func (e *Engine) Revision() int64 {
+// Position returns the table position up to which the state contains all accepted tickets.
+func (e *Engine) Position() Position {
 	e.watermark.mu.Lock()
 	defer e.watermark.mu.Unlock()
-	return e.watermark.revision
+	return e.watermark.position
 }
 
 // RecordRead records that a read that began at the given time returned all tickets up
-// to a table revision.
-func (e *Engine) RecordRead(began time.Time, revision int64) {
-	e.watermark.advance(began, revision)
+// to a table position.
+func (e *Engine) RecordRead(began time.Time, upTo Position) {
+	e.watermark.advance(began, upTo)
 	e.complete.Store(true)
 }
 
@@ -85,7 +95,8 @@
 // state is complete, its failure domain counts towards the completeness of this state.
 func (e *Engine) recordSync(began time.Time, reply ExchangeReply) {
 	if reply.StateAgeMS >= 0 {
-		e.watermark.advance(began.Add(-time.Duration(reply.StateAgeMS)*time.Millisecond), reply.Revision)
+		at := began.Add(-time.Duration(reply.StateAgeMS) * time.Millisecond)
+		e.watermark.advance(at, Position{Era: reply.Era, Revision: reply.Revision})
 	}
 	if !reply.Complete || e.complete.Load() {
 		return
--- a/version/store/history.go
+++ b/version/store/history.go
@@ -18,6 +18,8 @@
 	Next int64
 	// More is true if further tickets follow.
 	More bool
+	// Era is the era of the table to which Next belongs.
+	Era uint64
 }
 
 // Page reads about limit tickets accepted after a table revision. A row that cannot
@@ -27,7 +29,7 @@
 	if err != nil {
 		return Page{}, err
 	}
-	page := Page{Next: changes.Next, More: changes.More}
+	page := Page{Next: changes.Next, More: changes.More, Era: changes.Era}
 	for _, row := range changes.Rows {
 		r, err := decodeRecord(row)
 		if err != nil {
--- a/version/store/snapshot.go
+++ b/version/store/snapshot.go
@@ -28,6 +28,8 @@
 
 // Snapshot holds the tickets in force at a table revision.
 type Snapshot struct {
+	// Era is the era of the table to which Revision belongs.
+	Era uint64
 	// Revision is the table revision up to which all tickets have been merged.
 	Revision int64
 	Records  []state.Record
@@ -36,6 +38,7 @@
 // snapshotHeader is the first line of a snapshot; the records follow as JSON.
 type snapshotHeader struct {
 	Format   int    `json:"format"`
+	Era      uint64 `json:"era,omitempty"`
 	Revision int64  `json:"revision"`
 	SHA256   string `json:"sha256"`
 }
@@ -55,7 +58,7 @@
 	if err != nil {
 		return err
 	}
-	if err := s.objects.Put(ctx, snapshotKey(snap.Revision), data); err != nil {
+	if err := s.objects.Put(ctx, snapshotKey(snap.Era, snap.Revision), data); err != nil {
 		return errors.Wrap(err, "write state snapshot")
 	}
 	keys, err := s.objects.List(ctx, snapshotPrefix)
@@ -96,14 +99,21 @@
 	return Snapshot{}, platform.ErrNotFound
 }
 
-func snapshotKey(revision int64) string { return fmt.Sprintf("%s%020d", snapshotPrefix, revision) }
+// snapshotKey returns the key of a snapshot. Keys are in the order of the era, then of the
+// revision: the first era is left out, and all others have a letter before it.
+func snapshotKey(era uint64, revision int64) string {
+	if era == 0 {
+		return fmt.Sprintf("%s%020d", snapshotPrefix, revision)
+	}
+	return fmt.Sprintf("%se%020d-%020d", snapshotPrefix, era, revision)
+}
 
 func encodeSnapshot(snap Snapshot) ([]byte, error) {
 	body, err := json.Marshal(snap.Records)
 	if err != nil {
 		return nil, err
 	}
-	header, err := json.Marshal(snapshotHeader{Format: snapshotFormat, Revision: snap.Revision, SHA256: checksum(body)})
+	header, err := json.Marshal(snapshotHeader{Format: snapshotFormat, Era: snap.Era, Revision: snap.Revision, SHA256: checksum(body)})
 	if err != nil {
 		return nil, err
 	}
@@ -127,7 +137,7 @@
 	if got := checksum(body); got != header.SHA256 {
 		return Snapshot{}, errors.Wrapf(ErrCorrupt, "checksum %s, want %s", got, header.SHA256)
 	}
-	snap := Snapshot{Revision: header.Revision}
+	snap := Snapshot{Era: header.Era, Revision: header.Revision}
 	if err := json.Unmarshal(body, &snap.Records); err != nil {
 		return Snapshot{}, errors.Wrapf(ErrCorrupt, "records: %v", err)
 	}
