Tickets: a ticket that a restored table lacks is written again

What callers see: an accepted ticket can be undone. After the table service comes back from a copy older than a ticket, hosts that start do not know the ticket, and the table accepts a ticket with a smaller number for the same object. Cause: hosts kept the ticket but nobody wrote it again. A poller that reads a later era knows from its reading of the whole table which tickets are there. It writes those of its tickets in force that are not, in one transaction each: only if the table has no ticket with the number, and only to the objects that have no larger ticket, conditions on all of them. So it can be repeated, and what was accepted after the restore stays. Events 2020 and 2024.

--- a/version/spread/cluster_test.go
+++ b/version/spread/cluster_test.go
@@ -8,6 +8,8 @@
 	"math/rand/v2"
 	"net/rpc"
 	"reflect"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -137,6 +139,8 @@
 	calls int
 	// readOnly makes only writes fail.
 	readOnly bool
+	// ticketWrites counts the commits of hosts that write a ticket.
+	ticketWrites int
 }
 
 func (s *switchableTable) setDown(down bool) {
@@ -175,6 +179,9 @@
 	}
 	s.mu.Lock()
 	readOnly := s.readOnly
+	if slices.ContainsFunc(w, func(w platform.Write) bool { return strings.HasPrefix(w.Key, "ticket/") }) {
+		s.ticketWrites++
+	}
 	s.mu.Unlock()
 	if readOnly {
 		return 0, platform.ErrUnavailable
--- a/version/spread/events.go
+++ b/version/spread/events.go
@@ -18,7 +18,9 @@
 	evSnapshot         = eventlog.Define(2015, zerolog.InfoLevel, "state snapshot written")
 	evSnapshotRejected = eventlog.Define(2016, zerolog.ErrorLevel, "state snapshot rejected")
 	// evRestored reports that the table service was restored from an older copy.
-	evRestored = eventlog.Define(2019, zerolog.WarnLevel, "table service was restored from a copy; all tickets are read again")
+	evRestored      = eventlog.Define(2019, zerolog.WarnLevel, "table service was restored from a copy; all tickets are read again")
+	evRewritten     = eventlog.Define(2020, zerolog.WarnLevel, "ticket that the restored table lacks was written again")
+	evRewriteFailed = eventlog.Define(2024, zerolog.ErrorLevel, "writing a ticket again failed")
 	// evSnapshotFailed reports an object store failure. Reads of the table service continue.
 	evSnapshotFailed = eventlog.Define(2018, zerolog.WarnLevel, "reading or writing the state snapshot failed")
 	evLoaded         = eventlog.Define(2017, zerolog.InfoLevel, "state loaded")
--- a/version/spread/poller.go
+++ b/version/spread/poller.go
@@ -69,6 +69,8 @@
 	// whether it ever did.
 	readEra uint64
 	hasRead bool
+	// repair is set for a while after a restore of the table.
+	repair *repair
 	// othersUntil is when the member row of each other host expires, as read last.
 	othersUntil   map[string]time.Time
 	polls         int
@@ -152,6 +154,7 @@
 	if unconnected {
 		p.renewLeaseIfAlone(began)
 	}
+	p.writeLostTickets(ctx)
 	p.writeSnapshotIfDue(ctx)
 	return nil
 }
@@ -227,10 +230,12 @@
 			evRestored.Log(p.engine.Log).Uint64("era", page.Era).Int64("revision", page.Next).Send()
 			p.hasRead, p.readEra = true, page.Era
 			p.memberCursor = 0
+			p.repair = newRepair(began)
 			from = Position{Era: page.Era}
 			continue
 		}
 		p.hasRead, p.readEra = true, page.Era
+		p.noteInTable(page.Records)
 		for _, key := range page.Unreadable {
 			if p.tickets.addUnreadable(key) {
 				evUnreadable.Log(p.engine.Log).Str("row", key).Send()
--- a/version/store/store.go
+++ b/version/store/store.go
@@ -121,7 +121,12 @@
 	if !errors.Is(err, platform.ErrNotFound) {
 		return state.Record{}, err
 	}
-	rows, err := s.objectRows(ctx, r)
+	rows, err := s.objectRows(ctx, r, func(i int, row objectRow) error {
+		if row.ticket >= r.Number {
+			return &ConflictError{Number: r.Number, Winner: row.ticket, Object: r.Objects[i].Key.String()}
+		}
+		return nil
+	})
 	var conflict *ConflictError
 	if errors.As(err, &conflict) {
 		return s.confirmConflict(ctx, r, conflict)
@@ -188,9 +193,9 @@
 	revision int64
 }
 
-// objectRows reads the rows of all objects of a ticket, in the same order. It returns
-// a ConflictError if one of them has the same or a larger ticket number.
-func (s *Store) objectRows(ctx context.Context, r state.Record) ([]objectRow, error) {
+// objectRows reads the rows of all objects of a ticket, in the same order. It returns the
+// first error that check, which gets the index of the object, returns for one of them.
+func (s *Store) objectRows(ctx context.Context, r state.Record, check func(i int, row objectRow) error) ([]objectRow, error) {
 	rows := make([]objectRow, len(r.Objects))
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(maxConcurrentReads)
@@ -200,11 +205,8 @@
 			if err != nil {
 				return err
 			}
-			if row.ticket >= r.Number {
-				return &ConflictError{Number: r.Number, Winner: row.ticket, Object: o.Key.String()}
-			}
 			rows[i] = row
-			return nil
+			return check(i, row)
 		})
 	}
 	return rows, group.Wait()
