Tickets: a host refuses a ticket that conflicts with one it has in force itself

What callers see: in the moment between the return of an older copy and the writing of lost tickets, a ticket with a smaller number was accepted, though a larger one for its object had been, and then never came into force; so was a ticket with the number of a lost one and other content, after which hosts differed for good. Cause: only the table was asked, and it no longer had the record. A host now looks at the tickets in force on itself first. It refuses with the same conflict as the store would, unless the table has the ticket, which was then accepted before. Submitting a lost ticket again succeeds.

--- a/version/replica/submit.go
+++ b/version/replica/submit.go
@@ -4,9 +4,13 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"quetzalknot/platform"
 	"quetzalknot/process/settings"
 	"quetzalknot/version/spread"
 	"quetzalknot/version/state"
+	"quetzalknot/version/store"
 	"quetzalknot/version/ticket"
 )
 
@@ -23,6 +27,9 @@
 	if err != nil {
 		return state.Record{}, err
 	}
+	if err := r.checkConflict(ctx, record); err != nil {
+		return state.Record{}, err
+	}
 	accepted, err := r.store.Submit(ctx, record)
 	if err != nil {
 		return state.Record{}, err
@@ -34,6 +41,24 @@
 	return accepted, nil
 }
 
+// checkConflict returns a store.ConflictError if the ticket conflicts with one in force on this
+// host. The table service may lack that one until it is written again, if it was restored from a
+// copy. A ticket that the table service has was accepted before, which the store finds out.
+func (r *Replica) checkConflict(ctx context.Context, record state.Record) error {
+	conflict, found := r.merged.Conflict(record)
+	if !found {
+		return nil
+	}
+	if _, err := r.store.Ticket(ctx, record.Number); !errors.Is(err, platform.ErrNotFound) {
+		return err
+	}
+	refused := &store.ConflictError{Number: record.Number, Winner: conflict.Winner}
+	if conflict.Object != (state.Key{}) {
+		refused.Object = conflict.Object.String()
+	}
+	return refused
+}
+
 // check checks a ticket. Before it is rejected because of an unknown reference, newer
 // tickets are read from the table service, since one of them may contain the object.
 func (r *Replica) check(ctx context.Context, t *ticket.Ticket) error {
--- a/version/state/state.go
+++ b/version/state/state.go
@@ -206,6 +206,31 @@
 	return Record{}, false
 }
 
+// Conflict describes an accepted ticket with which another one conflicts.
+type Conflict struct {
+	// Winner is the number of the accepted ticket.
+	Winner uint64
+	// Object is an object that both change. It is the zero Key if both have the same number
+	// and the content differs.
+	Object Key
+}
+
+// Conflict returns a ticket in force that has the number of r and other content, or a larger
+// number for one of its objects. It returns false if there is none.
+func (s *State) Conflict(r Record) (Conflict, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	if same := s.live[r.Number]; same != nil {
+		return Conflict{Winner: r.Number}, same.Content != r.Content
+	}
+	for _, o := range r.Objects {
+		if s.winners[o.Key] > r.Number {
+			return Conflict{Winner: s.winners[o.Key], Object: o.Key}, true
+		}
+	}
+	return Conflict{}, false
+}
+
 // Numbers returns the numbers of the tickets in force, in increasing order.
 func (s *State) Numbers() []uint64 {
 	s.mu.RLock()
--- a/version/state/state_test.go
+++ b/version/state/state_test.go
@@ -185,3 +185,27 @@
 	close(done)
 	wg.Wait()
 }
+
+// A ticket conflicts with larger ones for its objects and with other content of its number only.
+func TestConflictWithTicketInForce(t *testing.T) {
+	s := New()
+	s.Merge(hostRecord(5, "h1", "h2"), hostRecord(7, "h2"))
+	other := hostRecord(5, "h3")
+	other.Content = "other"
+	for name, c := range map[string]struct {
+		ticket Record
+		want   Conflict
+		found  bool
+	}{
+		"smaller number":                 {hostRecord(4, "h1"), Conflict{Winner: 5, Object: leavingKey("h1")}, true},
+		"larger for one of its objects":  {hostRecord(6, "h1", "h2"), Conflict{Winner: 7, Object: leavingKey("h2")}, true},
+		"larger than all":                {hostRecord(8, "h1", "h2"), Conflict{}, false},
+		"smaller number, another object": {hostRecord(4, "h3"), Conflict{}, false},
+		"same ticket":                    {hostRecord(5, "h1", "h2"), Conflict{Winner: 5}, false},
+		"same number with other content": {other, Conflict{Winner: 5}, true},
+	} {
+		if got, found := s.Conflict(c.ticket); found != c.found || found && got != c.want {
+			t.Errorf("%s: got %v, %v; want %v, %v", name, got, found, c.want, c.found)
+		}
+	}
+}
