Members: after a restore of the table hosts write their rows again within a minute

What callers see: a host that starts after the table came back from an older copy does not find hosts whose rows the copy lacks, for up to 6 minutes. Cause: a host writes its row when the renewal is due, whatever the table holds. A host whose tickets have reached a later era, by its own read or from a partner, now renews within a minute, at a random moment: with 910 hosts 15 rows a second.

--- a/version/spread/poller.go
+++ b/version/spread/poller.go
@@ -33,6 +33,9 @@
 	// readsPerSecond bounds the reads of one host, so that hosts that catch up do not
 	// use up the capacity of the table service.
 	readsPerSecond = 5
+	// rowRewriteSpread is the time after a restore over which the hosts write their member
+	// rows again: with 910 hosts, 15 rows a second.
+	rowRewriteSpread = time.Minute
 	// snapshotInterval is the minimum interval between snapshots.
 	snapshotInterval = 2 * time.Minute
 )
@@ -77,8 +80,10 @@
 	storeDown     bool
 	renewAt       time.Time
 	renewFailedAt time.Time
-	snapshotAt    time.Time
-	snapshotSum   uint64
+	// rowEra is the era of the table for which the member row is written or due.
+	rowEra      uint64
+	snapshotAt  time.Time
+	snapshotSum uint64
 	// announcedLeaving is the Leaving flag in the last written member row.
 	announcedLeaving bool
 }
@@ -313,6 +318,7 @@
 // renewRow writes the member row of this process when its renewal is due or when its
 // Leaving flag has changed.
 func (p *Poller) renewRow(ctx context.Context) {
+	p.renewAfterRestore()
 	self := p.engine.Members.Self()
 	due := time.Now().After(p.renewAt) || self.Leaving != p.announcedLeaving && time.Now().After(p.renewFailedAt.Add(maxStoreBackoff))
 	if !due || ctx.Err() != nil {
@@ -337,6 +343,20 @@
 	p.renewAt = time.Now().Add(membership.RenewInterval*3/4 + rand.N(membership.RenewInterval/2))
 }
 
+// renewAfterRestore makes the renewal of the member row due soon when the table was restored
+// from a copy, which may lack the row.
+func (p *Poller) renewAfterRestore() {
+	era := p.engine.Position().Era
+	if era <= p.rowEra {
+		return
+	}
+	p.rowEra = era
+	soon := time.Now().Add(rand.N(rowRewriteSpread))
+	if p.renewAt.After(soon) {
+		p.renewAt = soon
+	}
+}
+
 // writeSnapshotIfDue writes a changed state to the object store. Only the host that
 // ranks first among the live members does so.
 func (p *Poller) writeSnapshotIfDue(ctx context.Context) {
--- a/version/spread/restore_test.go
+++ b/version/spread/restore_test.go
@@ -159,3 +159,21 @@
 		}
 	})
 }
+
+// Regression: after a restore a host's row was missing until its next renewal, up to 6 minutes
+// later, so that hosts that started did not find it.
+func TestMemberRowWrittenAgainAfterRestore(t *testing.T) {
+	run(t, func(t *testing.T) {
+		c := newCluster()
+		older := c.memoryTable().Copy()
+		c.startAll(t.Context(), 12)
+		defer c.stopAll()
+		c.waitConverged(t)
+		time.Sleep(10 * time.Second)
+		c.memoryTable().Restore(older)
+		eventually(t, rowRewriteSpread+10*time.Second, "the table has the rows of all hosts", func() bool {
+			rows, _, _, err := membership.NewRows(c.memoryTable()).Changed(t.Context(), 0, 100, time.Now())
+			return err == nil && len(rows) == len(c.hosts)
+		})
+	})
+}
