--- a/version/spread/poller.go
+++ b/version/spread/poller.go
@@ -358,11 +358,11 @@
 }
 
 // writeSnapshotIfDue writes a changed state to the object store. Only the host that
-// ranks first among the live members does so.
+// ranks first among the pollers does so.
 func (p *Poller) writeSnapshotIfDue(ctx context.Context) {
 	self := p.engine.Members.Self()
 	due := time.Now().After(p.snapshotAt) && p.state.Sum() != p.snapshotSum
-	if !due || membership.Rank("snapshot", self.Host, p.engine.Members.Live()) > 0 {
+	if !due || membership.Rank("snapshot", self.Host, p.pollers()) > 0 {
 		return
 	}
 	p.snapshotAt = time.Now().Add(snapshotInterval)
--- a/version/spread/tickets_test.go
+++ b/version/spread/tickets_test.go
@@ -222,3 +222,19 @@
 		t.Fatalf("ticket %d is in force, want 2", got)
 	}
 }
+
+// Regression: no snapshot was written when the host that ranked first for it did not poll the
+// table service, as is likely with many hosts.
+func TestSnapshotIsWrittenWithManyHosts(t *testing.T) {
+	run(t, func(t *testing.T) {
+		c := newCluster()
+		c.startAll(t.Context(), 30)
+		defer c.stopAll()
+		c.waitConverged(t)
+		c.acceptDirectly(t, 1)
+		eventually(t, 3*snapshotInterval, "a snapshot is written", func() bool {
+			keys, _ := c.platform.Objects.List(t.Context(), "state/")
+			return len(keys) > 0
+		})
+	})
+}
