--- a/version/spread/cluster_test.go
+++ b/version/spread/cluster_test.go
@@ -8,6 +8,8 @@
 	"math/rand/v2"
 	"net/rpc"
 	"reflect"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -35,6 +37,11 @@
 	// broken reports whether a message from one host to another is lost.
 	broken func(from, to string) bool
 	calls  int
+	// lost holds the methods of which all requests are lost.
+	lost map[string]bool
+	// record is set while calls are written to log.
+	record bool
+	log    []callRecord
 }
 
 func newNetwork() *network {
@@ -58,6 +65,10 @@
 	c.net.calls++
 	callee := c.net.hosts[addr]
 	requestLost, replyLost := c.net.broken(c.from, addr), c.net.broken(addr, c.from)
+	requestLost = requestLost || c.net.lost[method]
+	if c.net.record {
+		c.net.log = append(c.net.log, callRecord{time.Now(), c.from, addr, method, requestLost, replyLost})
+	}
 	c.net.mu.Unlock()
 	if callee == nil {
 		return errors.New("connection refused")
@@ -128,6 +139,8 @@
 	calls int
 	// readOnly makes only writes fail.
 	readOnly bool
+	// ticketWrites counts the commits of hosts that write a ticket.
+	ticketWrites int
 }
 
 func (s *switchableTable) setDown(down bool) {
@@ -166,6 +179,9 @@
 	}
 	s.mu.Lock()
 	readOnly := s.readOnly
+	if slices.ContainsFunc(w, func(w platform.Write) bool { return strings.HasPrefix(w.Key, "ticket/") }) {
+		s.ticketWrites++
+	}
 	s.mu.Unlock()
 	if readOnly {
 		return 0, platform.ErrUnavailable
@@ -247,6 +263,11 @@
 // submit adds a ticket on one host, as if the ticket had been accepted through it.
 func (h *host) submit(r state.Record) { h.engine.Publish(TicketsTopic, h.tickets.Add(r)) }
 
+// memoryTable returns the table below those that tests put in front of it.
+func (c *cluster) memoryTable() *memory.Table {
+	return c.platform.Table.(*switchableTable).Table.(*memory.Table)
+}
+
 func (c *cluster) allHaveTicket(number uint64) bool {
 	for _, h := range c.hosts {
 		if h.state.Newest() < number {
--- a/version/spread/engine.go
+++ b/version/spread/engine.go
@@ -19,7 +19,8 @@
 const (
 	// idleInterval is the mean interval between exchanges started by a host.
 	idleInterval = time.Second
-	// activeInterval replaces idleInterval for activePeriod after a change.
+	// activeInterval replaces idleInterval for activePeriod after a change or after an
+	// exchange in which the tickets differed.
 	activeInterval = 250 * time.Millisecond
 	activePeriod   = 3 * time.Second
 	// callTimeout bounds one call between hosts.
@@ -27,6 +28,9 @@
 	// maxPushes bounds the pushes in flight. Further pushes are dropped; the exchanges
 	// deliver those changes.
 	maxPushes = 64
+	// maxPushTries is how often a ticket is pushed to a partner that does not respond. The
+	// last try begins within 2*(callTimeout+activeInterval) of the first.
+	maxPushTries = 3
 	// maxPushBytes is the largest delta that is pushed. For a larger one an exchange is
 	// started, which sends it only to hosts that lack it.
 	maxPushBytes = 16 << 10
@@ -124,10 +128,10 @@
 
 // push sends a delta to all partners except the host that it came from.
 func (e *Engine) push(topic string, delta []byte, from string) {
-	if _, ok := e.topic(topic).(Quiet); !ok {
+	if !e.quiet(topic) {
 		e.noteChange()
 	}
-	for _, p := range e.currentPartners() {
+	for _, p := range e.partnersFor(topic) {
 		if p.Host == from {
 			continue
 		}
@@ -139,6 +143,25 @@
 	}
 }
 
+func (e *Engine) quiet(topic string) bool {
+	_, ok := e.topic(topic).(Quiet)
+	return ok
+}
+
+// partnersFor returns the partners to which a change of a topic is pushed. A change of the
+// members themselves or of a quiet topic goes to the current partners. Any other change is
+// rare and goes to the partners among all members known now: a host that only newer sets of
+// partners contain would otherwise get no push of it.
+func (e *Engine) partnersFor(topic string) []membership.Member {
+	if !e.rare(topic) {
+		return e.currentPartners()
+	}
+	return e.refreshPartners(0)
+}
+
+// rare reports whether the changes of a topic are rare and urgent.
+func (e *Engine) rare(topic string) bool { return topic != MembersTopic && !e.quiet(topic) }
+
 func (e *Engine) pushTo(p membership.Member, topic string, delta []byte) {
 	select {
 	case e.pushSlots <- struct{}{}:
@@ -146,17 +169,46 @@
 		e.Metrics.Counter("spread.pushes_dropped_total").Add(1)
 		return
 	}
-	started := e.goCall(func(ctx context.Context) {
+	tries := 1
+	if e.rare(topic) {
+		tries = maxPushTries
+	}
+	args := PushArgs{From: e.Members.Self().Host, Topic: topic, Delta: delta}
+	started := e.goCall(func(context.Context) {
 		defer func() { <-e.pushSlots }()
-		args := PushArgs{From: e.Members.Self().Host, Topic: topic, Delta: delta}
-		if err := e.Client.Call(ctx, p.PeerAddr, serviceName+".Push", &args, &Empty{}); err != nil {
-			e.Metrics.Counter("spread.pushes_failed_total").Add(1)
-		}
+		e.callPush(p, &args, tries)
 	})
 	if !started {
 		<-e.pushSlots
 	}
-	e.Metrics.Counter("spread.pushes_total").Add(1)
+}
+
+// callPush pushes a change, again after each failure until all tries are used or many other
+// pushes are in flight.
+func (e *Engine) callPush(p membership.Member, args *PushArgs, tries int) {
+	for try := range tries {
+		if try > 0 && (len(e.pushSlots) > maxPushes/2 || !e.pause(activeInterval)) {
+			return
+		}
+		ctx, cancel := context.WithTimeout(e.baseCtx, callTimeout)
+		err := e.Client.Call(ctx, p.PeerAddr, serviceName+".Push", args, &Empty{})
+		cancel()
+		e.Metrics.Counter("spread.pushes_total").Add(1)
+		if err == nil {
+			return
+		}
+		e.Metrics.Counter("spread.pushes_failed_total").Add(1)
+	}
+}
+
+// pause waits. It returns false if the engine is closed first.
+func (e *Engine) pause(d time.Duration) bool {
+	select {
+	case <-e.baseCtx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
 }
 
 // goCall runs a call in a goroutine with a timeout. It returns false if the engine is
@@ -181,13 +233,27 @@
 	e.lastChange = time.Now()
 }
 
+// noteDifference keeps the interval between exchanges short while the tickets differ from those
+// of another host. What either lacks may have been lost on the way.
+func (e *Engine) noteDifference(topic string) {
+	if topic == TicketsTopic {
+		e.noteChange()
+	}
+}
+
 // currentPartners returns the partners, recomputing them if the members have changed.
 // A full set of partners is recomputed at most once per partnerRefreshInterval.
 func (e *Engine) currentPartners() []membership.Member {
+	return e.refreshPartners(partnerRefreshInterval)
+}
+
+// refreshPartners returns the partners, recomputing them if the members have changed and a
+// full set is at least minAge old.
+func (e *Engine) refreshPartners(minAge time.Duration) []membership.Member {
 	sum := e.Members.Sum()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	due := len(e.partners) < membership.MaxPartners || time.Since(e.partnersAt) >= partnerRefreshInterval
+	due := len(e.partners) < membership.MaxPartners || time.Since(e.partnersAt) >= minAge
 	if sum != e.partnerSum && due || e.partners == nil {
 		e.partnerSum = sum
 		e.partnersAt = time.Now()
--- a/version/spread/poller.go
+++ b/version/spread/poller.go
@@ -33,10 +33,16 @@
 	// readsPerSecond bounds the reads of one host, so that hosts that catch up do not
 	// use up the capacity of the table service.
 	readsPerSecond = 5
+	// rowRewriteSpread is the time after a restore over which the hosts write their member
+	// rows again: with 910 hosts, 15 rows a second.
+	rowRewriteSpread = time.Minute
 	// snapshotInterval is the minimum interval between snapshots.
 	snapshotInterval = 2 * time.Minute
 )
 
+// errEarlierEra reports an answer from before a restore of the table that this host has seen.
+var errEarlierEra = errors.New("the table answers from an earlier era")
+
 // Sources holds the platform services that a Poller uses.
 type Sources struct {
 	Store     *store.Store
@@ -62,14 +68,22 @@
 
 	// memberCursor is the table revision up to which the member rows have been read.
 	memberCursor int64
+	// readEra is the era of the table when this host last read tickets from it, and hasRead
+	// whether it ever did.
+	readEra uint64
+	hasRead bool
+	// repair is set for a while after a restore of the table.
+	repair *repair
 	// othersUntil is when the member row of each other host expires, as read last.
 	othersUntil   map[string]time.Time
 	polls         int
 	storeDown     bool
 	renewAt       time.Time
 	renewFailedAt time.Time
-	snapshotAt    time.Time
-	snapshotSum   uint64
+	// rowEra is the era of the table for which the member row is written or due.
+	rowEra      uint64
+	snapshotAt  time.Time
+	snapshotSum uint64
 	// announcedLeaving is the Leaving flag in the last written member row.
 	announcedLeaving bool
 }
@@ -145,6 +159,7 @@
 	if unconnected {
 		p.renewLeaseIfAlone(began)
 	}
+	p.writeLostTickets(ctx)
 	p.writeSnapshotIfDue(ctx)
 	return nil
 }
@@ -195,22 +210,37 @@
 		return err
 	}
 	p.tickets.Add(snap.Records...)
-	p.engine.watermark.advance(time.Time{}, snap.Revision)
+	p.engine.watermark.advance(time.Time{}, Position{Era: snap.Era, Revision: snap.Revision})
 	return nil
 }
 
-// poll reads the tickets accepted after the engine's revision, which also advances
-// when another host's watermark is adopted, and pushes the new ones.
+// poll reads the tickets accepted after the engine's position, which also advances
+// when another host's watermark is adopted, and pushes the new ones. When the table was
+// restored since this host last read it, all tickets are read again.
 func (p *Poller) poll(ctx context.Context) error {
+	from := p.engine.Position()
 	for {
 		if err := p.limiter.Wait(ctx); err != nil {
 			return err
 		}
 		began := time.Now()
-		page, err := p.page(ctx)
+		page, err := p.page(ctx, from.Revision)
 		if err != nil {
 			return err
 		}
+		if page.Era < max(p.readEra, from.Era) {
+			return errEarlierEra
+		}
+		if page.Era > from.Era || p.hasRead && page.Era > p.readEra {
+			evRestored.Log(p.engine.Log).Uint64("era", page.Era).Int64("revision", page.Next).Send()
+			p.hasRead, p.readEra = true, page.Era
+			p.memberCursor = 0
+			p.repair = newRepair(began)
+			from = Position{Era: page.Era}
+			continue
+		}
+		p.hasRead, p.readEra = true, page.Era
+		p.noteInTable(page.Records)
 		for _, key := range page.Unreadable {
 			if p.tickets.addUnreadable(key) {
 				evUnreadable.Log(p.engine.Log).Str("row", key).Send()
@@ -219,19 +249,20 @@
 		if delta := p.tickets.Add(page.Records...); delta != nil {
 			p.engine.Publish(TicketsTopic, delta)
 		}
+		from = Position{Era: page.Era, Revision: page.Next}
 		if !page.More {
-			p.engine.RecordRead(began, page.Next)
+			p.engine.RecordRead(began, from)
 			return nil
 		}
-		p.engine.watermark.advance(time.Time{}, page.Next)
+		p.engine.watermark.advance(time.Time{}, from)
 	}
 }
 
-func (p *Poller) page(ctx context.Context) (store.Page, error) {
+func (p *Poller) page(ctx context.Context, after int64) (store.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	p.engine.Metrics.Counter("spread.store_reads_total").Add(1)
-	return p.Store.Page(ctx, p.engine.Revision(), pageRows)
+	return p.Store.Page(ctx, after, pageRows)
 }
 
 // renewLeaseIfAlone renews the lease of a host that has no other member to confirm it. A
@@ -287,6 +318,7 @@
 // renewRow writes the member row of this process when its renewal is due or when its
 // Leaving flag has changed.
 func (p *Poller) renewRow(ctx context.Context) {
+	p.renewAfterRestore()
 	self := p.engine.Members.Self()
 	due := time.Now().After(p.renewAt) || self.Leaving != p.announcedLeaving && time.Now().After(p.renewFailedAt.Add(maxStoreBackoff))
 	if !due || ctx.Err() != nil {
@@ -311,12 +343,26 @@
 	p.renewAt = time.Now().Add(membership.RenewInterval*3/4 + rand.N(membership.RenewInterval/2))
 }
 
+// renewAfterRestore makes the renewal of the member row due soon when the table was restored
+// from a copy, which may lack the row.
+func (p *Poller) renewAfterRestore() {
+	era := p.engine.Position().Era
+	if era <= p.rowEra {
+		return
+	}
+	p.rowEra = era
+	soon := time.Now().Add(rand.N(rowRewriteSpread))
+	if p.renewAt.After(soon) {
+		p.renewAt = soon
+	}
+}
+
 // writeSnapshotIfDue writes a changed state to the object store. Only the host that
-// ranks first among the live members does so.
+// ranks first among the pollers does so.
 func (p *Poller) writeSnapshotIfDue(ctx context.Context) {
 	self := p.engine.Members.Self()
 	due := time.Now().After(p.snapshotAt) && p.state.Sum() != p.snapshotSum
-	if !due || membership.Rank("snapshot", self.Host, p.engine.Members.Live()) > 0 {
+	if !due || membership.Rank("snapshot", self.Host, p.pollers()) > 0 {
 		return
 	}
 	p.snapshotAt = time.Now().Add(snapshotInterval)
@@ -329,7 +375,8 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	sum := p.state.Sum()
-	snap := store.Snapshot{Revision: p.engine.Revision()}
+	at := p.engine.Position()
+	snap := store.Snapshot{Era: at.Era, Revision: at.Revision}
 	for _, n := range p.state.Numbers() {
 		if r, ok := p.state.Record(n); ok {
 			snap.Records = append(snap.Records, r)
