--- a/request/serve/body_test.go
+++ b/request/serve/body_test.go
@@ -32,12 +32,17 @@
 
 // line is the part of the log line of a response that the tests look at.
 type line struct {
-	Status int    `json:"status"`
-	Error  string `json:"error"`
+	Request string `json:"request"`
+	Status  int    `json:"status"`
+	Verdict string `json:"verdict"`
+	Error   string `json:"error"`
 }
 
 // first waits for the first line with a status and returns it.
-func (l *lines) first(t *testing.T) line {
+func (l *lines) first(t *testing.T) line { return l.of(t, "") }
+
+// of waits for the line with the status of a request; an empty id stands for any.
+func (l *lines) of(t *testing.T, id string) line {
 	t.Helper()
 	for end := time.Now().Add(waitTimeout); time.Now().Before(end); time.Sleep(time.Millisecond) {
 		l.mu.Lock()
@@ -45,7 +50,7 @@
 		l.mu.Unlock()
 		for entry := range strings.Lines(text) {
 			var got line
-			if json.Unmarshal([]byte(entry), &got) == nil && strings.Contains(entry, `"status"`) {
+			if json.Unmarshal([]byte(entry), &got) == nil && strings.Contains(entry, `"status"`) && (id == "" || got.Request == id) {
 				return got
 			}
 		}
