serve: a connection on which a copy of another answer came is not used again

What callers saw: after an empty response that belongs to another request (a late copy, or a refusal of it) came while a request ran, that request got 502, and so did the next one, which had run: it got the answer that the target then sent to the first. From then on the connection could stay one answer behind. Cause: an empty body counts as read to its end, so the connection went back to the pool although the answer to the request was still due. Now the response is marked as the last. The other copies (whole, partial, long, twice, without id, at once, on the idle connection) did no harm before either: the id, the bytes left over and the look at an idle connection rule them out.

--- a/connection/target/exchange.go
+++ b/connection/target/exchange.go
@@ -69,7 +69,8 @@
 
 // Exchange sends a request and returns the response when its header has been read.
 // Closing the response body ends the exchange. A connection whose response was not read
-// completely is not reused. When ctx is done, the request is cancelled at the target.
+// completely, or whose response has Close set, by the target or by the caller of Exchange, is
+// not reused. When ctx is done, the request is cancelled at the target.
 // Every error is a verdict.Error.
 func (p *Pool) Exchange(ctx context.Context, call *Call) (*http.Response, error) {
 	maxIdle := maxIdleTime
--- a/request/serve/attempt.go
+++ b/request/serve/attempt.go
@@ -94,6 +94,7 @@
 	moved := headers.WrongTarget && headers.Target != choice.ID // the expected target's own 421 is a response
 	switch {
 	case !headers.MatchesRequest && !headers.NotRun && !moved:
+		resp.Close = true // the response to this request may follow
 		_ = resp.Body.Close()
 		outcome.Failed = true
 		return result{verdict: verdict.MayHaveRun, err: errMismatch}, outcome
