serve: a response without an id on a connection in use again does not say that this request was not run

What callers saw: a request that a target ran got 503, which promises that it was not run, and an unsafe one could be sent to a second target, when a response without an id that says so (not run, or 421 of another target) came late on a connection that had carried other requests. In the 421 case the target also counted as gone. Cause: a response without an id was taken as one to the request in flight. On a new connection it can only be that; on one in use again it may be a late copy. There the outcome is now unknown, and in both cases the connection is closed behind it. TestOnlyTrueMisdirectionIsNotRun holds unchanged: on new connections such a response still counts. Cost: a target that never names the request in its refusals gets a new connection after each of them.

--- a/connection/target/exchange.go
+++ b/connection/target/exchange.go
@@ -59,6 +59,9 @@
 	// the deadline and a grace time have passed. With CloseOnCancel it is called as soon
 	// as the connection is closed. It may be nil.
 	Ended func()
+	// Reused is set by Exchange: the connection carried other requests before, so that bytes
+	// of their responses may come late on it.
+	Reused bool
 }
 
 func (c *Call) end() {
@@ -83,6 +86,7 @@
 			call.end()
 			return nil, verdict.Wrap(verdict.NotRun, "dial", err)
 		}
+		call.Reused = c.reused
 		x := newExchange(ctx, p, c, call)
 		resp, err := x.run()
 		if err == nil {
--- a/request/serve/attempt.go
+++ b/request/serve/attempt.go
@@ -85,16 +85,22 @@
 
 // send makes the exchange with a target and classifies its response by the headers.
 func (q *request) send(ctx context.Context, choice place.Choice) (result, fleet.Outcome) {
-	resp, err := q.h.Pool.Exchange(ctx, q.newCall(choice))
+	call := q.newCall(choice)
+	resp, err := q.h.Pool.Exchange(ctx, call)
 	if err != nil {
 		return q.classifyFailure(ctx, choice, err)
 	}
 	headers := q.h.Headers.ReadResponse(resp, q.callerHeaders.ID)
 	outcome := fleet.Outcome{Load: headers.Load}
-	moved := headers.WrongTarget && headers.Target != choice.ID // the expected target's own 421 is a response
-	switch {
-	case !headers.MatchesRequest && !headers.NotRun && !moved:
+	// A response that names no request may be a late one to another, if there was one.
+	own := headers.MatchesRequest || !call.Reused
+	moved := own && headers.WrongTarget && headers.Target != choice.ID // the expected target's own 421 is a response
+	notRun := own && headers.NotRun
+	if !headers.MatchesRequest {
 		resp.Close = true // the response to this request may follow
+	}
+	switch {
+	case !headers.MatchesRequest && !notRun && !moved:
 		_ = resp.Body.Close()
 		outcome.Failed = true
 		return result{verdict: verdict.MayHaveRun, err: errMismatch}, outcome
@@ -102,7 +108,7 @@
 		_ = resp.Body.Close()
 		outcome.Failed, outcome.Unreachable = true, true
 		return result{verdict: verdict.NotRun, err: errMoved}, outcome
-	case headers.NotRun:
+	case notRun:
 		_, _ = io.CopyN(io.Discard, resp.Body, maxBufferedResponse) // drained so that the connection can be reused
 		_ = resp.Body.Close()
 		outcome.Shed = true
--- a/request/serve/headers.go
+++ b/request/serve/headers.go
@@ -26,7 +26,8 @@
 	WrongTarget bool
 	// Target is the ID of the target that responded; empty when the headers do not state it.
 	Target string
-	// MatchesRequest reports that the response belongs to the request.
+	// MatchesRequest reports that the response belongs to the request. NotRun and WrongTarget
+	// may be true without it for a response that names no request.
 	MatchesRequest bool
 	// Stamped reports that the response carries the target's stamp and that its body has
 	// not been re-encoded on the way.
