Targets: a request with a body survives an idle connection that closes just before it is written

What callers saw: when a target closed an idle connection between the look at it and the writing of the next request, that request, if it had a short body, was tried again on a new connection without its body. The attempt failed and the target counted as not reachable. Cause: a short body is read into the write buffer, and was taken as unread when no byte had reached the connection. Bodies in memory are now made anew (GetBody) for the new connection; other bodies that were read are not sent again. Evidence: TestBodyOnStaleConnection failed before with 'ContentLength=9 with Body length 0 (not-run)'; packages connection/target, request/serve and request/forward with -race.

--- a/connection/target/exchange.go
+++ b/connection/target/exchange.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -35,7 +36,8 @@
 type Call struct {
 	// Addr is the IP address and port of the target.
 	Addr string
-	// Request is sent unchanged. Its body may be read until the response body is closed.
+	// Request is sent unchanged. Its body may be read until the response body is closed. With
+	// GetBody, a body that was read in vain is replaced.
 	Request *http.Request
 	// EchoHeader names the request header that the target must repeat in its response.
 	// When it is empty, responses are not checked.
@@ -95,10 +97,33 @@
 		if !x.retryOnNewConn {
 			return nil, err
 		}
+		if bodyErr := renewBody(call.Request); bodyErr != nil {
+			call.end()
+			return nil, err
+		}
 		maxIdle = 0
 	}
 }
 
+// SetBody sets a body in memory, which can be sent again when nothing of it was sent.
+func SetBody(r *http.Request, data []byte) {
+	r.ContentLength, r.TransferEncoding = int64(len(data)), nil
+	r.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(data)), nil }
+	r.Body, _ = r.GetBody() // never fails
+}
+
+// renewBody replaces the body of a request that may have been read.
+func renewBody(r *http.Request) error {
+	if r.GetBody == nil {
+		return nil // stale has found the body unread
+	}
+	body, err := r.GetBody()
+	if err == nil {
+		r.Body = body
+	}
+	return err
+}
+
 // exchange is the state of one request on one connection.
 type exchange struct {
 	pool *Pool
@@ -305,10 +330,17 @@
 }
 
 // stale reports whether a reused connection was closed before any byte of the request was
-// written and before its body was read.
+// written, and its body was not read or can be read again.
 func (x *exchange) stale() bool {
-	untouched := x.body == nil || !x.body.touched()
-	return x.conn.reused && x.conn.written.n == x.writtenBefore && untouched
+	return x.conn.reused && x.conn.written.n == x.writtenBefore && (x.call.Request.GetBody != nil || !x.bodyRead())
+}
+
+// bodyRead reports whether any of the request body may have been read.
+func (x *exchange) bodyRead() bool {
+	if x.body != nil {
+		return x.body.touched()
+	}
+	return x.call.Request.Body != nil && x.call.Request.Body != http.NoBody
 }
 
 // trackedBody records whether the request body was read and how the reading ended.
--- a/request/forward/response.go
+++ b/request/forward/response.go
@@ -1,9 +1,7 @@
 package forward
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"sync"
@@ -159,9 +157,7 @@
 		call.StopBody = body.Stop
 		return
 	}
-	call.Request.Body = io.NopCloser(bytes.NewReader(buffered))
-	call.Request.ContentLength = int64(len(buffered))
-	call.Request.TransferEncoding = nil
+	target.SetBody(call.Request, buffered)
 	call.Inline = true
 }
 
--- a/request/serve/attempt.go
+++ b/request/serve/attempt.go
@@ -206,7 +206,6 @@
 		call.StopBody = func() { _ = q.r.Body.Close() }
 		return
 	}
-	out.ContentLength = int64(len(q.body))
-	out.Body = io.NopCloser(bytes.NewReader(q.body))
+	target.SetBody(out, q.body)
 	call.Inline = len(q.body) <= maxInlineBody
 }
