--- a/request/serve/fixture_test.go
+++ b/request/serve/fixture_test.go
@@ -125,6 +125,14 @@
 
 // exchange sends the text of one request on a new connection and reads the response.
 func (f *fixture) exchange(text string) response {
+	var body strings.Builder
+	got := f.exchangeInto(&body, text)
+	got.body = body.String()
+	return got
+}
+
+// exchangeInto is exchange with the body written to w.
+func (f *fixture) exchangeInto(w io.Writer, text string) response {
 	conn, err := net.Dial("tcp", f.addr)
 	if err != nil {
 		return response{err: err}
@@ -137,11 +145,10 @@
 	if err != nil {
 		return response{err: err}
 	}
-	body, err := io.ReadAll(resp.Body)
-	if err != nil {
+	if _, err := io.Copy(w, resp.Body); err != nil {
 		return response{err: err}
 	}
-	return response{status: resp.StatusCode, body: string(body), header: resp.Header, closes: resp.Close}
+	return response{status: resp.StatusCode, header: resp.Header, closes: resp.Close}
 }
 
 // head returns the header of a request whose caller waits 3 s, with further fields.
