--- a/process/partner/readers.go
+++ b/process/partner/readers.go
@@ -110,7 +110,7 @@
 	s.readAt = time.Time{}
 	if h.Fresh {
 		g.readerAt = now
-		s.readAt, s.readAge, s.readPositions = now, h.Age, g.positions(h)
+		s.readAt, s.readAge, s.readPositions = now, max(0, h.Age), g.positions(h)
 	}
 	if h.Fresh && !h.Troubled {
 		g.healthyReaderAt = now
