Targets: an outage seen by one table ends with that table's answer

After a failed call for the operators' table alone, a host took the store for unavailable until its next call for the targets' reports, up to 1.9 s later, and held targets that left for 2 s from then.

Cause: only an answer for the targets' reports ended an outage. Failures and answers are now recorded by table; an answer for the reports still ends all.

TestOutageOfOneTableEndsWithItsAnswer is new.

--- a/entry/follow.go
+++ b/entry/follow.go
@@ -157,9 +157,6 @@
 	return partner.StoreStatus{Reachable: ok, Age: age, Failing: h.storeStatus.recentlyFailed(now), ReportHold: h.outage.reportHold(now)}
 }
 
-// reportsMayBeMissing reports whether the reports of live targets may be missing for a while.
-func (h *Host) reportsMayBeMissing(now time.Time) bool { return h.reportHold(now) > 0 }
-
 // reportHold returns for how long the reports of live targets may still be missing, since the store
 // was unavailable, as seen by this host or else by a partner that reads the store for it.
 func (h *Host) reportHold(now time.Time) time.Duration {
--- a/entry/hold_test.go
+++ b/entry/hold_test.go
@@ -9,6 +9,9 @@
 	"quetzalknot/process/mirror"
 )
 
+// reportsMayBeMissing reports whether a target whose report is removed now would be held.
+func (h *Host) reportsMayBeMissing(now time.Time) bool { return h.reportHold(now) > 0 }
+
 // removal returns the removal of a target's report at the next revision that the host knows of.
 func removal(h *Host, id string) mirror.Delta {
 	position := h.mirror.Position(adapter.TargetTable)
--- a/entry/outage.go
+++ b/entry/outage.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"quetzalknot/platform/adapter"
 )
 
 // outage records when the store was last unavailable and when it returned, as this host's calls
@@ -11,10 +13,10 @@
 // answered shows nothing about the store's present state, whenever it fails.
 type outage struct {
 	mu sync.Mutex
-	// answered and reportsFailed are when the last of the calls for the targets' reports that were
-	// answered and that failed were sent, and failed is when the last of all that failed was sent.
-	answered, reportsFailed, failed time.Time
-	// unanswered is true if the call that was sent at failed got no response.
+	// answered and failed are when the last calls for each table that were answered and that failed
+	// were sent.
+	answered, failed map[string]time.Time
+	// unanswered is true if the call that failed last got no response.
 	unanswered bool
 	// returnedAt is when the first answer after an outage came.
 	returnedAt time.Time
@@ -24,38 +26,34 @@
 }
 
 func newOutage() *outage {
-	o := new(outage)
+	o := &outage{answered: make(map[string]time.Time), failed: make(map[string]time.Time)}
 	o.untilReturn, o.endWaiting = context.WithCancel(context.Background())
 	return o
 }
 
-// recordAnswer records the answer to a call for the targets' reports. If the store has thereby
-// returned, all contexts of callContext end. It returns true if the reports can be read again.
-func (o *outage) recordAnswer(sentAt, now time.Time) bool {
+// recordAnswer records the answer to a call for a table. If the store has thereby returned, all
+// contexts of callContext end. It returns true if the targets' reports can be read again.
+func (o *outage) recordAnswer(table string, sentAt, now time.Time) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	was, reportsWere := o.away(), o.reportsFailed.After(o.answered)
-	if sentAt.After(o.answered) {
-		o.answered = sentAt
+	was, reportsWere := o.away(), o.lacks(adapter.TargetTable)
+	if sentAt.After(o.answered[table]) {
+		o.answered[table] = sentAt
 	}
 	if was && !o.away() {
 		o.returnedAt = now
 		o.endWaiting()
 		o.untilReturn, o.endWaiting = context.WithCancel(context.Background())
 	}
-	return reportsWere && !o.reportsFailed.After(o.answered)
+	return reportsWere && !o.lacks(adapter.TargetTable)
 }
 
-// recordFailure records a failed call. unanswered says that it got no response, and ofReports that
-// it was for the targets' reports.
-func (o *outage) recordFailure(sentAt time.Time, unanswered, ofReports bool) {
+// recordFailure records a failed call for a table. unanswered says that it got no response.
+func (o *outage) recordFailure(table string, sentAt time.Time, unanswered bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if sentAt.After(o.failed) {
-		o.failed, o.unanswered = sentAt, unanswered
-	}
-	if ofReports && sentAt.After(o.reportsFailed) {
-		o.reportsFailed = sentAt
+	if sentAt.After(o.failed[table]) {
+		o.failed[table], o.unanswered = sentAt, unanswered
 	}
 }
 
@@ -63,11 +61,25 @@
 func (o *outage) reportsUnread() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.reportsFailed.After(o.answered)
+	return o.lacks(adapter.TargetTable)
+}
+
+// lacks reports whether the last call for a table failed, and no later one for the targets' reports
+// was answered. The lock must be held.
+func (o *outage) lacks(table string) bool {
+	failed := o.failed[table]
+	return failed.After(o.answered[table]) && failed.After(o.answered[adapter.TargetTable])
 }
 
 // away reports whether the store is unavailable. The lock must be held.
-func (o *outage) away() bool { return o.failed.After(o.answered) }
+func (o *outage) away() bool {
+	for table := range o.failed {
+		if o.lacks(table) {
+			return true
+		}
+	}
+	return false
+}
 
 // isAway reports whether the store is unavailable, and whether it leaves calls unanswered.
 func (o *outage) isAway() (away, unanswered bool) {
--- a/entry/outage_test.go
+++ b/entry/outage_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"quetzalknot/platform/adapter"
 )
 
 // TestHoldNotProlongedByCallLostInEndedOutage guards against an outage that lasts on, or begins
@@ -11,12 +13,12 @@
 	start := time.Now()
 	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
 	o := newOutage()
-	o.recordAnswer(at(0), at(1))
-	o.recordFailure(at(0.5), true, true)
-	if !o.recordAnswer(at(2), at(2)) {
+	o.recordAnswer(adapter.TargetTable, at(0), at(1))
+	o.recordFailure(adapter.TargetTable, at(0.5), true)
+	if !o.recordAnswer(adapter.TargetTable, at(2), at(2)) {
 		t.Error("the store has not returned with the answer to a later call")
 	}
-	o.recordFailure(at(1.9), true, true)
+	o.recordFailure(adapter.TargetTable, at(1.9), true)
 	if away, _ := o.isAway(); away {
 		t.Error("the store is away since a call failed that was sent before one that was answered")
 	}
@@ -33,11 +35,25 @@
 func TestOutageNotEndedByAnswerToEarlierCall(t *testing.T) {
 	start := time.Now()
 	o := newOutage()
-	o.recordFailure(start.Add(time.Second), true, true)
-	if o.recordAnswer(start, start.Add(3*time.Second)) {
+	o.recordFailure(adapter.TargetTable, start.Add(time.Second), true)
+	if o.recordAnswer(adapter.TargetTable, start, start.Add(3*time.Second)) {
 		t.Error("the store has returned with the answer to a call from before the outage")
 	}
 	if got := o.reportHold(start.Add(time.Hour)); got != missingReportHold {
 		t.Errorf("reports may be missing for %v while the store is away, want %v", got, missingReportHold)
 	}
 }
+
+// TestOutageOfOneTableEndsWithItsAnswer guards against an outage that lasts until the next call for
+// the targets' reports, though only a call for another table failed and that table is read again.
+func TestOutageOfOneTableEndsWithItsAnswer(t *testing.T) {
+	start := time.Now()
+	at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
+	o := newOutage()
+	o.recordAnswer(adapter.TargetTable, at(0), at(1))
+	o.recordFailure(adapter.OperatorTable, at(2), false)
+	o.recordAnswer(adapter.OperatorTable, at(3), at(3))
+	if got := o.reportHold(at(4)); got != missingReportHold-time.Second {
+		t.Errorf("reports may be missing for %v more one second after the return", got)
+	}
+}
--- a/entry/returned.go
+++ b/entry/returned.go
@@ -37,11 +37,11 @@
 // then on can it be written again.
 func (h *Host) recordOutcome(table string, sentAt time.Time, err error) {
 	if err != nil && !errors.Is(err, adapter.ErrHistoryGone) {
-		h.outage.recordFailure(sentAt, errors.Is(err, context.DeadlineExceeded), table == adapter.TargetTable)
+		h.outage.recordFailure(table, sentAt, errors.Is(err, context.DeadlineExceeded))
 		return
 	}
 	now := time.Now()
-	if table != adapter.TargetTable || !h.outage.recordAnswer(sentAt, now) {
+	if !h.outage.recordAnswer(table, sentAt, now) {
 		return
 	}
 	h.applyMu.Lock()
--- a/entry/storestatus.go
+++ b/entry/storestatus.go
@@ -7,8 +7,7 @@
 	"quetzalknot/platform/adapter"
 )
 
-// storeFailureWindow is how long after a failed call the removal of a target's report may
-// mean that the store lost the report, so that the target is not dropped at once.
+// storeFailureWindow is how long after a failed call this host tells its partners that the store fails.
 const storeFailureWindow = 3 * time.Second
 
 // slowResponse is the delay from which a response counts as late.
