Crash counts: those of a host before and after its restart add up

What could happen: two crashes seen by a host before its restart and one after it counted as two at the other hosts, so a request that crashes targets was sent once more per restart than the limit allows. Cause: the counts were made under the host's name, though they must differ between incarnations: of two reports under the same name the larger one is kept, and reports under the own name are skipped. TestCrashesBeforeAndAfterRestartAddUp failed before (other host and restarted host: limit of three not reached). Why this works: the counts carry the name and the incarnation, so the earlier ones stay and are added; the host takes its own earlier ones over from others.

--- a/entry/host.go
+++ b/entry/host.go
@@ -121,7 +121,7 @@
 	h.logWriter.OnDropped(func(lines int64) {
 		evLinesDropped.Log(h.log).Int64("lines", lines).Int64("total", h.logWriter.Dropped()).Send()
 	})
-	h.crashes = crash.New(s.Host.Name)
+	h.crashes = crash.New(h.self.Name + "/" + strconv.FormatInt(h.self.Incarnation, 10))
 	h.crashes.OnLimitReached = func(fingerprint uint64, crashes int) {
 		evRequestQuarantined.Log(h.log).Uint64("fingerprint", fingerprint).Int("crashes", crashes).Send()
 	}
--- a/entry/host_test.go
+++ b/entry/host_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"sync"
 	"testing"
 	"time"
 
 	"quetzalknot/platform/standin"
+	"quetzalknot/process/crash"
 )
 
 // TestRequestGoesEndToEnd sends a safe and an unsafe request through each of two hosts.
@@ -266,6 +268,30 @@
 	}
 }
 
+// TestCrashesBeforeAndAfterRestartAddUp: the crashes that a host saw before its restart must not
+// hide those after it from the other hosts, and the host itself must learn of its earlier ones.
+func TestCrashesBeforeAndAfterRestartAddUp(t *testing.T) {
+	now := time.Now()
+	settings, err := Parse([]byte(settingsText(t, "front-0", "127.0.0.1:1", false)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	other, before := crash.New("front-1"), New(settings, "", io.Discard)
+	before.crashes.RecordCrash(7, now)
+	before.crashes.RecordCrash(7, now)
+	other.Merge(before.crashes.Recent(time.Minute, now), now)
+	after := New(settings, "", io.Discard)
+	after.crashes.RecordCrash(7, now)
+	other.Merge(after.crashes.Recent(time.Minute, now), now)
+	if !other.LimitReached(7, now) {
+		t.Error("three crashes, one of them after a restart of the host, do not reach the limit of three")
+	}
+	after.crashes.Merge(other.Recent(time.Minute, now), now)
+	if !after.crashes.LimitReached(7, now) {
+		t.Error("the host does not count the crashes that it saw before its restart")
+	}
+}
+
 // TestIdleConnectionsClosedByTarget covers targets that close an idle connection when the next
 // request arrives on it. Safe requests must be served on another connection or by another
 // target, or get status 502. Unsafe ones must run at most once, and a request that may have
--- a/process/crash/crash.go
+++ b/process/crash/crash.go
@@ -26,8 +26,9 @@
 // Count is the number of crashes that one host observed for one request.
 type Count struct {
 	Fingerprint uint64
-	Host        string
-	Crashes     int
+	// Host identifies an incarnation of a host.
+	Host    string
+	Crashes int
 }
 
 // Counts holds the crash counts of requests. It is safe for concurrent use.
--- a/process/crash/crash_test.go
+++ b/process/crash/crash_test.go
@@ -1,6 +1,7 @@
 package crash
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -110,3 +111,16 @@
 		t.Errorf("limit reached: %v, reported %d times, want true and 2", a.LimitReached(7, later), calls)
 	}
 }
+
+// TestCountsOfEarlierIncarnationsExpire: the counts of a host that starts again and again must
+// not pile up beyond the retention.
+func TestCountsOfEarlierIncarnationsExpire(t *testing.T) {
+	c, now := New("a"), start
+	for i := range 100 {
+		c.Merge([]Count{{Fingerprint: 7, Host: fmt.Sprint("b/", i), Crashes: MaxCrashes}}, now)
+		if n := len(c.requests[7].byHost); n != 1 {
+			t.Fatalf("after %d starts the counts of %d incarnations are kept", i+1, n)
+		}
+		now = now.Add(retention)
+	}
+}
