Partners: a store reader that states no age of the store's answer does not vouch

What could happen: beside hosts of an earlier release, a host took its state for confirmed at this moment for as long as a reader's call had gone unanswered (21.5 s), so an unknown route was refused with 404, and it missed changes. TestReportWithoutAgeDoesNotVouch failed before (age 0 s), and so did TestHostReadsStoreBehindEarlierRelease (version 2 not in force within the test's 10 s). Why this works: a report without an age names a reader but confirms nothing, so a host that has no other reader's word reads the store itself after 1 s.

--- a/entry/follow_partner_test.go
+++ b/entry/follow_partner_test.go
@@ -12,8 +12,9 @@
 )
 
 // pretendReaders sends heartbeats to a host in the name of three store readers of its region
-// that have newer changes, and from which no pull succeeds, until the test ends.
-func (c *cluster) pretendReaders(h *Host) {
+// that have the given revision of each table and state the given age of the store's answer, and
+// from which no pull succeeds, until the test ends.
+func (c *cluster) pretendReaders(h *Host, revision uint64, age time.Duration) {
 	client := peer.NewClientPool(nil, h.dial)
 	c.t.Cleanup(client.Close)
 	go func() {
@@ -23,7 +24,8 @@
 				beat := partner.Heartbeat{
 					From:      partner.Member{Name: name, Incarnation: 1, Region: h.self.Region, Domain: h.self.Domain, Peer: "127.0.0.1:1", Entry: "127.0.0.1:1"},
 					Fresh:     true,
-					Positions: map[string]uint64{adapter.OperatorTable: 1 << 40, adapter.TargetTable: 1 << 40},
+					Age:       age,
+					Positions: map[string]uint64{adapter.OperatorTable: revision, adapter.TargetTable: revision},
 				}
 				_ = client.Call(ctx, h.self.Peer, "Partner.Beat", &beat, new(partner.Heartbeat))
 			}
@@ -36,9 +38,22 @@
 func TestHostReadsStoreWhenPullsFail(t *testing.T) {
 	c := newCluster(t, 1, 1)
 	h := c.hosts[0]
-	c.pretendReaders(h)
+	c.pretendReaders(h, 1<<40, time.Millisecond)
 	c.eventually("partners report that they read the store", func() bool { return h.group.HasStoreReader(time.Now()) && !h.group.IsStoreReader() })
 	time.Sleep(2 * lackLimit)
 	c.store.PutState(standin.DesiredState(2, coldPerSecond))
 	c.requireInForce(2)
 }
+
+// TestHostReadsStoreBehindEarlierRelease checks that a host reads the store itself while the store
+// readers are of an earlier release, which states no age of the store's answer.
+func TestHostReadsStoreBehindEarlierRelease(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	h := c.hosts[0]
+	c.pretendReaders(h, 0, 0)
+	c.eventually("partners report that they read the store", func() bool { return h.group.HasStoreReader(time.Now()) && !h.group.IsStoreReader() })
+	time.Sleep(2 * lackLimit)
+	c.store.PutState(standin.DesiredState(2, coldPerSecond))
+	c.requireInForce(2)
+	c.eventually("the state is confirmed", h.stateConfirmed)
+}
--- a/process/partner/message.go
+++ b/process/partner/message.go
@@ -22,10 +22,13 @@
 	// that some of its calls to the store failed recently.
 	Fresh, Troubled bool
 	// Age is the time since the store last answered a Fresh sender, for the table for which that
-	// is longest ago. Earlier releases send none.
+	// is longest ago, and at least minStatedAge. Earlier releases send none, so 0 means unknown.
 	Age time.Duration
 }
 
+// minStatedAge is the least Age in a heartbeat, to tell it from none.
+const minStatedAge = time.Nanosecond
+
 // StoreStatus is the store's status as this host's own calls show it: Reachable when this host
 // reads the store and gets responses, the oldest of them Age ago; Failing when calls failed
 // recently.
--- a/process/partner/partner.go
+++ b/process/partner/partner.go
@@ -120,7 +120,7 @@
 	leaving       bool
 	requestRate   float64
 	// readAt is when the host's last heartbeat reported that it reads the store; zero if it
-	// reported that it does not. readAge is the age of the store's responses then, and
+	// reported that it does not or stated no age. readAge is the age of the store's responses then, and
 	// readPositions are the positions of the host's tables, in the order of Options.Tables.
 	readAt        time.Time
 	readAge       time.Duration
--- a/process/partner/readers.go
+++ b/process/partner/readers.go
@@ -104,12 +104,15 @@
 	return !healthyReader && !g.storeFailedAt.IsZero() && now.Sub(g.storeFailedAt) < failureTimeout
 }
 
-// recordStoreStatus records the store status in the heartbeat of a partner s. The lock must be
-// held.
+// recordStoreStatus records the store status in the heartbeat of a partner s. One that states no
+// age of the store's answer is a store reader but vouches for nothing: its answer may be of any
+// age. The lock must be held.
 func (g *Group) recordStoreStatus(s *memberState, h *Heartbeat, now time.Time) {
 	s.readAt = time.Time{}
 	if h.Fresh {
 		g.readerAt = now
+	}
+	if h.Fresh && h.Age > 0 {
 		s.readAt, s.readAge, s.readPositions = now, h.Age, g.positions(h)
 	}
 	if h.Fresh && !h.Troubled {
--- a/process/partner/readers_test.go
+++ b/process/partner/readers_test.go
@@ -79,14 +79,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		n, groups := newNetwork(t, 9)
 		last, reader := groups[8], groups[0]
-		last.receive(&Heartbeat{From: reader.opts.Self, Fresh: true, Positions: map[string]uint64{table: 0}})
+		last.receive(&Heartbeat{From: reader.opts.Self, Fresh: true, Age: time.Millisecond, Positions: map[string]uint64{table: 0}})
 		if !last.FollowsStore(time.Now()) {
 			t.Error("a host that has all changes of a reader does not follow the store")
 		}
 		n.mu.Lock()
 		n.cutLinks[last.opts.Self.Name+">"+reader.opts.Self.Name] = true
 		n.mu.Unlock()
-		last.receive(&Heartbeat{From: reader.opts.Self, Fresh: true, Positions: map[string]uint64{table: 9}})
+		last.receive(&Heartbeat{From: reader.opts.Self, Fresh: true, Age: time.Millisecond, Positions: map[string]uint64{table: 9}})
 		if last.FollowsStore(time.Now()) {
 			t.Error("a host that lacks the changes of a reader follows the store")
 		}
