Partners: the row of a host that is gone does not count for good

What could happen: the row of a host that had left came back with a restored copy, and it counted among the hosts for as long as it was there: each target lost an owner where that host was one (liveness checks and their limits), and the retry budget of each host shrank. The row of a crashed host did the same. Cause: a host that is not alive is forgotten after a minute, but the next read of the rows, up to 20 s later, added it as a new one, with another minute to live. TestRowOfGoneHostDoesNotStay failed before: the gone host counted in 60 of 60 samples in 20 minutes, and took this host's place as an owner of 17 of 60 keys. Why this works: the incarnation of a forgotten host is remembered for 10 minutes. A row that is not newer brings it back as somebody to send heartbeats to, so hosts that were parted still meet (TestForgottenHostsMeetAgain), but it counts only once it is heard from, or starts again (TestRestartedHostCountsByItsRow); both passed before too.

--- a/process/partner/partner.go
+++ b/process/partner/partner.go
@@ -53,6 +53,9 @@
 	// forgetAfter is how long a host that is not alive stays in the group and is still
 	// sent heartbeats.
 	forgetAfter = time.Minute
+	// forgottenRetention is how long a host that was removed from the group is remembered, so that
+	// it does not count again because of an old row.
+	forgottenRetention = 10 * time.Minute
 )
 
 // Member is one process of the system.
@@ -106,7 +109,9 @@
 	startedAt    time.Time
 	// hasMembers is true once the members were taken over from another host.
 	hasMembers bool
-	snapshot   snapshotCache
+	// forgotten holds the hosts that were removed from the group, by name.
+	forgotten map[string]forgottenHost
+	snapshot  snapshotCache
 }
 
 // memberState is a known host other than this one.
@@ -118,7 +123,10 @@
 	notAliveSince time.Time
 	alive         bool
 	leaving       bool
-	requestRate   float64
+	// forgotten is true if the host was removed from the group and is known again by a row of the
+	// same incarnation only. It is sent heartbeats but does not count.
+	forgotten   bool
+	requestRate float64
 	// readAt is when the host's last heartbeat reported that it reads the store; zero if it
 	// reported that it does not or stated no age. readAge is the age of the store's responses then, and
 	// readPositions are the positions of the host's tables, in the order of Options.Tables.
@@ -129,7 +137,7 @@
 
 // New returns a group that contains only this host.
 func New(opts Options) *Group {
-	return &Group{opts: opts, members: make(map[string]*memberState), pullsRunning: make(map[string]bool), startedAt: opts.Now()}
+	return &Group{opts: opts, members: make(map[string]*memberState), forgotten: make(map[string]forgottenHost), pullsRunning: make(map[string]bool), startedAt: opts.Now()}
 }
 
 // Register registers the group's net/rpc service with a server.
@@ -147,14 +155,15 @@
 }
 
 // addMember adds a member, or replaces an older incarnation of it. It returns nil for this
-// host itself and for an incarnation older than the known one. The lock must be held.
+// host itself and for an incarnation older than the known one. A host that was forgotten does not
+// count until it is heard from. The lock must be held.
 func (g *Group) addMember(m Member, now time.Time) *memberState {
 	if m.Name == g.opts.Self.Name {
 		return nil
 	}
 	s := g.members[m.Name]
 	if s == nil || m.Incarnation > s.Incarnation {
-		s = &memberState{Member: m, notAliveSince: now}
+		s = &memberState{Member: m, notAliveSince: now, forgotten: g.isForgotten(m)}
 		g.members[m.Name] = s
 		g.baseNames = nil
 	}
@@ -185,6 +194,7 @@
 // leaving. The lock must be held.
 func (g *Group) markSeen(s *memberState, leaving bool, now time.Time) {
 	s.lastSeen = now
+	g.recall(s)
 	if !s.alive {
 		s.alive = true
 		evAlive.Log(g.opts.Log).Str("member", s.Name).Int64("incarnation", s.Incarnation).Send()
@@ -260,10 +270,10 @@
 			evLost.Log(g.opts.Log).Str("member", name).Dur("silent", now.Sub(s.lastSeen)).Send()
 		}
 		if !s.alive && now.Sub(s.notAliveSince) > forgetAfter {
-			delete(g.members, name)
-			g.baseNames = nil
+			g.forget(s, now)
 		}
 	}
+	g.expireForgotten(now)
 }
 
 // partners returns the hosts that this host sends heartbeats to.
@@ -326,11 +336,18 @@
 	return alive
 }
 
-// KnownCount returns the number of known hosts, alive or not, including this host.
+// KnownCount returns the number of known hosts, alive or not but not forgotten, including this
+// host.
 func (g *Group) KnownCount() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return len(g.members) + 1
+	count := 1
+	for _, s := range g.members {
+		if !s.forgotten {
+			count++
+		}
+	}
+	return count
 }
 
 // Owns reports whether this host is among the given number of owners of a key by rendezvous
--- a/process/partner/serving.go
+++ b/process/partner/serving.go
@@ -105,8 +105,8 @@
 	return total
 }
 
-// baseHosts returns the names of the known hosts, alive or not, that serve their region at
-// the lowest demand. The lock must be held.
+// baseHosts returns the names of the known hosts, alive or not but not forgotten, that serve
+// their region at the lowest demand. The lock must be held.
 func (g *Group) baseHosts() map[string]bool {
 	if g.baseNames == nil {
 		g.baseNames = g.findBaseHosts()
@@ -118,7 +118,9 @@
 func (g *Group) findBaseHosts() map[string]bool {
 	byRegion := map[string][]Member{g.opts.Self.Region: {g.opts.Self}}
 	for _, s := range g.members {
-		byRegion[s.Region] = append(byRegion[s.Region], s.Member)
+		if !s.forgotten {
+			byRegion[s.Region] = append(byRegion[s.Region], s.Member)
+		}
 	}
 	names := make(map[string]bool)
 	for _, members := range byRegion {
