Membership: the last host has its lease a minute after the others left in order

What could happen: once the other hosts had left in order, the last one was without its lease, and so without its shares of links, for up to 15 minutes. Cause: a host without a reachable member renews its lease only once the rows of all others have expired, and the row of a host that leaves was valid for 15 minutes like any other. Why this works: the row of a host that leaves is valid for 1 minute and is written again every 20 s for as long as the host runs. So it expires soon after its end and not before: the test also cuts the two hosts off from each other for 10 minutes while one of them leaves, and the other must have no lease then. A last host that could not read the rows for that minute waits the 15 minutes still.

--- a/process/membership/rows.go
+++ b/process/membership/rows.go
@@ -15,8 +15,13 @@
 	// RenewInterval is the mean time between two writes of a process's row. With it,
 	// 910 hosts write about 3 rows a second.
 	RenewInterval = 5 * time.Minute
-	// RowLeaseTerm is how long a row is valid after it was written.
-	RowLeaseTerm = 3 * RenewInterval
+	// leavingRenewInterval is RenewInterval for a process that leaves. It is shorter so that the
+	// row expires soon after the process has ended.
+	leavingRenewInterval = 20 * time.Second
+	// renewalsPerTerm is how many times RenewInterval a row is valid.
+	renewalsPerTerm = 3
+	// RowLeaseTerm is how long a row is valid after it was written, unless the process leaves.
+	RowLeaseTerm = renewalsPerTerm * RenewInterval
 	// expiredRowRetention is how long an expired row is kept before it is deleted.
 	expiredRowRetention = 24 * time.Hour
 	// maxDeletesPerRead bounds the rows that one call of Changed deletes.
@@ -39,6 +44,14 @@
 	table platform.Table
 }
 
+// RowRenewInterval returns the mean time between two writes of the row of a process.
+func RowRenewInterval(m Member) time.Duration {
+	if m.Leaving {
+		return leavingRenewInterval
+	}
+	return RenewInterval
+}
+
 // NewRows returns a Rows that uses the given table.
 func NewRows(table platform.Table) *Rows { return &Rows{table: table} }
 
@@ -80,7 +93,7 @@
 	if row.Incarnation > self.Incarnation {
 		return errors.Wrapf(ErrSuperseded, "host %s: the row has incarnation %d, larger than own incarnation %d", self.Host, row.Incarnation, self.Incarnation)
 	}
-	data, err := json.Marshal(Row{Member: self, LeaseUntil: now.Add(RowLeaseTerm)})
+	data, err := json.Marshal(Row{Member: self, LeaseUntil: now.Add(renewalsPerTerm * RowRenewInterval(self))})
 	if err != nil {
 		return err
 	}
--- a/version/spread/lease_test.go
+++ b/version/spread/lease_test.go
@@ -46,3 +46,27 @@
 		eventually(t, membership.RowLeaseTerm, "the last host has a lease", valid)
 	})
 }
+
+// TestLastHostRenewsLeaseAfterOthersLeft: the last host must not be without its lease for the term of
+// the rows of hosts that have left in order, nor take it while a host that leaves still runs.
+func TestLastHostRenewsLeaseAfterOthersLeft(t *testing.T) {
+	run(t, func(t *testing.T) {
+		c := newCluster()
+		c.startAll(t.Context(), 2)
+		defer func() { c.hosts[0].stop() }()
+		c.waitConverged(t)
+		valid := func() bool { return c.hosts[0].members.Lease().Valid(time.Now()) }
+		eventually(t, time.Minute, "h0 has a lease", valid)
+		c.hosts[1].members.SetLeaving()
+		time.Sleep(5 * time.Second)
+		c.net.setBroken(func(string, string) bool { return true })
+		eventually(t, time.Minute, "h1 is dead to h0", func() bool { return c.statusSeenBy(c.hosts[0], "h1") == membership.Dead })
+		for cut := time.Now(); time.Since(cut) < 10*time.Minute; time.Sleep(100 * time.Millisecond) {
+			if valid() {
+				t.Fatalf("%v after the cut h0 holds a lease although h1, which leaves, still runs", time.Since(cut))
+			}
+		}
+		c.hosts[1].stop()
+		eventually(t, 2*time.Minute, "the last host has a lease", valid)
+	})
+}
--- a/version/spread/poller.go
+++ b/version/spread/poller.go
@@ -308,7 +308,8 @@
 	}
 	p.announcedLeaving = self.Leaving
 	p.engine.Members.Discovery().Announced(time.Now())
-	p.renewAt = time.Now().Add(membership.RenewInterval*3/4 + rand.N(membership.RenewInterval/2))
+	interval := membership.RowRenewInterval(self)
+	p.renewAt = time.Now().Add(interval*3/4 + rand.N(interval/2))
 }
 
 // writeSnapshotIfDue writes a changed state to the object store. Only the host that
