Client: a lagging API host does not end the use of a cached answer while another is down

What callers saw: a look-up failed with status 404 for a service that was just added, although its answer was cached: the API host that was up lacked the newest version (its state may be 15 s old), the one that knew it was down. Cause: any 404 ended the use of the cached answer, whatever the other hosts said. TestLaggingHostDoesNotEndCachedAnswer failed before (404 from 1 s after the answer on, beside a host that is down). Why this works: a 404 is final if no API host failed to answer, or if the answer arrived at least 15 s before the look-up began: then the state of the host that says 404 is no older than what the answer was made from. So a removed service is used for at most 15 s and one retry interval longer. TestLookupAsksOtherHostsAfterNotFound and TestStaleAnswerAfterFailedLookup are unchanged.

--- a/client/cache.go
+++ b/client/cache.go
@@ -25,6 +25,9 @@
 	maxCachedServices = 1024
 	// staleRetryInterval is how long a stale answer is used before the look-up is tried again.
 	staleRetryInterval = time.Second
+	// maxStateAge is the age that the state of an API host that answers look-ups may have. It is
+	// the entry hosts' limit, spread.MaxStateAge.
+	maxStateAge = 15 * time.Second
 )
 
 // cache holds the latest look-up answer for each service.
@@ -42,6 +45,8 @@
 
 type cacheEntry struct {
 	answer lookup.Answer
+	// fetchedAt is when the answer arrived.
+	fetchedAt time.Time
 	// refreshAt is when the answer's time to live ends and it must be looked up again.
 	refreshAt time.Time
 	// usableUntil is when the answer may no longer be used, even if the refresh fails.
@@ -55,7 +60,9 @@
 // Lookup returns the entry hosts of a service, best first. It returns a cached answer until
 // the answer's time to live has passed. While look-ups fail for another reason than that the
 // service does not exist or the look-up is invalid, it returns the cached answer for up to
-// Options.Stale longer. The error is a *LookupError.
+// Options.Stale longer. An API host that does not know the service, while another one does not
+// answer, may lack a service that was just added; it ends the use only of an answer that is older
+// than its state can be. The error is a *LookupError.
 func (c *Client) Lookup(ctx context.Context, service string) (lookup.Answer, error) {
 	return c.lookups.get(ctx, service)
 }
@@ -84,7 +91,7 @@
 // the response of an API host was final.
 func (c *cache) serveStale(service string, entry cacheEntry, ok bool, cause error) (lookup.Answer, error) {
 	var lookupErr *LookupError
-	final := errors.As(cause, &lookupErr) && isFinal(lookupErr)
+	final := errors.As(cause, &lookupErr) && lookupErr.final
 	now := c.options.Now()
 	if !ok || final || !now.Before(entry.usableUntil) {
 		return lookup.Answer{}, cause
@@ -99,6 +106,8 @@
 // service either, the failure has status 404 even when some did not respond.
 func (c *cache) refresh(ctx context.Context, service string) (lookup.Answer, error) {
 	start := int(c.nextAPI.Add(1))
+	asOf := c.options.Now().Add(-maxStateAge)
+	anyFailed := false
 	failure := &LookupError{Service: service, Err: errors.New("no API host answered")}
 	addrs := c.apiAddrs(service)
 	for i := range addrs {
@@ -112,18 +121,18 @@
 			failure = err
 		}
 		if err.Status == http.StatusBadRequest {
+			failure.final = true
 			break
 		}
+		anyFailed = anyFailed || err.Status != http.StatusNotFound
+	}
+	if failure.Status == http.StatusNotFound {
+		entry, _ := c.load(service)
+		failure.final = failure.final || !anyFailed || !asOf.Before(entry.fetchedAt)
 	}
 	return lookup.Answer{}, failure
 }
 
-// isFinal reports whether an API host responded that the service does not exist or that the
-// look-up is invalid, so that no other host would answer it.
-func isFinal(err *LookupError) bool {
-	return err.Status == http.StatusNotFound || err.Status == http.StatusBadRequest
-}
-
 // apiAddrs returns the configured API addresses and those in the cached answer, so
 // that a caller with outdated settings still finds an API host.
 func (c *cache) apiAddrs(service string) []string {
@@ -170,7 +179,7 @@
 func (c *cache) storeAnswer(service string, answer lookup.Answer) {
 	now := c.options.Now()
 	refreshAt := now.Add(time.Duration(answer.TTLMS) * time.Millisecond)
-	c.store(service, cacheEntry{answer: answer, refreshAt: refreshAt, usableUntil: refreshAt.Add(c.options.Stale)})
+	c.store(service, cacheEntry{answer: answer, fetchedAt: now, refreshAt: refreshAt, usableUntil: refreshAt.Add(c.options.Stale)})
 }
 
 func (c *cache) load(service string) (cacheEntry, bool) {
--- a/client/errors.go
+++ b/client/errors.go
@@ -60,6 +60,9 @@
 	// when that host sent no valid response.
 	Status int
 	Err    error
+	// final is true if the failure ends the use of a cached answer: the service does not exist,
+	// or the look-up is invalid.
+	final bool
 }
 
 // Error implements the error interface.
--- a/client/lookup_test.go
+++ b/client/lookup_test.go
@@ -4,8 +4,10 @@
 	"errors"
 	"net/http"
 	"testing"
+	"time"
 
 	"quetzalknot/client"
+	"quetzalknot/version/spread"
 )
 
 // apiNetwork is a fakeNetwork whose API hosts respond with a status each; one with status
@@ -59,3 +61,39 @@
 		}
 	}
 }
+
+// TestLaggingHostDoesNotEndCachedAnswer: a service was just added; a host that lags does not know it
+// and the one that does is down. The cached answer must be used for as long as the first may lag,
+// and no longer, and not at all if no host failed to answer.
+func TestLaggingHostDoesNotEndCachedAnswer(t *testing.T) {
+	const step = 500 * time.Millisecond
+	for _, other := range []int{0, http.StatusServiceUnavailable, http.StatusNotFound} {
+		start := time.Now()
+		now := start
+		n := &apiNetwork{fakeNetwork: newNetwork(nil, nil), statuses: map[string]int{"127.0.0.1:8": http.StatusNotFound, "127.0.0.1:9": http.StatusOK}}
+		c, err := client.New(client.Options{API: []string{"127.0.0.1:8", "127.0.0.1:9"}, Transport: n, Now: func() time.Time { return now }})
+		if err != nil {
+			t.Fatal(err)
+		}
+		answer, err := c.Lookup(t.Context(), "bokun")
+		if err != nil {
+			t.Fatal(err)
+		}
+		n.statuses["127.0.0.1:9"] = other
+		ttl := time.Duration(answer.TTLMS) * time.Millisecond
+		for now = start.Add(ttl); now.Sub(start) < spread.MaxStateAge+2*time.Second; now = now.Add(step) {
+			age := now.Sub(start)
+			_, err := c.Lookup(t.Context(), "bokun")
+			var failure *client.LookupError
+			if err != nil && (!errors.As(err, &failure) || failure.Status != http.StatusNotFound) {
+				t.Errorf("other host %d, %v after the answer: %v, want status 404", other, age, err)
+			}
+			if err != nil && other != http.StatusNotFound && age < spread.MaxStateAge {
+				t.Errorf("other host %d, %v after the answer: %v, want the cached answer", other, age, err)
+			}
+			if err == nil && (other == http.StatusNotFound || age >= spread.MaxStateAge+time.Second) {
+				t.Errorf("other host %d, %v after the answer: the cached answer, want status 404", other, age)
+			}
+		}
+	}
+}
