Store: a late removal of a host's row spares the row of its next start

What could happen: a host stopped, the removal of its row got no response, it started again and wrote its row, and then the store performed the removal: nobody discovered the host by its row, while it believed the row written. Cause: the removal had no condition, and the store may perform a call without a response seconds later. TestLateRemovalSparesRowOfNextStart failed before (the row of the new start was removed). The stand-in of the store can perform transactions late for it. Why this works: the removal expects the revision that the writing of the row got, so it fails once the row was written again. The usual stop makes one call as before.

--- a/entry/discover.go
+++ b/entry/discover.go
@@ -47,11 +47,12 @@
 	if h.leaving.Load() || h.announced.Load() {
 		return true
 	}
-	era, err := h.store.Announce(ctx, h.self)
+	written, err := h.store.Announce(ctx, h.self)
 	if err != nil {
 		return false
 	}
-	h.rowEra.Store(era)
+	h.rowEra.Store(written.Era)
+	h.rowRevision.Store(written.Revision)
 	h.announced.Store(true)
 	h.checkRow(h.storeEra())
 	return true
--- a/entry/host.go
+++ b/entry/host.go
@@ -91,9 +91,10 @@
 
 	rate    peakRate
 	leaving atomic.Bool
-	// announced is true once this host's row is written, in the store's era rowEra.
-	announced atomic.Bool
-	rowEra    atomic.Uint64
+	// announced is true once this host's row is written, in the store's era rowEra and at the
+	// revision rowRevision.
+	announced           atomic.Bool
+	rowEra, rowRevision atomic.Uint64
 	// rowLost receives a value when this host's row may be lost and must be written again.
 	rowLost chan struct{}
 	// lastUnreadyReason is the reason that logReadiness logged last: why the host was not ready,
@@ -320,7 +321,7 @@
 func (h *Host) withdraw() {
 	ctx, cancel := context.WithTimeout(context.Background(), withdrawTimeout)
 	defer cancel()
-	_ = h.store.Withdraw(ctx, h.self) // on failure the other hosts notice the missing heartbeats
+	_ = h.store.Withdraw(ctx, h.self, h.rowRevision.Load()) // on failure the other hosts notice the missing heartbeats
 }
 
 func (h *Host) close() {
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -102,6 +102,29 @@
 	}
 }
 
+// TestLateRemovalSparesRowOfNextStart: the removal of a host's row that got no response, and that the store
+// performs once the host has started again, must not remove the new row.
+func TestLateRemovalSparesRowOfNextStart(t *testing.T) {
+	const late = time.Second
+	c := newCluster(t, 1, 1)
+	h := c.hosts[0]
+	c.eventually("the host has its row", h.announced.Load)
+	c.endpoints[0].SetFaults(standin.StoreFaults{Late: late})
+	h.withdraw()
+	removed := time.Now().Add(late)
+	h.close()
+	next := c.addHost(h.self.Name)
+	c.eventually("the host has its row again", next.announced.Load)
+	if time.Now().After(removed) {
+		t.Fatal("the start took too long for this test")
+	}
+	for end := removed.Add(late); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if !c.store.HasHost(h.self.Name) {
+			t.Fatal("the row of the new start was removed")
+		}
+	}
+}
+
 func (c *cluster) sendRaw(h *Host, text string) net.Conn {
 	c.t.Helper()
 	conn, err := net.Dial("tcp", h.addr())
