--- a/entry/host.go
+++ b/entry/host.go
@@ -94,9 +94,10 @@
 
 	rate    peakRate
 	leaving atomic.Bool
-	// announced is true once this host's row is written, in the store's era rowEra.
-	announced atomic.Bool
-	rowEra    atomic.Uint64
+	// announced is true once this host's row is written, in the store's era rowEra and at the
+	// revision rowRevision.
+	announced           atomic.Bool
+	rowEra, rowRevision atomic.Uint64
 	// rowLost receives a value when this host's row may be lost and must be written again.
 	rowLost chan struct{}
 	// lastUnreadyReason is the reason that logReadiness logged last: why the host was not ready,
@@ -124,7 +125,7 @@
 	h.logWriter.OnDropped(func(lines int64) {
 		evLinesDropped.Log(h.log).Int64("lines", lines).Int64("total", h.logWriter.Dropped()).Send()
 	})
-	h.crashes = crash.New(s.Host.Name)
+	h.crashes = crash.New(h.self.Name + "/" + strconv.FormatInt(h.self.Incarnation, 10))
 	h.crashes.OnLimitReached = func(fingerprint uint64, crashes int) {
 		evRequestQuarantined.Log(h.log).Uint64("fingerprint", fingerprint).Int("crashes", crashes).Send()
 	}
@@ -323,7 +324,7 @@
 func (h *Host) withdraw() {
 	ctx, cancel := context.WithTimeout(context.Background(), withdrawTimeout)
 	defer cancel()
-	_ = h.store.Withdraw(ctx, h.self) // on failure the other hosts notice the missing heartbeats
+	_ = h.store.Withdraw(ctx, h.self, h.rowRevision.Load()) // on failure the other hosts notice the missing heartbeats
 }
 
 func (h *Host) close() {
--- a/process/partner/message.go
+++ b/process/partner/message.go
@@ -22,7 +22,7 @@
 	// that some of its calls to the store failed recently.
 	Fresh, Troubled bool
 	// Age is the time since the store last answered a Fresh sender, for the table for which that
-	// is longest ago. Earlier releases send none.
+	// is longest ago, and at least minStatedAge. Earlier releases send none, so 0 means unknown.
 	Age time.Duration
 	// StateVersion is the version of the desired state that the sender has in force; 0 means none.
 	// Earlier releases send none.
@@ -32,6 +32,9 @@
 	ReportHold time.Duration
 }
 
+// minStatedAge is the least Age in a heartbeat, to tell it from none.
+const minStatedAge = time.Nanosecond
+
 // StoreStatus is the store's status as this host's own calls show it: Reachable when this host
 // reads the store and gets responses, the oldest of them Age ago; Failing when calls failed
 // recently. For ReportHold the reports of live targets may still be missing.
