Figures: bytes between hosts by class and message, bytes of the store by call and table

partners.sent_bytes.<class>.<message> and partners.received_bytes.<class>.<message> are counted at the host that makes the call, so that the sum over all hosts has each byte once; store.sent_bytes.<call>.<table> and store.received_bytes.<call>.<table> leave headers out. peer.sent_bytes and peer.received_bytes are published by the hosts on the platform too.

--- a/entry/host.go
+++ b/entry/host.go
@@ -117,6 +117,10 @@
 	h.store.OnCall = func(call string, status int) {
 		h.metrics.Counter("store." + call + "." + strconv.Itoa(status)).Add(1)
 	}
+	h.store.OnBytes = func(call, table string, size adapter.CallSize) {
+		h.metrics.Counter("store.sent_bytes." + call + "." + table).Add(int64(size.Sent))
+		h.metrics.Counter("store.received_bytes." + call + "." + table).Add(int64(size.Received))
+	}
 	h.logWriter.OnDropped(func(lines int64) {
 		evLinesDropped.Log(h.log).Int64("lines", lines).Int64("total", h.logWriter.Dropped()).Send()
 	})
@@ -130,6 +134,7 @@
 		Self: h.self, Tables: adapter.Tables(), Mirror: h.mirror, Apply: func(d mirror.Delta) { h.apply(d) }, Crashes: h.crashes,
 		RequestRate: h.rate.perSecond, StoreStatus: h.ownStoreStatus, Client: h.clients, Metrics: h.metrics, Log: h.log, Now: time.Now,
 	})
+	h.clients.OnMessage = h.group.CountMessage
 	h.fleet = fleet.New(h.log, h.group.Owns)
 	h.chooser = place.New(h.fleet, place.Options{
 		Region: s.Host.Region, FailureDomain: s.Host.FailureDomain,
@@ -201,6 +206,12 @@
 	for _, table := range adapter.Tables() {
 		h.metrics.Gauge("store.unanswered_ms."+table, func() int64 { return h.storeStatus.sinceAnswer(table, time.Now()).Milliseconds() })
 	}
+	h.metrics.Gauge("peer.sent_bytes", func() int64 {
+		return h.peers.Traffic.BytesSent.Load() + h.clients.Traffic.BytesSent.Load()
+	})
+	h.metrics.Gauge("peer.received_bytes", func() int64 {
+		return h.peers.Traffic.BytesReceived.Load() + h.clients.Traffic.BytesReceived.Load()
+	})
 	h.metrics.Gauge("log.dropped_lines", h.logWriter.Dropped)
 	router := mux.NewRouter()
 	router.Path("/metrics").Handler(h.metrics.TextHandler())
--- a/process/partner/partner.go
+++ b/process/partner/partner.go
@@ -92,6 +92,8 @@
 	mu      sync.Mutex
 	members map[string]*memberState
 	leaving bool
+	// classes holds the class of each member by its address for calls between hosts.
+	classes map[string]string
 	// pullsRunning holds the tables that are being pulled from a partner.
 	pullsRunning map[string]bool
 	// baseNames caches baseHosts; nil after members were added or removed.
@@ -129,7 +131,7 @@
 
 // New returns a group that contains only this host.
 func New(opts Options) *Group {
-	return &Group{opts: opts, members: make(map[string]*memberState), pullsRunning: make(map[string]bool), startedAt: opts.Now()}
+	return &Group{opts: opts, members: make(map[string]*memberState), classes: make(map[string]string), pullsRunning: make(map[string]bool), startedAt: opts.Now()}
 }
 
 // Register registers the group's net/rpc service with a server.
@@ -154,8 +156,12 @@
 	}
 	s := g.members[m.Name]
 	if s == nil || m.Incarnation > s.Incarnation {
+		if s != nil {
+			delete(g.classes, s.Peer)
+		}
 		s = &memberState{Member: m, notAliveSince: now}
 		g.members[m.Name] = s
+		g.classes[m.Peer] = g.class(m)
 		g.baseNames = nil
 	}
 	if m.Incarnation < s.Incarnation {
@@ -261,6 +267,7 @@
 		}
 		if !s.alive && now.Sub(s.notAliveSince) > forgetAfter {
 			delete(g.members, name)
+			delete(g.classes, s.Peer)
 			g.baseNames = nil
 		}
 	}
--- a/process/peer/clients.go
+++ b/process/peer/clients.go
@@ -58,6 +58,10 @@
 	hello    hello
 	// Traffic counts the messages and bytes of all connections.
 	Traffic Traffic
+	// OnMessage is called for each call that is sent and each reply that arrives, with the
+	// other host's address, the method and the size. It is set before the first call and
+	// may be nil.
+	OnMessage func(addr, method string, m MessageSize)
 
 	mu     sync.Mutex
 	closed bool
@@ -237,10 +241,19 @@
 		return openResult{err: ErrClosed}
 	}
 	pc.backoff.Reset()
-	pc.client = rpc.NewClientWithCodec(newCodec(conn, &c.Traffic, 0))
+	pc.client = rpc.NewClientWithCodec(c.newCodec(conn, addr))
 	return openResult{client: pc.client}
 }
 
+// newCodec returns the codec of a connection to an address.
+func (c *ClientPool) newCodec(conn net.Conn, addr string) *codec {
+	codec := newCodec(conn, &c.Traffic, 0)
+	if c.OnMessage != nil {
+		codec.onMessage = func(method string, m MessageSize) { c.OnMessage(addr, method, m) }
+	}
+	return codec
+}
+
 func (c *ClientPool) dial(ctx context.Context, addr string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
--- a/process/peer/codec.go
+++ b/process/peer/codec.go
@@ -43,12 +43,38 @@
 	// slots is a semaphore for the calls that run concurrently on a connection of a
 	// server. It is nil on a client.
 	slots chan struct{}
+	// onMessage is called after each message with the method and the message's size. It is nil
+	// on a server.
+	onMessage func(method string, m MessageSize)
+	// written counts the bytes encoded so far. received is the number of bytes decoded
+	// before the current message, and receiving is its method.
+	written   *byteCounter
+	received  int
+	receiving string
+}
+
+// MessageSize is the size of a call that was sent or of a reply that was received, in bytes
+// without TLS.
+type MessageSize struct{ Sent, Received int }
+
+// byteCounter counts the bytes that pass to a writer.
+type byteCounter struct {
+	io.Writer
+	bytes int
+}
+
+// Write implements io.Writer.
+func (w *byteCounter) Write(p []byte) (int, error) {
+	n, err := w.Writer.Write(p)
+	w.bytes += n
+	return n, err
 }
 
 func newCodec(conn net.Conn, traffic *Traffic, inFlight int) *codec {
 	reader := &limitedReader{conn: conn}
 	writer := bufio.NewWriter(conn)
-	c := &codec{conn: conn, reader: reader, writer: writer, dec: cbor.NewDecoder(reader), enc: cbor.NewEncoder(writer), traffic: traffic}
+	written := &byteCounter{Writer: writer}
+	c := &codec{conn: conn, reader: reader, writer: writer, written: written, dec: cbor.NewDecoder(reader), enc: cbor.NewEncoder(written), traffic: traffic}
 	if inFlight > 0 {
 		c.slots = make(chan struct{}, inFlight)
 	}
@@ -56,13 +82,33 @@
 }
 
 // WriteRequest implements rpc.ClientCodec.
-func (c *codec) WriteRequest(r *rpc.Request, body any) error { return c.write(r, body) }
+func (c *codec) WriteRequest(r *rpc.Request, body any) error {
+	before := c.written.bytes
+	err := c.write(r, body)
+	c.report(r.ServiceMethod, MessageSize{Sent: c.written.bytes - before})
+	return err
+}
 
 // ReadResponseHeader implements rpc.ClientCodec.
-func (c *codec) ReadResponseHeader(r *rpc.Response) error { return c.readHeader(r) }
+func (c *codec) ReadResponseHeader(r *rpc.Response) error {
+	c.received = c.dec.NumBytesRead()
+	err := c.readHeader(r)
+	c.receiving = r.ServiceMethod
+	return err
+}
 
 // ReadResponseBody implements rpc.ClientCodec.
-func (c *codec) ReadResponseBody(body any) error { return c.readBody(body) }
+func (c *codec) ReadResponseBody(body any) error {
+	err := c.readBody(body)
+	c.report(c.receiving, MessageSize{Received: c.dec.NumBytesRead() - c.received})
+	return err
+}
+
+func (c *codec) report(method string, m MessageSize) {
+	if c.onMessage != nil {
+		c.onMessage(method, m)
+	}
+}
 
 // ReadRequestHeader implements rpc.ServerCodec. It blocks while the connection has the
 // maximum number of running calls, which applies back-pressure to the sender.
