Partners: two in each other region, chosen by both, in place of three

Three were one before and two after a host by name; the second one after had not chosen it back, so that a host exchanged heartbeats with four hosts of each other region. Now it is one on each side, in regions of more than six hosts. TestFarPartnersAreMutual failed before (h030 has the partner h034, which has not chosen it).

--- a/process/partner/partner.go
+++ b/process/partner/partner.go
@@ -46,8 +46,12 @@
 	// alive.
 	aliveTimeout = 3200 * time.Millisecond
 	// nearPartners and farPartners bound the partners in this host's region and in each
-	// other region.
-	nearPartners, farPartners = 12, 3
+	// other region. An even number takes as many before as after this host by name, so that
+	// partners are mutual.
+	nearPartners, farPartners = 12, 2
+	// smallRegion is the number of hosts up to which smallRegionPartners of another region are
+	// partners.
+	smallRegion, smallRegionPartners = 6, 3
 	// crashCountMaxAge is the age up to which crash counts are sent in heartbeats.
 	crashCountMaxAge = 20 * time.Second
 	// forgetAfter is how long a host that is not alive stays in the group and is still
@@ -286,15 +290,23 @@
 	}
 	var partners []Member
 	for region, list := range byRegion {
-		limit := farPartners
-		if region == g.opts.Self.Region {
-			limit = nearPartners
-		}
-		partners = append(partners, g.nearest(list, limit)...)
+		partners = append(partners, g.nearest(list, g.partnerLimit(region, len(list)))...)
 	}
 	return partners
 }
 
+// partnerLimit returns the largest number of partners in a region of the given number of hosts.
+func (g *Group) partnerLimit(region string, hosts int) int {
+	switch {
+	case region == g.opts.Self.Region:
+		return nearPartners
+	case hosts <= smallRegion:
+		return smallRegionPartners
+	default:
+		return farPartners
+	}
+}
+
 // nearest returns up to limit members next to this host on the ring of sorted host names.
 func (g *Group) nearest(list []Member, limit int) []Member {
 	if len(list) <= limit {
--- a/process/partner/partner_test.go
+++ b/process/partner/partner_test.go
@@ -274,3 +274,27 @@
 		}
 	})
 }
+
+// TestFarPartnersAreMutual: of two hosts of different regions each must be a partner of the other or neither, so
+// that a host has as many partners in a large region as it chooses. At the ends of the list of names the number of hosts
+// may differ, and with it the next ones.
+func TestFarPartnersAreMutual(t *testing.T) {
+	const hosts, ends = 90, 2 * (nearPartners + farPartners)
+	var members []Member
+	for i := range hosts {
+		members = append(members, Member{Name: fmt.Sprintf("h%03d", i), Region: fmt.Sprint("r", i%3)})
+	}
+	chosen := make(map[string][]string)
+	for _, m := range members {
+		g := New(Options{Self: m, Now: time.Now})
+		g.AddMembers(members)
+		chosen[m.Name] = names(g.partners())
+	}
+	for _, m := range members[ends : hosts-ends] {
+		for _, name := range chosen[m.Name] {
+			if !slices.Contains(chosen[name], m.Name) {
+				t.Errorf("%s has the partner %s, which has not chosen it", m.Name, name)
+			}
+		}
+	}
+}
