--- a/process/partner/partner.go
+++ b/process/partner/partner.go
@@ -96,6 +96,8 @@
 	mu      sync.Mutex
 	members map[string]*memberState
 	leaving bool
+	// forgotten is the number of hosts that were removed from members.
+	forgotten int
 	// classes holds the class of each member by its address for calls between hosts.
 	classes map[string]string
 	// pullsRunning holds the tables that are being pulled from a partner.
@@ -275,6 +277,7 @@
 		if !s.alive && now.Sub(s.notAliveSince) > forgetAfter {
 			delete(g.members, name)
 			delete(g.classes, s.Peer)
+			g.forgotten++
 			g.baseNames = nil
 		}
 	}
@@ -355,6 +358,14 @@
 	return len(g.members) + 1
 }
 
+// ForgottenCount returns how many hosts were removed from the known ones since they were not alive for
+// a minute.
+func (g *Group) ForgottenCount() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.forgotten
+}
+
 // Owns reports whether this host is among the given number of owners of a key by rendezvous
 // hashing. Only base hosts are owners (see baseHosts). Hosts that are known but not alive
 // count as owners too, so that a network partition does not add owners.
--- a/process/partner/partner_test.go
+++ b/process/partner/partner_test.go
@@ -298,3 +298,19 @@
 		}
 	}
 }
+
+// TestForgottenHostsAreCounted: hosts that are removed from the known ones must be counted, since their rows
+// have to be read again.
+func TestForgottenHostsAreCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, groups := newNetwork(t, 2)
+		groups[0].AddMembers([]Member{{Name: "gone", Peer: "nowhere"}})
+		if got := groups[0].ForgottenCount(); got != 0 {
+			t.Errorf("%d hosts forgotten at first", got)
+		}
+		time.Sleep(forgetAfter + 2*heartbeatInterval)
+		if got := groups[0].ForgottenCount(); got != 1 {
+			t.Errorf("%d hosts forgotten, want 1", got)
+		}
+	})
+}
