Start: the tables cross to a region a few times, not to each of its failure domains

The first two hosts of each failure domain read the tables from the store when nobody of it had them: 18 reads at nine failure domains, two thirds of them from another region. Now they first ask the first failure domain of the region by name, unless that is their own or has two hosts or fewer: once, or until 1.2 s from the start at the first start of the system. TestTablesAreReadFewTimesInARegion failed before (8 reads of full tables by 8 hosts, want at most 4); TestStartWithoutFirstDomain shows the start when that failure domain is gone and its rows are not.

--- a/entry/load.go
+++ b/entry/load.go
@@ -13,6 +13,9 @@
 	// loadTimeout is how long a starting host waits for the tables of another host of its
 	// failure domain before it reads them from the store.
 	loadTimeout = 1500 * time.Millisecond
+	// regionTimeout is how long, from its start, a host that would read the tables from the store
+	// waits at the first start of the system for those of another failure domain of its region.
+	regionTimeout = 1200 * time.Millisecond
 	// announcementTime is the pause at the first start of the system, in which the hosts announce
 	// themselves.
 	announcementTime = 300 * time.Millisecond
@@ -31,7 +34,8 @@
 
 // load announces this host and takes the tables over from another host of its failure domain.
 // It returns when they are there, or when this host has to read them from the store: because
-// it is one of the first hosts of its failure domain by name and none has them, because the
+// it is one of the first hosts of its failure domain by name and neither it nor the first failure
+// domain of the region has them, because the
 // store cannot be read, or after loadTimeout. So when many hosts start together, the tables
 // cross to a failure domain a few times and not once for each host.
 func (h *Host) load(ctx context.Context) {
@@ -58,10 +62,46 @@
 	for ctx.Err() == nil && time.Now().Before(deadline) {
 		domain = h.readDomain(ctx)
 		h.contact(ctx, domain)
-		if len(domain) == 0 || h.awaitTables(ctx, loadPause) || h.isStartReader() {
+		if len(domain) == 0 || h.awaitTables(ctx, loadPause) {
 			return
 		}
+		if h.isStartReader() {
+			h.takeFromRegion(ctx, deadline.Add(regionTimeout-loadTimeout))
+			return
+		}
+	}
+}
+
+// takeFromRegion takes the tables over from the first failure domain of this region, unless it
+// is this host's own or a small one. It returns when they are there, after one try, or at the
+// first start of the system, when that domain has to read them too, at the deadline.
+func (h *Host) takeFromRegion(ctx context.Context, deadline time.Time) {
+	first := firstDomain(h.settings.Load().Regions, h.self)
+	if first == h.self.Domain {
+		return
+	}
+	hosts, err := h.store.HostsOf(ctx, first)
+	if err != nil || len(hosts) <= startReaders {
+		return
+	}
+	h.group.AddMembers(hosts)
+	for ctx.Err() == nil {
+		h.contact(ctx, hosts)
+		if h.awaitTables(ctx, loadPause) || !h.settings.Load().Host.FirstStart || time.Now().After(deadline) {
+			return
+		}
+	}
+}
+
+// firstDomain returns the failure domain of a host's region that is first by name.
+func firstDomain(regions map[string]string, self partner.Member) string {
+	first := self.Domain
+	for domain, region := range regions {
+		if region == self.Region && domain < first {
+			first = domain
+		}
 	}
+	return first
 }
 
 // asksPartners reports whether a starting host asks others for the tables, given the number
--- a/entry/load_test.go
+++ b/entry/load_test.go
@@ -140,3 +140,66 @@
 		}
 	}
 }
+
+// addHostIn adds a host of a failure domain of nordur to a cluster.
+func addHostIn(c *cluster, name, domain string) {
+	c.t.Helper()
+	endpoint := c.store.NewEndpoint()
+	c.t.Cleanup(endpoint.Close)
+	text := settingsText(c.t, name, endpoint.Addr(), c.firstStart)
+	text = strings.Replace(text, `failure_domain = "no-gler"`, fmt.Sprintf("failure_domain = %q", domain), 1)
+	text = strings.Replace(text, "[regions]", "[regions]\n\"no-eyri\" = \"nordur\"", 1)
+	settings, err := Parse([]byte(text))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	h := New(settings, "", c.logs)
+	if err := h.Start(c.t.Context()); err != nil {
+		c.t.Fatal(err)
+	}
+	c.t.Cleanup(h.close)
+	c.hosts = append(c.hosts, h)
+}
+
+// TestTablesAreReadFewTimesInARegion: of the hosts of two failure domains of a region that start together, only
+// startReaders may read the tables from the store.
+func TestTablesAreReadFewTimesInARegion(t *testing.T) {
+	const hosts = 4
+	c := newCluster(t, 2, 0)
+	logs := new(lockedBuffer)
+	c.logs, c.firstStart = logs, true
+	for i := range hosts {
+		addHostIn(c, fmt.Sprintf("front-eyri-%d", i), "no-eyri")
+		addHostIn(c, fmt.Sprintf("front-gler-%d", i), "no-gler")
+	}
+	for _, h := range c.hosts {
+		c.eventually("host is ready", h.ready)
+	}
+	time.Sleep(loadTimeout)
+	if got, most := logs.count(fullRead), tablesRead*startReaders; got > most {
+		t.Errorf("%d reads of full tables by %d hosts, want at most %d", got, 2*hosts, most)
+	}
+}
+
+// TestStartWithoutFirstDomain: when the first failure domain of a region is gone but its rows are still there,
+// the hosts of another one that start must be ready all the same.
+func TestStartWithoutFirstDomain(t *testing.T) {
+	for _, firstStart := range []bool{false, true} {
+		c := newCluster(t, 1, 0)
+		c.firstStart = firstStart
+		for i := range startReaders + 1 {
+			name := fmt.Sprintf("a-%d", i)
+			c.store.Put("hosts", "no-eyri/"+name, fmt.Sprintf(`{"Name":%q,"Incarnation":1,"Region":"nordur","Domain":"no-eyri","Peer":"127.0.0.1:1"}`, name))
+		}
+		start := time.Now()
+		for i := range startReaders + 1 {
+			addHostIn(c, fmt.Sprintf("front-gler-%d", i), "no-gler")
+		}
+		for _, h := range c.hosts {
+			c.eventually("host is ready", h.ready)
+		}
+		if took := time.Since(start); took > 2*loadTimeout {
+			t.Errorf("first start %v: the hosts were ready after %v", firstStart, took)
+		}
+	}
+}
