Partners: no call for a position that is ahead by the number alone

A host of the same known era at or beyond it lacks nothing and takes over the number; otherwise it pulls.

--- a/process/mirror/mirror.go
+++ b/process/mirror/mirror.go
@@ -64,7 +64,9 @@
 }
 
 type table struct {
-	records    map[string]Record
+	records map[string]Record
+	// newest is the largest revision of a record that was ever put in this era.
+	newest     uint64
 	tombstones int
 	era        uint64
 	upTo       uint64
@@ -102,6 +104,16 @@
 	return Position{Era: t.era, Revision: t.upTo}
 }
 
+// Progress returns the position of a table and the largest revision at which this replica may have
+// changed. A complete replica of the same era at that revision or a later one lacks nothing that
+// this one has.
+func (m *Mirror) Progress(name string) (p Position, lastChange uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	t := m.table(name)
+	return Position{Era: t.era, Revision: t.upTo}, max(t.newest, t.prunedUpTo)
+}
+
 // Change is what a delta has changed.
 type Change struct {
 	// Records are the records that changed, sorted by revision.
@@ -139,6 +151,7 @@
 	var changed []Record
 	for _, r := range d.Records {
 		t.records[r.Key] = r
+		t.newest = max(t.newest, r.Revision)
 		if old, ok := known[r.Key]; !ok || old.Removed || !bytes.Equal(old.Value, r.Value) {
 			changed = append(changed, r)
 		}
@@ -192,6 +205,7 @@
 		t.tombstones++
 	}
 	t.records[r.Key] = r
+	t.newest = max(t.newest, r.Revision)
 	return !r.Removed || (ok && !known.Removed)
 }
 
--- a/process/mirror/mirror_test.go
+++ b/process/mirror/mirror_test.go
@@ -139,3 +139,34 @@
 	}
 	return all
 }
+
+// TestLastChangeCoversAllDeltas: a replica that is complete up to the last change of another one must be
+// given no records and no snapshot by it, and one that is behind it must be.
+func TestLastChangeCoversAllDeltas(t *testing.T) {
+	m := New()
+	apply := func(d Delta) {
+		d.Table, d.Era = "t", max(d.Era, 1)
+		m.Apply(d)
+	}
+	check := func(step string) {
+		t.Helper()
+		position, last := m.Progress("t")
+		era := position.Era
+		if d := m.DeltaSince("t", Position{Era: era, Revision: last}); last == 0 || d.Whole || len(d.Records) > 0 {
+			t.Errorf("%s: after the last change %d there is %+v", step, last, d)
+		}
+		if d := m.DeltaSince("t", Position{Era: era, Revision: last - 1}); !d.Whole && len(d.Records) == 0 {
+			t.Errorf("%s: nothing changed at the last change %d", step, last)
+		}
+	}
+	apply(Delta{Whole: true, UpTo: 5, Records: []Record{{Key: "a", Revision: 2}}})
+	check("snapshot")
+	apply(Delta{UpTo: 9})
+	check("advanced number")
+	apply(Delta{UpTo: 12, Records: []Record{{Key: "a", Revision: 11, Removed: true}}})
+	check("removal")
+	apply(Delta{UpTo: 12, Records: []Record{{Key: "b", Revision: 20}}})
+	check("record beyond the position")
+	apply(Delta{Era: 2, Whole: true, UpTo: 3, Records: []Record{{Key: "b", Revision: 1}}})
+	check("restored store")
+}
--- a/process/partner/brief.go
+++ b/process/partner/brief.go
@@ -36,10 +36,10 @@
 	flagTroubled
 )
 
-// briefPosition is the position of a table.
+// briefPosition is the position of a table and the revision of its last change.
 type briefPosition struct {
-	_             struct{} `cbor:",toarray"`
-	Revision, Era uint64
+	_                      struct{} `cbor:",toarray"`
+	Revision, Era, Changed uint64
 }
 
 // briefCrash is a crash.Count.
@@ -82,7 +82,7 @@
 		}
 	}
 	for _, name := range g.opts.Tables {
-		b.Positions = append(b.Positions, briefPosition{Revision: h.Positions[name], Era: h.Eras[name]})
+		b.Positions = append(b.Positions, briefPosition{Revision: h.Positions[name], Era: h.Eras[name], Changed: h.Changed[name]})
 	}
 	for _, c := range h.Crashes {
 		b.Crashes = append(b.Crashes, briefCrash{Fingerprint: c.Fingerprint, Host: c.Host, Crashes: c.Crashes})
@@ -95,10 +95,11 @@
 func (g *Group) expand(b *Brief, from Member) *Heartbeat {
 	h := &Heartbeat{
 		From: from, Leaving: b.Flags&flagLeaving != 0, Fresh: b.Flags&flagFresh != 0, Troubled: b.Flags&flagTroubled != 0,
-		Rate: float64(b.Rate), Age: time.Duration(b.AgeMs) * time.Millisecond, Positions: make(map[string]uint64), Eras: make(map[string]uint64),
+		Rate: float64(b.Rate), Age: time.Duration(b.AgeMs) * time.Millisecond, Positions: make(map[string]uint64), Eras: make(map[string]uint64), Changed: make(map[string]uint64),
 	}
 	for i, name := range g.opts.Tables[:min(len(g.opts.Tables), len(b.Positions))] {
-		h.Positions[name], h.Eras[name] = b.Positions[i].Revision, b.Positions[i].Era
+		p := b.Positions[i]
+		h.Positions[name], h.Eras[name], h.Changed[name] = p.Revision, p.Era, p.Changed
 	}
 	for _, c := range b.Crashes {
 		h.Crashes = append(h.Crashes, crash.Count{Fingerprint: c.Fingerprint, Host: c.Host, Crashes: c.Crashes})
--- a/process/partner/control_bytes_test.go
+++ b/process/partner/control_bytes_test.go
@@ -67,6 +67,14 @@
 	f.calls += calls
 }
 
+// reset forgets what was counted so far.
+func (f *controlFleet) reset() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	clear(f.sent)
+	f.calls = 0
+}
+
 func encodedSize(v any) int {
 	data, err := cbor.Marshal(v)
 	if err != nil {
@@ -176,8 +184,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				f := newControlFleet(t, hosts)
 				time.Sleep(settle * time.Second)
-				clear(f.sent)
-				f.calls = 0
+				f.reset()
 				before := f.bytesByCause()
 				for i := range uint64(seconds) {
 					f.advance(10 + i)
--- a/process/partner/message.go
+++ b/process/partner/message.go
@@ -24,6 +24,8 @@
 	// Age is the time since the store last answered a Fresh sender, for the table for which that
 	// is longest ago. Earlier releases send none.
 	Age time.Duration
+	// Changed holds the revision of the last change of each table. Earlier releases send none.
+	Changed map[string]uint64
 	// TakesBrief says that the sender takes short heartbeats. Earlier releases do not.
 	TakesBrief bool
 }
@@ -41,6 +43,13 @@
 	return mirror.Position{Era: h.Eras[table], Revision: h.Positions[table]}
 }
 
+// onlyAdvanced reports whether the sender's copy of a table is ahead of a position by the number alone:
+// nothing of the table has changed since.
+func (h *Heartbeat) onlyAdvanced(table string, own mirror.Position) bool {
+	changed, ok := h.Changed[table]
+	return ok && changed != 0 && own.Era != 0 && own.Era == h.Eras[table] && changed <= own.Revision
+}
+
 // PullRequest requests the records of a table that are newer than revision After of an era.
 type PullRequest struct {
 	Table string
--- a/process/partner/pull.go
+++ b/process/partner/pull.go
@@ -19,7 +19,14 @@
 	}
 	for _, name := range g.opts.Tables {
 		own := g.opts.Mirror.Position(name)
-		if h.position(name).Compare(own) <= 0 || !g.startPull(name) {
+		if h.position(name).Compare(own) <= 0 {
+			continue
+		}
+		if h.onlyAdvanced(name, own) {
+			g.opts.Apply(mirror.Delta{Table: name, Era: own.Era, UpTo: h.Positions[name]})
+			continue
+		}
+		if !g.startPull(name) {
 			continue
 		}
 		go g.pullTable(h.From, name, own)
--- a/process/partner/service.go
+++ b/process/partner/service.go
@@ -22,10 +22,10 @@
 func (g *Group) heartbeat() Heartbeat {
 	now := g.opts.Now()
 	status := g.opts.StoreStatus()
-	h := Heartbeat{TakesBrief: true, Fresh: status.Reachable, Age: status.Age, Troubled: status.Failing, From: g.opts.Self, Positions: make(map[string]uint64), Eras: make(map[string]uint64), Rate: g.opts.RequestRate(), Crashes: g.opts.Crashes.Recent(crashCountMaxAge, now)}
+	h := Heartbeat{TakesBrief: true, Fresh: status.Reachable, Age: status.Age, Troubled: status.Failing, From: g.opts.Self, Positions: make(map[string]uint64), Eras: make(map[string]uint64), Changed: make(map[string]uint64), Rate: g.opts.RequestRate(), Crashes: g.opts.Crashes.Recent(crashCountMaxAge, now)}
 	for _, name := range g.opts.Tables {
-		position := g.opts.Mirror.Position(name)
-		h.Positions[name], h.Eras[name] = position.Revision, position.Era
+		position, changed := g.opts.Mirror.Progress(name)
+		h.Positions[name], h.Eras[name], h.Changed[name] = position.Revision, position.Era, changed
 	}
 	g.mu.Lock()
 	h.Leaving = g.leaving
