--- a/process/partner/forgotten.go
+++ b/process/partner/forgotten.go
@@ -11,6 +11,8 @@
 // forget removes a host from the group and remembers that it was removed. The lock must be held.
 func (g *Group) forget(s *memberState, now time.Time) {
 	delete(g.members, s.Name)
+	delete(g.classes, s.Peer)
+	g.forgottenCount++
 	incarnation := max(s.Incarnation, g.forgotten[s.Name].incarnation)
 	g.forgotten[s.Name] = forgottenHost{incarnation: incarnation, at: now}
 	g.baseNames = nil
--- a/process/partner/message.go
+++ b/process/partner/message.go
@@ -30,6 +30,10 @@
 	// ReportHold is for how long the reports of live targets may still be missing, as the sender's
 	// own calls show it. Earlier releases send none.
 	ReportHold time.Duration
+	// Changed holds the revision of the last change of each table. Earlier releases send none.
+	Changed map[string]uint64
+	// TakesBrief says that the sender takes short heartbeats. Earlier releases do not.
+	TakesBrief bool
 }
 
 // minStatedAge is the least Age in a heartbeat, to tell it from none.
@@ -48,6 +52,13 @@
 	return mirror.Position{Era: h.Eras[table], Revision: h.Positions[table]}
 }
 
+// onlyAdvanced reports whether the sender's copy of a table is ahead of a position by the number alone:
+// nothing of the table has changed since.
+func (h *Heartbeat) onlyAdvanced(table string, own mirror.Position) bool {
+	changed, ok := h.Changed[table]
+	return ok && changed != 0 && own.Era != 0 && own.Era == h.Eras[table] && changed <= own.Revision
+}
+
 // PullRequest requests the records of a table that are newer than revision After of an era.
 type PullRequest struct {
 	Table string
--- a/process/partner/partner.go
+++ b/process/partner/partner.go
@@ -51,8 +51,12 @@
 	// introductionTime is how long a starting host waits to hear what its partners know.
 	introductionTime = 2 * time.Second
 	// nearPartners and farPartners bound the partners in this host's region and in each
-	// other region.
-	nearPartners, farPartners = 12, 3
+	// other region. An even number takes as many before as after this host by name, so that
+	// partners are mutual.
+	nearPartners, farPartners = 12, 2
+	// smallRegion is the number of hosts up to which smallRegionPartners of another region are
+	// partners.
+	smallRegion, smallRegionPartners = 6, 3
 	// crashCountMaxAge is the age up to which crash counts are sent in heartbeats.
 	crashCountMaxAge = 20 * time.Second
 	// forgetAfter is how long a host that is not alive stays in the group and is still
@@ -103,6 +107,10 @@
 	mu      sync.Mutex
 	members map[string]*memberState
 	leaving bool
+	// forgottenCount is the number of hosts that were removed from members.
+	forgottenCount int
+	// classes holds the class of each member by its address for calls between hosts.
+	classes map[string]string
 	// pullsRunning holds the tables that are being pulled from a partner.
 	pullsRunning map[string]bool
 	// baseNames caches baseHosts; nil after members were added or removed.
@@ -140,6 +148,9 @@
 	// same incarnation only. It is sent heartbeats but does not count.
 	forgotten   bool
 	requestRate float64
+	// hasWhole is true once the host has received a whole heartbeat of this host and takes
+	// short ones.
+	hasWhole bool
 	// readAt is when the host's last heartbeat reported that it reads the store; zero if it
 	// reported that it does not or stated no age. readAge is the age of the store's responses then, and
 	// readPositions are the positions of the host's tables, in the order of Options.Tables.
@@ -152,7 +163,10 @@
 
 // New returns a group that contains only this host.
 func New(opts Options) *Group {
-	return &Group{opts: opts, members: make(map[string]*memberState), forgotten: make(map[string]forgottenHost), pullsRunning: make(map[string]bool), startedAt: opts.Now()}
+	return &Group{
+		opts: opts, members: make(map[string]*memberState), classes: make(map[string]string), forgotten: make(map[string]forgottenHost),
+		pullsRunning: make(map[string]bool), startedAt: opts.Now(),
+	}
 }
 
 // Register registers the group's net/rpc service with a server.
@@ -186,8 +200,12 @@
 	}
 	s := g.members[m.Name]
 	if s == nil || m.Incarnation > s.Incarnation {
+		if s != nil {
+			delete(g.classes, s.Peer)
+		}
 		s = &memberState{Member: m, notAliveSince: now, forgotten: g.isForgotten(m)}
 		g.members[m.Name] = s
+		g.classes[m.Peer] = g.class(m)
 		g.baseNames = nil
 	}
 	if m.Incarnation < s.Incarnation {
@@ -273,9 +291,9 @@
 func (g *Group) sendHeartbeat(ctx context.Context, m Member) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	request, reply := g.heartbeat(), new(Heartbeat)
 	g.opts.Metrics.Counter("partners.beats").Add(1)
-	if err := g.opts.Client.Call(ctx, m.Peer, serviceName+".Beat", &request, reply); err != nil {
+	reply, err := g.exchange(ctx, m)
+	if err != nil {
 		g.opts.Metrics.Counter("partners.failed_beats").Add(1)
 		return
 	}
@@ -311,15 +329,23 @@
 	}
 	var partners []Member
 	for region, list := range byRegion {
-		limit := farPartners
-		if region == g.opts.Self.Region {
-			limit = nearPartners
-		}
-		partners = append(partners, g.nearest(list, limit)...)
+		partners = append(partners, g.nearest(list, g.partnerLimit(region, len(list)))...)
 	}
 	return partners
 }
 
+// partnerLimit returns the largest number of partners in a region of the given number of hosts.
+func (g *Group) partnerLimit(region string, hosts int) int {
+	switch {
+	case region == g.opts.Self.Region:
+		return nearPartners
+	case hosts <= smallRegion:
+		return smallRegionPartners
+	default:
+		return farPartners
+	}
+}
+
 // nearest returns up to limit members next to this host on the ring of sorted host names.
 func (g *Group) nearest(list []Member, limit int) []Member {
 	if len(list) <= limit {
@@ -375,6 +401,14 @@
 	return count
 }
 
+// ForgottenCount returns how many hosts were removed from the known ones since they were not alive for
+// a minute.
+func (g *Group) ForgottenCount() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.forgottenCount
+}
+
 // Owns reports whether this host is among the given number of owners of a key by rendezvous
 // hashing. Only base hosts are owners (see baseHosts). Hosts that are known but not alive
 // count as owners too, so that a network partition does not add owners.
--- a/process/partner/partner_test.go
+++ b/process/partner/partner_test.go
@@ -48,6 +48,9 @@
 	if heartbeat, ok := args.(*Heartbeat); ok {
 		return s.Beat(heartbeat, reply.(*Heartbeat))
 	}
+	if brief, ok := args.(*Brief); ok {
+		return s.Brief(brief, reply.(*Brief))
+	}
 	if request, ok := args.(*SnapshotRequest); ok {
 		return s.Snapshot(request, reply.(*SnapshotReply))
 	}
@@ -271,3 +274,43 @@
 		}
 	})
 }
+
+// TestFarPartnersAreMutual: of two hosts of different regions each must be a partner of the other or neither, so
+// that a host has as many partners in a large region as it chooses. At the ends of the list of names the number of hosts
+// may differ, and with it the next ones.
+func TestFarPartnersAreMutual(t *testing.T) {
+	const hosts, ends = 90, 2 * (nearPartners + farPartners)
+	var members []Member
+	for i := range hosts {
+		members = append(members, Member{Name: fmt.Sprintf("h%03d", i), Region: fmt.Sprint("r", i%3)})
+	}
+	chosen := make(map[string][]string)
+	for _, m := range members {
+		g := New(Options{Self: m, Now: time.Now})
+		g.AddMembers(members)
+		chosen[m.Name] = names(g.partners())
+	}
+	for _, m := range members[ends : hosts-ends] {
+		for _, name := range chosen[m.Name] {
+			if !slices.Contains(chosen[name], m.Name) {
+				t.Errorf("%s has the partner %s, which has not chosen it", m.Name, name)
+			}
+		}
+	}
+}
+
+// TestForgottenHostsAreCounted: hosts that are removed from the known ones must be counted, since their rows
+// have to be read again.
+func TestForgottenHostsAreCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, groups := newNetwork(t, 2)
+		groups[0].AddMembers([]Member{{Name: "gone", Peer: "nowhere"}})
+		if got := groups[0].ForgottenCount(); got != 0 {
+			t.Errorf("%d hosts forgotten at first", got)
+		}
+		time.Sleep(forgetAfter + 2*heartbeatInterval)
+		if got := groups[0].ForgottenCount(); got != 1 {
+			t.Errorf("%d hosts forgotten, want 1", got)
+		}
+	})
+}
--- a/process/partner/service.go
+++ b/process/partner/service.go
@@ -23,16 +23,16 @@
 	now := g.opts.Now()
 	status := g.opts.StoreStatus()
 	h := Heartbeat{
-		From: g.opts.Self, Rate: g.opts.RequestRate(), Crashes: g.opts.Crashes.Recent(crashCountMaxAge, now),
+		From: g.opts.Self, TakesBrief: true, Rate: g.opts.RequestRate(), Crashes: g.opts.Crashes.Recent(crashCountMaxAge, now),
 		Fresh: status.Reachable, Age: max(status.Age, minStatedAge), Troubled: status.Failing, ReportHold: status.ReportHold,
-		Positions: make(map[string]uint64), Eras: make(map[string]uint64),
+		Positions: make(map[string]uint64), Eras: make(map[string]uint64), Changed: make(map[string]uint64),
 	}
 	if g.opts.StateVersion != nil {
 		h.StateVersion = g.opts.StateVersion()
 	}
 	for _, name := range g.opts.Tables {
-		position := g.opts.Mirror.Position(name)
-		h.Positions[name], h.Eras[name] = position.Revision, position.Era
+		position, changed := g.opts.Mirror.Progress(name)
+		h.Positions[name], h.Eras[name], h.Changed[name] = position.Revision, position.Era, changed
 	}
 	g.mu.Lock()
 	h.Leaving = g.leaving
