--- a/process/partner/forgotten_test.go
+++ b/process/partner/forgotten_test.go
@@ -49,6 +49,8 @@
 			t.Errorf("the gone host counts in %d of %d samples, and owns a key in place of this host in %d", counted, samples, owned)
 		}
 		time.Sleep(forgetAfter + forgottenRetention + 2*heartbeatInterval)
+		g.mu.Lock()
+		defer g.mu.Unlock()
 		if len(g.forgotten) > 0 || len(g.members) != 1 {
 			t.Errorf("%d forgotten and %d known hosts are kept", len(g.forgotten), len(g.members))
 		}
--- a/process/partner/stale_test.go
+++ b/process/partner/stale_test.go
@@ -47,8 +47,8 @@
 // TestAgeIsAlwaysStated: a host whose answer has just arrived must vouch although its age is 0.
 func TestAgeIsAlwaysStated(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		_, groups := newNetwork(t, 9)
-		last, reader := groups[8], groups[0]
+		n, groups := newNetwork(t, 9)
+		last, reader := groups[8], n.add("reader", "r", 1)
 		reader.opts.StoreStatus = func() StoreStatus { return StoreStatus{Reachable: true} }
 		beat := reader.heartbeat()
 		last.receive(&beat)
