--- /dev/null
+++ b/process/partner/chosen.go
@@ -0,0 +1,47 @@
+package partner
+
+import (
+	"cmp"
+	"slices"
+)
+
+// partners returns the hosts that this host sends heartbeats to.
+func (g *Group) partners() []Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	byRegion := make(map[string][]Member)
+	for _, s := range g.members {
+		byRegion[s.Region] = append(byRegion[s.Region], s.Member)
+	}
+	var partners []Member
+	for region, list := range byRegion {
+		partners = append(partners, g.nearest(list, g.partnerLimit(region, len(list)))...)
+	}
+	return partners
+}
+
+// partnerLimit returns the largest number of partners in a region of the given number of hosts.
+func (g *Group) partnerLimit(region string, hosts int) int {
+	switch {
+	case region == g.opts.Self.Region:
+		return nearPartners
+	case hosts <= smallRegion:
+		return smallRegionPartners
+	default:
+		return farPartners
+	}
+}
+
+// nearest returns up to limit members next to this host on the ring of sorted host names.
+func (g *Group) nearest(list []Member, limit int) []Member {
+	if len(list) <= limit {
+		return list
+	}
+	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	at, _ := slices.BinarySearchFunc(list, g.opts.Self.Name, func(m Member, name string) int { return cmp.Compare(m.Name, name) })
+	chosen := make([]Member, 0, limit)
+	for i := range limit {
+		chosen = append(chosen, list[(at-limit/2+i+len(list))%len(list)])
+	}
+	return chosen
+}
--- a/process/partner/partner.go
+++ b/process/partner/partner.go
@@ -8,9 +8,7 @@
 package partner
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -172,48 +170,6 @@
 // Register registers the group's net/rpc service with a server.
 func (g *Group) Register(s *peer.Server) error { return s.Register(serviceName, &service{g}) }
 
-// AddMembers adds the members that the store lists. They count as alive only after a
-// heartbeat or reply from them.
-func (g *Group) AddMembers(members []Member) {
-	now := g.opts.Now()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, m := range members {
-		g.addMember(m, now)
-	}
-}
-
-// AddListedMembers is AddMembers for all members that the store lists.
-func (g *Group) AddListedMembers(members []Member) {
-	g.AddMembers(members)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.listed = true
-}
-
-// addMember adds a member, or replaces an older incarnation of it. It returns nil for this
-// host itself and for an incarnation older than the known one. A host that was forgotten does not
-// count until it is heard from. The lock must be held.
-func (g *Group) addMember(m Member, now time.Time) *memberState {
-	if m.Name == g.opts.Self.Name {
-		return nil
-	}
-	s := g.members[m.Name]
-	if s == nil || m.Incarnation > s.Incarnation {
-		if s != nil {
-			delete(g.classes, s.Peer)
-		}
-		s = &memberState{Member: m, notAliveSince: now, forgotten: g.isForgotten(m)}
-		g.members[m.Name] = s
-		g.classes[m.Peer] = g.class(m)
-		g.baseNames = nil
-	}
-	if m.Incarnation < s.Incarnation {
-		return nil
-	}
-	return s
-}
-
 // receive handles a heartbeat that came as a call or as a reply.
 func (g *Group) receive(h *Heartbeat) {
 	now := g.opts.Now()
@@ -233,21 +189,6 @@
 	}
 }
 
-// markSeen records that a host's heartbeat or reply has arrived and whether the host is
-// leaving. The lock must be held.
-func (g *Group) markSeen(s *memberState, leaving bool, now time.Time) {
-	s.lastSeen = now
-	g.recall(s)
-	if !s.alive {
-		s.alive = true
-		evAlive.Log(g.opts.Log).Str("member", s.Name).Int64("incarnation", s.Incarnation).Send()
-	}
-	if leaving && !s.leaving {
-		s.leaving = true
-		evLeaving.Log(g.opts.Log).Str("member", s.Name).Send()
-	}
-}
-
 // Run sends heartbeats to the partners until ctx ends.
 func (g *Group) Run(ctx context.Context) {
 	ticker := time.NewTicker(heartbeatInterval)
@@ -300,66 +241,6 @@
 	g.receive(reply)
 }
 
-// expireMembers marks hosts without a heartbeat for aliveTimeout as lost, and removes
-// those that have not been alive for forgetAfter.
-func (g *Group) expireMembers() {
-	now := g.opts.Now()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for name, s := range g.members {
-		if s.alive && now.Sub(s.lastSeen) > aliveTimeout {
-			s.alive = false
-			s.notAliveSince = now
-			evLost.Log(g.opts.Log).Str("member", name).Dur("silent", now.Sub(s.lastSeen)).Send()
-		}
-		if !s.alive && now.Sub(s.notAliveSince) > forgetAfter {
-			g.forget(s, now)
-		}
-	}
-	g.expireForgotten(now)
-}
-
-// partners returns the hosts that this host sends heartbeats to.
-func (g *Group) partners() []Member {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	byRegion := make(map[string][]Member)
-	for _, s := range g.members {
-		byRegion[s.Region] = append(byRegion[s.Region], s.Member)
-	}
-	var partners []Member
-	for region, list := range byRegion {
-		partners = append(partners, g.nearest(list, g.partnerLimit(region, len(list)))...)
-	}
-	return partners
-}
-
-// partnerLimit returns the largest number of partners in a region of the given number of hosts.
-func (g *Group) partnerLimit(region string, hosts int) int {
-	switch {
-	case region == g.opts.Self.Region:
-		return nearPartners
-	case hosts <= smallRegion:
-		return smallRegionPartners
-	default:
-		return farPartners
-	}
-}
-
-// nearest returns up to limit members next to this host on the ring of sorted host names.
-func (g *Group) nearest(list []Member, limit int) []Member {
-	if len(list) <= limit {
-		return list
-	}
-	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
-	at, _ := slices.BinarySearchFunc(list, g.opts.Self.Name, func(m Member, name string) int { return cmp.Compare(m.Name, name) })
-	chosen := make([]Member, 0, limit)
-	for i := range limit {
-		chosen = append(chosen, list[(at-limit/2+i+len(list))%len(list)])
-	}
-	return chosen
-}
-
 // Leave marks this host as leaving and announces it to all partners.
 func (g *Group) Leave(ctx context.Context) {
 	g.mu.Lock()
@@ -368,47 +249,6 @@
 	g.sendHeartbeats(ctx, func(Member) bool { return true })
 }
 
-// Alive returns the hosts that are alive and not leaving, sorted by name. It includes this
-// host unless this host is leaving.
-func (g *Group) Alive() []Member {
-	now := g.opts.Now()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	var alive []Member
-	if !g.leaving {
-		alive = append(alive, g.opts.Self)
-	}
-	for _, s := range g.members {
-		if s.alive && !s.leaving && now.Sub(s.lastSeen) <= aliveTimeout {
-			alive = append(alive, s.Member)
-		}
-	}
-	slices.SortFunc(alive, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
-	return alive
-}
-
-// KnownCount returns the number of known hosts, alive or not but not forgotten, including this
-// host.
-func (g *Group) KnownCount() int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	count := 1
-	for _, s := range g.members {
-		if !s.forgotten {
-			count++
-		}
-	}
-	return count
-}
-
-// ForgottenCount returns how many hosts were removed from the known ones since they were not alive for
-// a minute.
-func (g *Group) ForgottenCount() int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.forgottenCount
-}
-
 // Owns reports whether this host is among the given number of owners of a key by rendezvous
 // hashing. Only base hosts are owners (see baseHosts). Hosts that are known but not alive
 // count as owners too, so that a network partition does not add owners.
