--- a/entry/host_test.go
+++ b/entry/host_test.go
@@ -24,6 +24,7 @@
 			}
 		}
 	}
+	c.eventually("the first host knows what its partners know", c.hosts[0].stateConfirmed)
 	if got := send(c.hosts[0].addr(), "GET", "/nowhere/", "x", ""); got.Status != http.StatusNotFound {
 		t.Errorf("a path without a route: %+v", got)
 	}
