--- /dev/null
+++ b/entry/half_read_test.go
@@ -0,0 +1,30 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"quetzalknot/platform/adapter"
+	"quetzalknot/process/mirror"
+)
+
+// TestNotReadyWithHalfOfTheTargets: a host that is still applying its first table of targets would send all
+// requests to the first few, and refuse the rest.
+func TestNotReadyWithHalfOfTheTargets(t *testing.T) {
+	c := newCluster(t, 2, 1)
+	targets := c.hosts[0].mirror.DeltaSince(adapter.TargetTable, mirror.Position{})
+	settings, err := Parse([]byte(settingsText(t, "front-new", c.endpoints[0].Addr(), false)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := New(settings, "", c.logs)
+	h.config.Store(c.hosts[0].config.Load())
+	h.applyTarget(targets.Records[0], time.Now(), false)
+	if h.ready() {
+		t.Error("a host is ready with one of two targets")
+	}
+	h.apply(targets)
+	if !h.ready() {
+		t.Errorf("not ready with all targets: %s", h.unreadyReason())
+	}
+}
--- a/entry/host.go
+++ b/entry/host.go
@@ -98,6 +98,8 @@
 	// revision rowRevision.
 	announced           atomic.Bool
 	rowEra, rowRevision atomic.Uint64
+	// targetsApplied is true once a full table of targets has been applied.
+	targetsApplied atomic.Bool
 	// rowLost receives a value when this host's row may be lost and must be written again.
 	rowLost chan struct{}
 	// lastUnreadyReason is the reason that logReadiness logged last: why the host was not ready,
