Hosts: the limit for targets that may be cold does not come back after the store's answer

What callers saw: 503 in the first tenth of a second of a host, on routes that it knows: each target got one request and no more. Cause: the periodic task looked whether the host is up to date, the store's answer lifted the limit, and then the task set it by what it had seen. Why this works: looking and acting are one step under a lock, so that the last look decides.

--- a/entry/follow.go
+++ b/entry/follow.go
@@ -281,6 +281,8 @@
 // limitSendRate limits the requests to each target while this host is not up to date, and
 // lifts the limit when it is.
 func (h *Host) limitSendRate() {
+	h.sendRateMu.Lock()
+	defer h.sendRateMu.Unlock()
 	if h.upToDate() {
 		h.fleet.LiftSendRateLimit()
 		return
--- a/entry/host.go
+++ b/entry/host.go
@@ -100,6 +100,8 @@
 	rowEra, rowRevision atomic.Uint64
 	// targetsApplied is true once a full table of targets has been applied.
 	targetsApplied atomic.Bool
+	// sendRateMu makes limitSendRate look and act in one step.
+	sendRateMu sync.Mutex
 	// rowLost receives a value when this host's row may be lost and must be written again.
 	rowLost chan struct{}
 	// lastUnreadyReason is the reason that logReadiness logged last: why the host was not ready,
--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -282,6 +282,13 @@
 	f.maxPerSecond = maxPerSecond
 }
 
+// SendRateLimited reports whether LimitSendRate is in force.
+func (f *Fleet) SendRateLimited() bool {
+	f.Lock()
+	defer f.Unlock()
+	return f.maxPerSecond != nil
+}
+
 // LiftSendRateLimit removes the bound of LimitSendRate once reports are up to date again.
 func (f *Fleet) LiftSendRateLimit() { f.LimitSendRate(nil) }
 
