Requests: a configuration that was replaced meanwhile denies nothing

Callers could see 404 for a route, or 413 for a body, that the state in force allows: the handler looked for the route in the configuration that it had loaded, and then asked whether the state is confirmed. If a newer configuration came and was confirmed between the two, the answer spoke of that one, and the older one denied the request.

Now a request without a route is denied only if the configuration is still the one in force after it was confirmed; a newer one is searched again. A body above a limit gets 503 when the limit is not that of the confirmed configuration.

TestRequestNotDeniedByReplacedConfiguration failed before with 404 and 413.

--- a/request/serve/fixture_test.go
+++ b/request/serve/fixture_test.go
@@ -43,6 +43,8 @@
 	addr    string
 	// stale is true while the configuration is not known to be the newest.
 	stale atomic.Bool
+	// confirming is called when the handler asks whether the configuration is the newest; may be nil.
+	confirming func()
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -54,13 +56,20 @@
 	f.handler = serve.New(serve.Options{
 		Config: f.config.Load, Fleet: f.fleet, Pool: pool, Budget: f.budget, Crashes: crash.New("front-0"),
 		Chooser: place.New(f.fleet, place.Options{Region: region, FailureDomain: domain}),
-		Headers: adapter.HeaderCodec{}, UpToDate: func() bool { return !f.stale.Load() }, Metrics: metrics.NewSet(), Log: zerolog.Nop(),
+		Headers: adapter.HeaderCodec{}, UpToDate: f.upToDate, Metrics: metrics.NewSet(), Log: zerolog.Nop(),
 	})
 	f.listen()
 	t.Cleanup(pool.Close)
 	return f
 }
 
+func (f *fixture) upToDate() bool {
+	if f.confirming != nil {
+		f.confirming()
+	}
+	return !f.stale.Load()
+}
+
 func (f *fixture) listen() {
 	f.t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/request/serve/serve.go
+++ b/request/serve/serve.go
@@ -146,11 +146,8 @@
 	if q.callerHeaders, err = q.h.Headers.ReadRequest(q.r); err != nil {
 		return q.refuse(http.StatusBadRequest, err)
 	}
-	if q.route = q.config.Match(q.r.Host, pathOf(q.r)); q.route == nil {
-		if !q.h.UpToDate() {
-			return q.refuse(http.StatusServiceUnavailable, errNoRoute)
-		}
-		return q.refuse(http.StatusNotFound, errNoRoute)
+	if !q.findRoute() {
+		return false
 	}
 	timeout := q.callerHeaders.TimeLeft
 	if timeout <= 0 {
@@ -169,6 +166,26 @@
 	return true
 }
 
+// findRoute finds the route in the configuration in force. A request without one may be denied only
+// if that configuration is the confirmed one. It returns false when it has sent the final response.
+func (q *request) findRoute() bool {
+	for q.route = q.match(); q.route == nil; q.route = q.match() {
+		confirmed := q.h.UpToDate()
+		current := q.h.Config()
+		switch {
+		case current != q.config:
+			q.config = current
+		case confirmed:
+			return q.refuse(http.StatusNotFound, errNoRoute)
+		default:
+			return q.refuse(http.StatusServiceUnavailable, errNoRoute)
+		}
+	}
+	return true
+}
+
+func (q *request) match() *routes.Route { return q.config.Match(q.r.Host, pathOf(q.r)) }
+
 // goldenRatio makes the share points of successive requests evenly spread over [0, 1).
 const goldenRatio = 0.6180339887498949
 
@@ -206,11 +223,12 @@
 }
 
 // refuseBody refuses a body above the limit, in bytes. The limit may have been raised while
-// the configuration is not up to date; the caller may retry then. It always returns false.
+// the configuration is not up to date or has been replaced; the caller may retry then. It always
+// returns false.
 func (q *request) refuseBody(limit int64) bool {
-	status := http.StatusRequestEntityTooLarge
-	if !q.h.UpToDate() {
-		status = http.StatusServiceUnavailable
+	status := http.StatusServiceUnavailable
+	if q.h.UpToDate() && q.h.Config() == q.config {
+		status = http.StatusRequestEntityTooLarge
 	}
 	return q.refuse(status, errors.Newf("request body has %d bytes; at most %d are allowed", q.r.ContentLength, limit))
 }
