--- a/request/serve/serve.go
+++ b/request/serve/serve.go
@@ -140,10 +140,11 @@
 // sent the final response.
 func (q *request) read() bool {
 	var err error
+	q.callerHeaders, err = q.h.Headers.ReadRequest(q.r)
 	if q.config = q.h.Config(); q.config == nil {
 		return q.refuse(http.StatusServiceUnavailable, errNoConfig)
 	}
-	if q.callerHeaders, err = q.h.Headers.ReadRequest(q.r); err != nil {
+	if err != nil {
 		return q.refuse(http.StatusBadRequest, err)
 	}
 	if !q.findRoute() {
