--- a/request/serve/attempt.go
+++ b/request/serve/attempt.go
@@ -20,6 +20,13 @@
 
 var evCrash = eventlog.Define(4601, zerolog.WarnLevel, "target crashed while running a request")
 
+const (
+	// maxInlineBody is the largest body, in bytes, that is written before the response is read.
+	maxInlineBody = 8 << 10
+	// maxBufferedResponse is the largest response body, in bytes, that is held in memory.
+	maxBufferedResponse = 512 << 10
+)
+
 var (
 	errShed     = errors.New("target shed the request")
 	errMoved    = errors.New("address belongs to another target")
