--- a/version/spread/poller.go
+++ b/version/spread/poller.go
@@ -33,11 +33,6 @@
 	// readsPerSecond bounds the reads of one host, so that hosts that catch up do not
 	// use up the capacity of the table service.
 	readsPerSecond = 5
-	// rowRewriteSpread is the time after a restore over which the hosts write their member
-	// rows again: with 910 hosts, 15 rows a second.
-	rowRewriteSpread = time.Minute
-	// snapshotInterval is the minimum interval between snapshots.
-	snapshotInterval = 2 * time.Minute
 )
 
 // errEarlierEra reports an answer from before a restore of the table that this host has seen.
@@ -198,22 +193,6 @@
 	return nil
 }
 
-// loadSnapshot merges the newest valid snapshot. The state is not up to date after
-// that, since the tickets accepted after the snapshot have not been read.
-func (p *Poller) loadSnapshot(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	snap, err := p.Snapshots.Read(ctx, func(key string, err error) {
-		evSnapshotRejected.Log(p.engine.Log).Str("object", key).Err(err).Send()
-	})
-	if err != nil {
-		return err
-	}
-	p.tickets.Add(snap.Records...)
-	p.engine.watermark.advance(time.Time{}, Position{Era: snap.Era, Revision: snap.Revision})
-	return nil
-}
-
 // poll reads the tickets accepted after the engine's position, which also advances
 // when another host's watermark is adopted, and pushes the new ones. When the table was
 // restored since this host last read it, all tickets are read again.
@@ -265,132 +244,6 @@
 	return p.Store.Page(ctx, after, pageRows)
 }
 
-// renewLeaseIfAlone renews the lease of a host that has no other member to confirm it. A
-// host that cannot reach the others is not alone: the others may consider it dead. So it
-// renews the lease only once the rows of all other members have expired.
-func (p *Poller) renewLeaseIfAlone(began time.Time) {
-	for _, until := range p.othersUntil {
-		if until.After(began) {
-			return
-		}
-	}
-	if len(p.engine.Members.Reachable()) == 0 {
-		p.engine.Members.Lease().Renew(began)
-	}
-}
-
-// readMembers merges the member rows written since the last read.
-func (p *Poller) readMembers(ctx context.Context) error {
-	began := time.Now()
-	for {
-		if err := p.limiter.Wait(ctx); err != nil {
-			return err
-		}
-		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-		p.engine.Metrics.Counter("spread.store_reads_total").Add(1)
-		rows, next, more, err := p.Rows.Changed(callCtx, p.memberCursor, pageRows, time.Now())
-		cancel()
-		if err != nil {
-			return err
-		}
-		p.mergeRows(rows)
-		p.memberCursor = next
-		if !more {
-			p.engine.Members.Discovery().RowsRead(began)
-			return nil
-		}
-	}
-}
-
-// mergeRows adds members from their rows and notes when the rows of other hosts expire.
-func (p *Poller) mergeRows(rows []membership.Row) {
-	self := p.engine.Members.Self()
-	for _, row := range rows {
-		if row.Host != self.Host {
-			p.othersUntil[row.Host] = row.LeaseUntil
-		}
-		if row.Host != self.Host || row.Incarnation > self.Incarnation {
-			p.engine.Members.MergeRow(row.Member)
-		}
-	}
-}
-
-// renewRow writes the member row of this process when its renewal is due or when its
-// Leaving flag has changed.
-func (p *Poller) renewRow(ctx context.Context) {
-	p.renewAfterRestore()
-	self := p.engine.Members.Self()
-	due := time.Now().After(p.renewAt) || self.Leaving != p.announcedLeaving && time.Now().After(p.renewFailedAt.Add(maxStoreBackoff))
-	if !due || ctx.Err() != nil {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	p.engine.Metrics.Counter("spread.store_writes_total").Add(1)
-	err := p.Rows.Announce(ctx, self, time.Now())
-	switch {
-	case errors.Is(err, membership.ErrSuperseded):
-		p.engine.Members.Lease().Revoke()
-		evSuperseded.Log(p.engine.Log).Err(err).Send()
-	case err != nil:
-		evRowFailed.Log(p.engine.Log).Err(err).Send()
-		p.renewFailedAt = time.Now()
-		p.renewAt = p.renewFailedAt.Add(maxStoreBackoff/2 + rand.N(maxStoreBackoff))
-		return
-	}
-	p.announcedLeaving = self.Leaving
-	p.engine.Members.Discovery().Announced(time.Now())
-	interval := membership.RowRenewInterval(self)
-	p.renewAt = time.Now().Add(interval*3/4 + rand.N(interval/2))
-}
-
-// renewAfterRestore makes the renewal of the member row due soon when the table was restored
-// from a copy, which may lack the row.
-func (p *Poller) renewAfterRestore() {
-	era := p.engine.Position().Era
-	if era <= p.rowEra {
-		return
-	}
-	p.rowEra = era
-	soon := time.Now().Add(rand.N(rowRewriteSpread))
-	if p.renewAt.After(soon) {
-		p.renewAt = soon
-	}
-}
-
-// writeSnapshotIfDue writes a changed state to the object store. Only the host that
-// ranks first among the pollers does so.
-func (p *Poller) writeSnapshotIfDue(ctx context.Context) {
-	self := p.engine.Members.Self()
-	due := time.Now().After(p.snapshotAt) && p.state.Sum() != p.snapshotSum
-	if !due || membership.Rank("snapshot", self.Host, p.pollers()) > 0 {
-		return
-	}
-	p.snapshotAt = time.Now().Add(snapshotInterval)
-	if err := p.writeSnapshot(ctx); err != nil {
-		evSnapshotFailed.Log(p.engine.Log).Err(err).Send()
-	}
-}
-
-func (p *Poller) writeSnapshot(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	sum := p.state.Sum()
-	at := p.engine.Position()
-	snap := store.Snapshot{Era: at.Era, Revision: at.Revision}
-	for _, n := range p.state.Numbers() {
-		if r, ok := p.state.Record(n); ok {
-			snap.Records = append(snap.Records, r)
-		}
-	}
-	if err := p.Snapshots.Write(ctx, snap); err != nil {
-		return err
-	}
-	p.snapshotSum = sum
-	evSnapshot.Log(p.engine.Log).Int64("revision", snap.Revision).Int("tickets", len(snap.Records)).Send()
-	return nil
-}
-
 // exchangeWithSeeds exchanges with the hosts from the settings and the platform's list.
 // The list is a hint: its hosts become members only if they respond.
 func (p *Poller) exchangeWithSeeds(ctx context.Context) {
