--- a/tools/cli/soak.go
+++ b/tools/cli/soak.go
@@ -14,6 +14,7 @@
 
 type soakCommand struct {
 	Program string        `name:"quetzald" default:"bin/quetzald" type:"path" help:"Path of quetzald."`
+	Other   string        `type:"path" help:"Path of another build of quetzald. Each start of a host runs one of the two."`
 	Seed    uint64        `default:"1" help:"Seed of the first run."`
 	Runs    uint64        `default:"1" help:"Number of runs, with a seed more each."`
 	Length  time.Duration `default:"20s" help:"How long faults are brought about in a run."`
@@ -46,7 +47,7 @@
 			continue
 		}
 		result, err := soak.Run(ctx, soak.Options{
-			Program: c.Program, Seed: seed, FaultTime: c.Length, Hosts: c.Hosts, Targets: c.Targets, Callers: c.Callers, Keep: c.Keep,
+			Program: c.Program, Other: c.Other, Seed: seed, FaultTime: c.Length, Hosts: c.Hosts, Targets: c.Targets, Callers: c.Callers, Keep: c.Keep,
 		})
 		if err != nil {
 			return errors.Wrapf(err, "seed %d", seed)
--- a/tools/soak/cluster.go
+++ b/tools/soak/cluster.go
@@ -44,7 +44,7 @@
 // cluster holds the store, the hosts and the targets of a run.
 type cluster struct {
 	*operator
-	program string
+	builds  builds
 	folder  string
 	hosts   []*host
 	targets []*standin.Target
@@ -52,8 +52,8 @@
 	targetProxies []*proxy
 }
 
-func newCluster(program, folder string, hosts, targets int) (*cluster, error) {
-	c := &cluster{operator: newOperator(standin.NewStore()), program: program, folder: folder}
+func newCluster(b builds, folder string, hosts, targets int) (*cluster, error) {
+	c := &cluster{operator: newOperator(standin.NewStore()), builds: b, folder: folder}
 	c.publishNextState()
 	for i := range targets {
 		t, err := standin.NewTarget(fmt.Sprint("target-", i))
@@ -133,7 +133,7 @@
 		return err
 	}
 	defer func() { _ = log.Close() }()
-	process := exec.Command(c.program)
+	process := exec.Command(c.builds.of(h.index, h.generation+1))
 	process.Env = []string{adapter.SettingsVariable + "=" + h.settings}
 	process.Stdout, process.Stderr = log, log
 	if err := process.Start(); err != nil {
--- a/tools/soak/run.go
+++ b/tools/soak/run.go
@@ -11,9 +11,10 @@
 
 // Options configure a run.
 type Options struct {
-	// Program is the path of quetzald.
-	Program string
-	Seed    uint64
+	// Program is the path of quetzald. If Other names another build of it, each start of a host
+	// runs one of the two; which one depends on the seed.
+	Program, Other string
+	Seed           uint64
 	// FaultTime is the time during which faults are injected.
 	FaultTime time.Duration
 	Hosts     int
@@ -72,7 +73,7 @@
 	if !opts.Keep {
 		defer func() { _ = os.RemoveAll(folder) }()
 	}
-	c, err := newCluster(opts.Program, folder, opts.Hosts, opts.Targets)
+	c, err := newCluster(builds{program: opts.Program, other: opts.Other, seed: opts.Seed}, folder, opts.Hosts, opts.Targets)
 	in := newInjector(c)
 	defer in.starts.Wait()
 	defer c.close()
