--- a/tools/cli/explain.go
+++ b/tools/cli/explain.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net/http"
 	"net/url"
 	"os"
 	"slices"
@@ -41,12 +40,8 @@
 	if c.API == "" {
 		return errNoSource
 	}
-	resp, err := http.Get("http://" + c.API + "/v1/explain/" + url.PathEscape(c.Request))
-	if err != nil {
-		return err
-	}
 	var lines []json.RawMessage
-	if err := decodeResponse(resp, &lines); err != nil {
+	if err := fetchJSON("http://"+c.API+"/v1/explain/"+url.PathEscape(c.Request), &lines); err != nil {
 		return err
 	}
 	return c.print(lines)
--- a/tools/cli/ticket.go
+++ b/tools/cli/ticket.go
@@ -2,9 +2,7 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"strings"
@@ -13,7 +11,6 @@
 	"github.com/cockroachdb/errors"
 
 	"quetzalknot/process/settings"
-	"quetzalknot/version/httpapi"
 	"quetzalknot/version/replica"
 	"quetzalknot/version/state"
 	"quetzalknot/version/ticket"
@@ -126,12 +123,8 @@
 
 // Run implements the command.
 func (c *ticketList) Run() error {
-	resp, err := http.Get(fmt.Sprintf("http://%s/v1/tickets?after=%d&limit=%d", c.API, c.After, c.Limit))
-	if err != nil {
-		return err
-	}
 	var list replica.TicketList
-	if err := decodeResponse(resp, &list); err != nil {
+	if err := fetchJSON(fmt.Sprintf("http://%s/v1/tickets?after=%d&limit=%d", c.API, c.After, c.Limit), &list); err != nil {
 		return err
 	}
 	for _, t := range list.Tickets {
@@ -168,12 +161,8 @@
 	if c.JSON {
 		return printJSON(url + "?all=1")
 	}
-	resp, err := http.Get(url + "?all=1")
-	if err != nil {
-		return err
-	}
 	var status replica.ClusterStatus
-	if err := decodeResponse(resp, &status); err != nil {
+	if err := fetchJSON(url+"?all=1", &status); err != nil {
 		return err
 	}
 	fmt.Printf("newest version in force: %d\n", status.Newest)
@@ -193,38 +182,3 @@
 	}
 	return line
 }
-
-func printJSON(url string) error {
-	resp, err := http.Get(url)
-	if err != nil {
-		return err
-	}
-	var v json.RawMessage
-	if err := decodeResponse(resp, &v); err != nil {
-		return err
-	}
-	var out bytes.Buffer
-	if err := json.Indent(&out, v, "", "  "); err != nil {
-		return err
-	}
-	fmt.Println(out.String())
-	return nil
-}
-
-// decodeResponse decodes a JSON response into v, or returns the error that the response
-// reports.
-func decodeResponse(resp *http.Response, v any) error {
-	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return err
-	}
-	if resp.StatusCode != http.StatusOK {
-		var failure httpapi.ErrorResponse
-		if json.Unmarshal(data, &failure) == nil && failure.Error != "" {
-			return errors.New(failure.Error)
-		}
-		return errors.Newf("status %d: %s", resp.StatusCode, bytes.TrimSpace(data))
-	}
-	return json.Unmarshal(data, v)
-}
