A starting host is ready only once the limit that held without tables is lifted

Cause: a host without tables is not up to date, so the periodic task limits the requests to each target that may be cold, here to one a second. The first tables then came into force in one step (apply), and the limit was lifted in a later one, after the record of the store's answer or after the pull of a partner's tables. In between the host counted as ready with the limit in force. It needs a periodic task before the first tables and a pause of the process between the two steps.

Change: a table counts as taken over once the limit was set or lifted after its records were applied; a host is ready once all tables are. Ruled out: to record the answer before its records are applied, which confirms a state that is not in force; not to limit before the first tables, which leaves no limit when one of them is old.

TestNotReadyWithHalfOfTheTargets set the desired state and applied the targets past the steps by which tables are taken over; it now takes both over as from a partner, and requires the same: not ready with one of two targets, ready with both.

--- a/entry/apply.go
+++ b/entry/apply.go
@@ -46,9 +46,6 @@
 		}
 		h.applyOperator(r, now, change.Restored)
 	}
-	if d.Table == adapter.TargetTable && !change.Refused {
-		h.targetsApplied.Store(true)
-	}
 	return !change.Refused
 }
 
--- a/entry/endpoints.go
+++ b/entry/endpoints.go
@@ -22,8 +22,8 @@
 		return "the host leaves"
 	case h.config.Load() == nil:
 		return "no desired state is known"
-	case !h.targetsApplied.Load():
-		return "the targets are being read"
+	case !h.taken.all():
+		return "the tables are being read"
 	case h.fleet.Size() == 0:
 		return "no target is known"
 	default:
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -247,7 +247,7 @@
 	if change.Regained {
 		evStoreRegained.Log(h.log).Str("table", table).Send()
 	}
-	h.limitSendRate()
+	h.tableTaken(table)
 }
 
 func (h *Host) storeFailed(table string, err error) {
--- a/entry/half_read_test.go
+++ b/entry/half_read_test.go
@@ -18,12 +18,12 @@
 		t.Fatal(err)
 	}
 	h := New(settings, "", c.logs)
-	h.config.Store(c.hosts[0].config.Load())
+	h.applyPulled(c.hosts[0].mirror.DeltaSince(adapter.OperatorTable, mirror.Position{}))
 	h.applyTarget(targets.Records[0], time.Now(), false)
 	if h.ready() {
 		t.Error("a host is ready with one of two targets")
 	}
-	h.apply(targets)
+	h.applyPulled(targets)
 	if !h.ready() {
 		t.Errorf("not ready with all targets: %s", h.unreadyReason())
 	}
--- a/entry/host.go
+++ b/entry/host.go
@@ -98,8 +98,8 @@
 	// revision rowRevision.
 	announced           atomic.Bool
 	rowEra, rowRevision atomic.Uint64
-	// targetsApplied is true once a full table of targets has been applied.
-	targetsApplied atomic.Bool
+	// taken holds the tables that were taken over from the store or a partner since the start.
+	taken takenTables
 	// sendRateMu makes limitSendRate look and act in one step.
 	sendRateMu sync.Mutex
 	// rowLost receives a value when this host's row may be lost and must be written again.
@@ -115,7 +115,7 @@
 
 // New returns a host that has not started. Reload reads the settings from path.
 func New(s *Settings, path string, logs io.Writer) *Host {
-	h := &Host{path: path, lastUnreadyReason: "the host starts", metrics: metrics.NewSet(), mirror: mirror.New(), storeStatus: newStoreStatus(), outage: newOutage(), rowLost: make(chan struct{}, 1), evacuationHolds: make(map[string]time.Time), logWriter: eventlog.NewAsyncWriter(logs)}
+	h := &Host{path: path, lastUnreadyReason: "the host starts", metrics: metrics.NewSet(), mirror: mirror.New(), storeStatus: newStoreStatus(), outage: newOutage(), taken: newTakenTables(), rowLost: make(chan struct{}, 1), evacuationHolds: make(map[string]time.Time), logWriter: eventlog.NewAsyncWriter(logs)}
 	h.settings.Store(s)
 	h.log = eventlog.New(h.logWriter, s.Host.Name)
 	h.self = partner.Member{
@@ -140,7 +140,7 @@
 	h.clients = peer.NewClientPool(nil, h.dial)
 	h.peers = peer.NewServer(nil)
 	h.group = partner.New(partner.Options{
-		Self: h.self, Tables: adapter.Tables(), Mirror: h.mirror, Apply: func(d mirror.Delta) { h.apply(d) }, Crashes: h.crashes,
+		Self: h.self, Tables: adapter.Tables(), Mirror: h.mirror, Apply: h.applyPulled, Crashes: h.crashes,
 		RequestRate: h.rate.perSecond, StoreStatus: h.ownStoreStatus, StateVersion: h.stateVersion, Client: h.clients, Metrics: h.metrics, Log: h.log, Now: time.Now,
 	})
 	h.clients.OnMessage = h.group.CountMessage
