The time without a partner's changes is measured by the steady clock

Callers would see: changes of the desired state late (CONFIG) at a host whose clock was stepped back, for as long as the step: it lacks the changes of the partners that read the store and does not begin to read the store itself after lackLimit. A step forward made each host read the store at once.

Cause: the time of the last changes was kept as Unix nanoseconds, which have no reading of the steady clock.

Evidence: TestLackOfChangesMeasuredBySteadyClock failed for both directions (after 2 s and a step back by an hour the changes were not lacking; after 0.5 s and a step forward they were), and holds now. The other spans of entry, process/partner and process/fleet are differences of times that were read with time.Now and kept whole.

--- a/entry/follow.go
+++ b/entry/follow.go
@@ -157,10 +157,20 @@
 		return true
 	}
 	if h.group.FollowsStore(now) {
-		h.followedAt.Store(now.UnixNano())
+		h.recordFollowed(now)
 		return false
 	}
-	return now.Sub(time.Unix(0, h.followedAt.Load())) > lackLimit
+	return h.lacksChanges(now)
+}
+
+// recordFollowed records that this host has all changes of a partner that reads the store.
+func (h *Host) recordFollowed(now time.Time) { h.followedAt.Store(&now) }
+
+// lacksChanges reports whether this host has lacked the changes of all partners that read the store
+// for longer than lackLimit.
+func (h *Host) lacksChanges(now time.Time) bool {
+	followedAt := h.followedAt.Load()
+	return followedAt == nil || now.Sub(*followedAt) > lackLimit
 }
 
 // ownStoreStatus returns the result of this host's own calls to the store, which its
--- a/entry/host.go
+++ b/entry/host.go
@@ -88,9 +88,9 @@
 	// when the evacuation ends. applyMu guards it.
 	evacuationHolds map[string]time.Time
 
-	// followedAt is when this host last had all changes of a partner that reads the store, in
-	// Unix nanoseconds.
-	followedAt atomic.Int64
+	// followedAt is when this host last had all changes of a partner that reads the store, with a
+	// reading of the steady clock; nil means never.
+	followedAt atomic.Pointer[time.Time]
 
 	rate    peakRate
 	leaving atomic.Bool
