Hosts: a full read that is older than what the host knows confirms nothing

Callers could see 404 for a route that was added seconds before, or 413, at a host whose full read of the operators' table came from the past: the mirror ignores such a read, but the host took it for an answer that shows its state to be the newest.

Found by reading. The store's answers are said to be linearizable, but among the disturbances is one that drops the history and lets reads lie seconds behind, and a dropped history is what makes all hosts read the full table.

An answer that ends before the position that was known when the call was sent no longer confirms the state; the time of the last answer that did stays. The store still counts as available, so nothing else changes for callers.

--- a/entry/follow.go
+++ b/entry/follow.go
@@ -93,7 +93,7 @@
 }
 
 func (h *Host) readTable(ctx context.Context, table string) error {
-	started := time.Now()
+	started, known := time.Now(), h.mirror.Position(table)
 	delta, err := h.callStore(ctx, table, func(ctx context.Context) (mirror.Delta, error) {
 		return h.store.Read(ctx, table)
 	})
@@ -104,15 +104,23 @@
 	if !h.apply(delta) {
 		return errRefused
 	}
-	h.storeSucceeded(table, started)
+	if confirms(delta, known) {
+		h.storeSucceeded(table, started)
+	}
 	return nil
 }
 
+// confirms reports whether an answer of the store shows that this host's copy of a table is current.
+// One that ends before the position that was known when the call was sent is of an earlier time.
+func confirms(answer mirror.Delta, known mirror.Position) bool {
+	return !mirror.Position{Era: answer.Era, Revision: answer.UpTo}.Lacks(known)
+}
+
 func (h *Host) readChanges(ctx context.Context, table string) error {
 	wait, margin := h.pollTimes(table)
-	started := time.Now()
+	started, known := time.Now(), h.mirror.Position(table)
 	delta, err := h.callStore(ctx, table, func(ctx context.Context) (mirror.Delta, error) {
-		return h.store.Feed(ctx, table, h.mirror.Position(table), wait, wait+margin)
+		return h.store.Feed(ctx, table, known, wait, wait+margin)
 	})
 	if err != nil {
 		return err
@@ -124,7 +132,9 @@
 	if !h.apply(delta) {
 		return errRefused
 	}
-	h.storeSucceeded(table, latest(started, arrived.Add(-h.storeStatus.delay(table))))
+	if confirms(delta, known) {
+		h.storeSucceeded(table, latest(started, arrived.Add(-h.storeStatus.delay(table))))
+	}
 	if len(delta.Records) > 0 {
 		h.group.NotifyNonReaders(ctx)
 	}
