Hosts: a state is not confirmed while newer records are being applied

Callers could see 404 for a route that was acknowledged seconds before, at a host that had just pulled it: for the time that it takes to parse a desired state.

Cause: the mirror takes over the records and their position first, and the desired state is parsed and put in force after that. In between the host's position was that of a partner that reads the store, so that the partner's word confirmed the state that was still in force. It takes a host that lags by the bound for changes: one that was frozen or cut off.

A claim is now made only between two applications of records, under their lock. Only requests without a route and bodies over a limit ask for it.

TestStateNotConfirmedWhileRecordsAreApplied failed before: version 1 was confirmed while version 2 was being applied.

--- a/entry/follow.go
+++ b/entry/follow.go
@@ -204,8 +204,11 @@
 
 // stateConfirmed reports whether the store has confirmed this host's state within the bound for
 // changes, in a response to this host or to a partner whose changes this host has. A state that is
-// older than a partner's is not confirmed: a restored store may lack the newer one.
+// older than a partner's is not confirmed: a restored store may lack the newer one. Nor is one while
+// records are being applied, since the mirror has them before they are in force.
 func (h *Host) stateConfirmed() bool {
+	h.applyMu.Lock()
+	defer h.applyMu.Unlock()
 	now := time.Now()
 	age, ok := h.confirmedAge(now)
 	if !ok || age > time.Duration(h.settings.Load().Bounds.Change) {
