Partners: a host without a desired state introduces nobody

Callers could see 404 for an acknowledged route at a host that had started on a store which came back from a copy without it, although other hosts had the route in force.

Cause: such a host denies nothing until a partner has told it the version that is in force elsewhere. But any heartbeat counted, also that of a host that had just started itself and knew no state. When many hosts start together, the first heartbeat is most likely one of these.

A heartbeat now counts only if its sender has a desired state in force. If no such partner is heard within introductionTime, the host goes by the store as before; until then an unknown route gets 503.

--- a/process/partner/partner.go
+++ b/process/partner/partner.go
@@ -123,8 +123,8 @@
 	startedAt    time.Time
 	// stateVersion is the latest version of the desired state that a partner had in force.
 	stateVersion uint64
-	// heard is true once a heartbeat or reply of another host has arrived, and listed once all
-	// members that the store lists were added.
+	// heard is true once a heartbeat or reply of another host that has a desired state in force has
+	// arrived, and listed once all members that the store lists were added.
 	heard, listed bool
 	// hasMembers is true once the members were taken over from another host.
 	hasMembers bool
@@ -177,7 +177,7 @@
 	g.mu.Lock()
 	s := g.addMember(h.From, now)
 	if s != nil {
-		g.heard = true
+		g.heard = g.heard || h.StateVersion > 0
 		s.requestRate = h.Rate
 		g.stateVersion = max(g.stateVersion, h.StateVersion)
 		g.recordStoreStatus(s, h, now)
