Soak: a request without a response is reported with what stood still meanwhile

The violation now has, since the request was sent: the longest delay of the soak's own clock, the longest readiness check of the host, and for the host's process the time on a processor, the time that its threads waited for one, the page faults that waited for the disk, and the states of the threads.

TestViolationNamesStoppedProcess, TestDelaysIncludeActionThatLasts. No check of a promise is changed.

--- a/tools/soak/checker.go
+++ b/tools/soak/checker.go
@@ -40,6 +40,7 @@
 	// processes are the disturbances of the hosts' processes, and states those that delay the
 	// newest desired state or the targets' reports on a host.
 	processes, states *disturbances
+	stalls            *stallMonitor
 
 	mu sync.Mutex
 	// violations are the messages about broken guarantees.
@@ -65,7 +66,7 @@
 	checker := &checker{
 		cluster: c, processes: newDisturbances(len(c.hosts)), states: newDisturbances(len(c.hosts)),
 		reportedNotRun: make(map[string]bool), maxRuns: make(map[string]int), stopping: make(map[int]bool),
-		departed: make(map[string]bool),
+		departed: make(map[string]bool), stalls: newStallMonitor(c.hosts),
 	}
 	for _, t := range c.targets {
 		t.Observe(func(id string) { checker.checkDeparture(t.ID, id) })
@@ -105,7 +106,7 @@
 		return
 	}
 	if c.processes.settledAt(host, sentAt) && c.cluster.hosts[host].currentGeneration() == generation {
-		c.recordViolation("request %s got no response after %v", id, time.Since(sentAt).Round(time.Millisecond))
+		c.recordViolation("request %s got no response after %v; %s", id, rounded(time.Since(sentAt)), c.stalls.describe(host, sentAt))
 	}
 }
 
--- a/tools/soak/cluster.go
+++ b/tools/soak/cluster.go
@@ -151,6 +151,16 @@
 	return h.generation
 }
 
+// pid returns the number of the host's process, or 0 if it has none.
+func (h *host) pid() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.process == nil {
+		return 0
+	}
+	return h.process.Process.Pid
+}
+
 // isRunning reports whether the process of a generation has not been awaited yet.
 func (h *host) isRunning(generation int) bool {
 	h.mu.Lock()
--- a/tools/soak/run.go
+++ b/tools/soak/run.go
@@ -94,12 +94,14 @@
 	return in.result(recovered, folder), in.checker.harnessErr
 }
 
-// startBackground starts to take copies of the store. The returned function ends that.
+// startBackground starts to take copies of the store and to measure the hosts. The returned
+// function ends that.
 func (in *injector) startBackground(ctx context.Context) (stop func()) {
 	ctx, cancel := context.WithCancel(ctx)
 	in.copies.add(time.Now(), in.store.Snapshot())
 	var loops sync.WaitGroup
 	loops.Go(func() { in.copies.take(ctx, in.store) })
+	loops.Go(func() { in.checker.stalls.run(ctx) })
 	return func() {
 		cancel()
 		loops.Wait()
--- /dev/null
+++ b/tools/soak/stalls_test.go
@@ -0,0 +1,70 @@
+package soak
+
+import (
+	"context"
+	"net/http"
+	"os/exec"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+func TestDelaysIncludeActionThatLasts(t *testing.T) {
+	var d delays
+	start := time.Now()
+	d.measure(func() { time.Sleep(30 * time.Millisecond) })
+	between := time.Now()
+	d.measure(func() {})
+	if all, later := d.longest(start), d.longest(between); all < 30*time.Millisecond || later >= 30*time.Millisecond {
+		t.Errorf("longest of all %v, of the later ones %v", all, later)
+	}
+	d.measure(func() {
+		time.Sleep(50 * time.Millisecond)
+		if lasting := d.longest(time.Now()); lasting < 50*time.Millisecond {
+			t.Errorf("an action that lasts counts as %v", lasting)
+		}
+	})
+}
+
+// TestViolationNamesStoppedProcess: a violation says that the host's process is stopped and its
+// readiness check hangs, while the soak's own clock goes on.
+func TestViolationNamesStoppedProcess(t *testing.T) {
+	hangs := make(chan struct{})
+	c := newFakeCluster(t, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		select {
+		case <-hangs:
+		case <-r.Context().Done():
+		}
+	}))
+	defer close(hangs)
+	process := exec.Command("sleep", "60")
+	if err := process.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = process.Process.Kill(); _ = process.Wait() }()
+	if err := process.Process.Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	c.hosts[0].process, c.hosts[0].ready = process, c.hosts[0].entry
+	checker := newChecker(c)
+	ctx, cancel := context.WithCancel(t.Context())
+	var monitor sync.WaitGroup
+	monitor.Go(func() { checker.stalls.run(ctx) })
+	start := time.Now()
+	time.Sleep(4 * checkPause)
+	hung := checker.stalls.hosts[0].readiness.longest(start)
+	checker.recordDropped(0, 1, "0-1-1", start, 0)
+	cancel()
+	monitor.Wait()
+
+	expectViolation(t, checker, "got no response")
+	expectViolation(t, checker, "newest first: T T")
+	if hung < 3*checkPause {
+		t.Errorf("the readiness check that hangs counts as %v", hung)
+	}
+	if late := checker.stalls.clock.longest(start) - clockTick; late > checkPause || !strings.Contains(checker.violations[0], "clock was at most") {
+		t.Errorf("the clock was %v late, violation %q", late, checker.violations[0])
+	}
+}
