--- a/tools/cli/soak.go
+++ b/tools/cli/soak.go
@@ -22,6 +22,7 @@
 	Callers int           `default:"4" help:"Callers for each host."`
 	Large   bool          `help:"Run many hosts and targets, in place of the numbers above."`
 	Keep    bool          `help:"Leave the settings and logs of the hosts behind."`
+	Dump    bool          `help:"End a host that leaves a request without a response, with all its goroutines in its log."`
 	Plan    bool          `help:"Print the faults of the seed and start nothing."`
 }
 
@@ -46,7 +47,7 @@
 			continue
 		}
 		result, err := soak.Run(ctx, soak.Options{
-			Program: c.Program, Seed: seed, FaultTime: c.Length, Hosts: c.Hosts, Targets: c.Targets, Callers: c.Callers, Keep: c.Keep,
+			Program: c.Program, Seed: seed, FaultTime: c.Length, Hosts: c.Hosts, Targets: c.Targets, Callers: c.Callers, Keep: c.Keep, Dump: c.Dump,
 		})
 		if err != nil {
 			return errors.Wrapf(err, "seed %d", seed)
--- a/tools/soak/checker.go
+++ b/tools/soak/checker.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"quetzalknot/platform/standin"
@@ -41,6 +42,9 @@
 	// newest desired state or the targets' reports on a host.
 	processes, states *disturbances
 	stalls            *stallMonitor
+	// dump makes a host that leaves a request without a response end with all its goroutines
+	// in its log.
+	dump bool
 
 	mu sync.Mutex
 	// violations are the messages about broken guarantees.
@@ -107,9 +111,20 @@
 	}
 	if c.processes.settledAt(host, sentAt) && c.cluster.hosts[host].currentGeneration() == generation {
 		c.recordViolation("request %s got no response after %v; %s", id, rounded(time.Since(sentAt)), c.stalls.describe(host, sentAt))
+		if c.dump {
+			c.dumpGoroutines(host)
+		}
 	}
 }
 
+// dumpGoroutines makes a host end with all its goroutines in its log. The host counts as
+// disturbed from then on.
+func (c *checker) dumpGoroutines(host int) {
+	c.processes.begin(host)
+	c.states.begin(host)
+	c.cluster.hosts[host].signal(syscall.SIGQUIT)
+}
+
 // recordDroppedByStop records a dropped request if its host is stopping, and reports whether
 // it is.
 func (c *checker) recordDroppedByStop(host int, id string) bool {
--- a/tools/soak/run.go
+++ b/tools/soak/run.go
@@ -21,6 +21,9 @@
 	Targets, Callers int
 	// Keep keeps the folder with settings and logs after the run.
 	Keep bool
+	// Dump makes a host that leaves a request without a response end with all its goroutines
+	// in its log (SIGQUIT). It is not started again.
+	Dump bool
 }
 
 // Sizes of a large run, in which each target and each caller is part of the soak's own process.
@@ -74,6 +77,7 @@
 	}
 	c, err := newCluster(opts.Program, folder, opts.Hosts, opts.Targets)
 	in := newInjector(c)
+	in.checker.dump = opts.Dump
 	defer in.starts.Wait()
 	defer c.close()
 	if err != nil {
--- a/tools/soak/stalls_test.go
+++ b/tools/soak/stalls_test.go
@@ -9,6 +9,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 func TestDelaysIncludeActionThatLasts(t *testing.T) {
@@ -68,3 +70,24 @@
 		t.Errorf("the clock was %v late, violation %q", late, checker.violations[0])
 	}
 }
+
+// TestDumpEndsHost: a host that leaves a request without a response ends by SIGQUIT, once, and
+// counts as disturbed from then on.
+func TestDumpEndsHost(t *testing.T) {
+	c := newFakeCluster(t, new(fakeHost))
+	process := exec.Command("sleep", "60")
+	if err := process.Start(); err != nil {
+		t.Fatal(err)
+	}
+	c.hosts[0].process = process
+	checker := newChecker(c)
+	checker.dump = true
+	checker.recordDropped(0, 1, "0-1-1", time.Now(), 0)
+	checker.recordDropped(0, 1, "0-1-2", time.Now(), 0)
+
+	var status *exec.ExitError
+	if err := c.hosts[0].wait(); !errors.As(err, &status) || status.Sys().(syscall.WaitStatus).Signal() != syscall.SIGQUIT {
+		t.Errorf("the process ended with %v", err)
+	}
+	expectViolation(t, checker, "request 0-1-1 got no response")
+}
