--- a/tools/cli/soak.go
+++ b/tools/cli/soak.go
@@ -72,6 +72,7 @@
 		fmt.Println("  violation:", violation)
 	}
 	if keep {
+		fmt.Println("  pauses:", r.Stalls)
 		fmt.Println("  settings and logs:", r.Folder)
 	}
 }
--- a/tools/soak/checker.go
+++ b/tools/soak/checker.go
@@ -70,8 +70,8 @@
 	checker := &checker{
 		cluster: c, processes: newDisturbances(len(c.hosts)), states: newDisturbances(len(c.hosts)),
 		reportedNotRun: make(map[string]bool), maxRuns: make(map[string]int), stopping: make(map[int]bool),
-		departed: make(map[string]bool), stalls: newStallMonitor(c.hosts),
-	}
+		departed: make(map[string]bool)}
+	checker.stalls = newStallMonitor(c.hosts, checker.isSettled)
 	for _, t := range c.targets {
 		t.Observe(func(id string) { checker.checkDeparture(t.ID, id) })
 	}
@@ -94,6 +94,14 @@
 	}
 }
 
+// isSettled reports whether a host's process has been undisturbed since a time and is not
+// shutting down.
+func (c *checker) isSettled(host int, since time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.stopping[host] && c.processes.settledAt(host, since)
+}
+
 // setStopping records that a host begins or has finished a graceful shutdown.
 func (c *checker) setStopping(i int, stopping bool) {
 	c.mu.Lock()
--- a/tools/soak/delays.go
+++ b/tools/soak/delays.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"context"
 	"sync"
 	"time"
 )
@@ -29,8 +28,8 @@
 
 type timeSpan struct{ from, to time.Time }
 
-// measure runs the action and records its time.
-func (d *delays) measure(action func()) {
+// measure runs the action, and records and returns its time.
+func (d *delays) measure(action func()) time.Duration {
 	start := time.Now()
 	d.mu.Lock()
 	d.begun = start
@@ -39,10 +38,12 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.begun = time.Time{}
-	d.ended = append(d.ended, timeSpan{start, time.Now()})
+	end := time.Now()
+	d.ended = append(d.ended, timeSpan{start, end})
 	for start.Sub(d.ended[0].to) > checkMemory {
 		d.ended = d.ended[1:]
 	}
+	return end.Sub(start)
 }
 
 // longest returns the longest time of an action that lasted after from, also of one that
@@ -61,11 +62,3 @@
 	}
 	return longest
 }
-
-// repeat measures the action again and again until ctx ends, with pauses between.
-func (d *delays) repeat(ctx context.Context, pause time.Duration, action func()) {
-	for ctx.Err() == nil {
-		d.measure(action)
-		sleep(ctx, pause)
-	}
-}
--- a/tools/soak/run.go
+++ b/tools/soak/run.go
@@ -51,7 +51,9 @@
 	RecoveredShare float64
 	// Violations describes the violations of guarantees, the first maxViolations of them.
 	Violations []string
-	Folder     string
+	// Stalls says how long the soak's own clock and undisturbed hosts stood still at most.
+	Stalls string
+	Folder string
 }
 
 const (
@@ -170,6 +172,6 @@
 	return Result{
 		Faults: in.counts, Sent: c.sent.Load(), Served: c.served.Load(), Refused: c.notRun.Load(),
 		Failed: c.failed.Load(), Dropped: c.dropped.Load(), SentAgain: c.sentAgain.Load(), RecoveredShare: recovered,
-		Violations: c.violations[:min(maxViolations, len(c.violations))], Folder: folder,
+		Violations: c.violations[:min(maxViolations, len(c.violations))], Stalls: c.stalls.summary(), Folder: folder,
 	}
 }
--- a/tools/soak/stalls_test.go
+++ b/tools/soak/stalls_test.go
@@ -91,3 +91,22 @@
 	}
 	expectViolation(t, checker, "request 0-1-1 got no response")
 }
+
+// TestLongestReadinessOfUndisturbedHost: a readiness check counts only if its host was
+// undisturbed all the time.
+func TestLongestReadinessOfUndisturbedHost(t *testing.T) {
+	checker := newChecker(newFakeCluster(t, new(fakeHost)))
+	stalls, now := checker.stalls, time.Now()
+	stalls.recordReadiness(0, now, 2*time.Second)
+	stalls.recordReadiness(0, now, time.Second)
+	checker.setStopping(0, true)
+	stalls.recordReadiness(0, now, 3*time.Second)
+	checker.setStopping(0, false)
+	checker.processes.begin(0)
+	stalls.recordReadiness(0, now, 4*time.Second)
+	checker.processes.end(0, 0)
+	stalls.recordReadiness(0, now, 5*time.Second)
+	if got := stalls.summary(); !strings.Contains(got, "undisturbed host 2s") {
+		t.Error(got)
+	}
+}
