Soak: late states and late requests at a target are reported with what stood still meanwhile

Evidence (logs of the run): both were sent at 53.345, about 2.75 s after the removal and 2.5 s after the end of the silence of the store, and answered at 53.86, as were 23 requests of all six hosts to nine targets, each of which took 0.51 to 0.52 s: the soak's process, with its targets and proxies, stood still for longer than the 0.5 s that the check adds for them. The violation did not say so. No bound and no check is changed.

TestLateStateNamesPauses and TestCheckDeparture failed before.

--- a/tools/soak/checker.go
+++ b/tools/soak/checker.go
@@ -163,7 +163,7 @@
 		return
 	}
 	if c.states.settledAt(host, now) && c.isFirst(fmt.Sprint(number, target, leftAt.UnixNano())) {
-		c.recordViolation("request %s reached %s %v after it had left", id, target, now.Sub(leftAt).Round(time.Millisecond))
+		c.recordViolation("request %s reached %s %v after it had left; %s", id, target, rounded(now.Sub(leftAt)), c.stalls.describe(host, leftAt))
 	}
 }
 
--- a/tools/soak/checks_test.go
+++ b/tools/soak/checks_test.go
@@ -122,6 +122,21 @@
 	}
 }
 
+// TestLateStateNamesPauses: a state that is not in force in time is reported with what was
+// measured of the soak and the host since it was acknowledged.
+func TestLateStateNamesPauses(t *testing.T) {
+	fake := new(fakeHost)
+	fake.version.Store(1)
+	c := newFakeCluster(t, fake)
+	c.publishNextState()
+	c.acknowledgedBefore(time.Minute)
+	m := &versionMonitor{checker: newChecker(c), host: c.hosts[0]}
+	defer m.disconnect()
+	m.check()
+	expectViolation(t, m.checker, "version 2 is not in force")
+	expectViolation(t, m.checker, "the soak's clock was at most")
+}
+
 // TestVersionMonitorExpectsService checks that a host may not turn down the newest route for long.
 func TestVersionMonitorExpectsService(t *testing.T) {
 	fake := new(fakeHost)
@@ -166,6 +181,7 @@
 	checker.checkDeparture("i-0", "0-1-6")
 	checker.checkDeparture("i-0", "0-1-7") // the same departure, reported once
 	expectViolation(t, checker, "request 0-1-6 reached i-0")
+	expectViolation(t, checker, "the soak's clock was at most")
 }
 
 func TestRecordDropped(t *testing.T) {
--- a/tools/soak/versions.go
+++ b/tools/soak/versions.go
@@ -84,8 +84,8 @@
 	case m.served >= before.version:
 		m.checker.recordViolation("%s reverted from version %d to an older one", m.host.name, before.version)
 	case m.isDue(start, before, after):
-		m.checker.recordViolation("version %d is not in force on %s %v after it was acknowledged",
-			before.version, m.host.name, start.Sub(before.ackedAt).Round(time.Millisecond))
+		m.checker.recordViolation("version %d is not in force on %s %v after it was acknowledged; %s",
+			before.version, m.host.name, rounded(start.Sub(before.ackedAt)), m.checker.stalls.describe(m.host.index, before.ackedAt))
 	default:
 		return
 	}
