--- a/tools/soak/checker.go
+++ b/tools/soak/checker.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"quetzalknot/platform/standin"
@@ -40,6 +41,10 @@
 	// processes are the disturbances of the hosts' processes, and states those that delay the
 	// newest desired state or the targets' reports on a host.
 	processes, states *disturbances
+	stalls            *stallMonitor
+	// dump makes a host that leaves a request without a response end with all its goroutines
+	// in its log.
+	dump bool
 
 	mu sync.Mutex
 	// violations are the messages about broken guarantees.
@@ -65,8 +70,8 @@
 	checker := &checker{
 		cluster: c, processes: newDisturbances(len(c.hosts)), states: newDisturbances(len(c.hosts)),
 		reportedNotRun: make(map[string]bool), maxRuns: make(map[string]int), stopping: make(map[int]bool),
-		departed: make(map[string]bool),
-	}
+		departed: make(map[string]bool)}
+	checker.stalls = newStallMonitor(c.hosts, checker.isSettled)
 	for _, t := range c.targets {
 		t.Observe(func(id string) { checker.checkDeparture(t.ID, id) })
 	}
@@ -89,6 +94,14 @@
 	}
 }
 
+// isSettled reports whether a host's process has been undisturbed since a time and is not
+// shutting down.
+func (c *checker) isSettled(host int, since time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.stopping[host] && c.processes.settledAt(host, since)
+}
+
 // setStopping records that a host begins or has finished a graceful shutdown.
 func (c *checker) setStopping(i int, stopping bool) {
 	c.mu.Lock()
@@ -105,10 +118,21 @@
 		return
 	}
 	if c.processes.settledAt(host, sentAt) && c.cluster.hosts[host].currentGeneration() == generation {
-		c.recordViolation("request %s got no response after %v", id, time.Since(sentAt).Round(time.Millisecond))
+		c.recordViolation("request %s got no response after %v; %s", id, rounded(time.Since(sentAt)), c.stalls.describe(host, sentAt))
+		if c.dump {
+			c.dumpGoroutines(host)
+		}
 	}
 }
 
+// dumpGoroutines makes a host end with all its goroutines in its log. The host counts as
+// disturbed from then on.
+func (c *checker) dumpGoroutines(host int) {
+	c.processes.begin(host)
+	c.states.begin(host)
+	c.cluster.hosts[host].signal(syscall.SIGQUIT)
+}
+
 // recordDroppedByStop records a dropped request if its host is stopping, and reports whether
 // it is.
 func (c *checker) recordDroppedByStop(host int, id string) bool {
@@ -139,7 +163,7 @@
 		return
 	}
 	if c.states.settledAt(host, now) && c.isFirst(fmt.Sprint(number, target, leftAt.UnixNano())) {
-		c.recordViolation("request %s reached %s %v after it had left", id, target, now.Sub(leftAt).Round(time.Millisecond))
+		c.recordViolation("request %s reached %s %v after it had left; %s", id, target, rounded(now.Sub(leftAt)), c.stalls.describe(host, leftAt))
 	}
 }
 
--- a/tools/soak/run.go
+++ b/tools/soak/run.go
@@ -22,6 +22,9 @@
 	Targets, Callers int
 	// Keep keeps the folder with settings and logs after the run.
 	Keep bool
+	// Dump makes a host that leaves a request without a response end with all its goroutines
+	// in its log (SIGQUIT). It is not started again.
+	Dump bool
 }
 
 // Sizes of a large run, in which each target and each caller is part of the soak's own process.
@@ -49,7 +52,9 @@
 	RecoveredShare float64
 	// Violations describes the violations of guarantees, the first maxViolations of them.
 	Violations []string
-	Folder     string
+	// Stalls says how long the soak's own clock and undisturbed hosts stood still at most.
+	Stalls string
+	Folder string
 }
 
 const (
@@ -75,6 +80,7 @@
 	}
 	c, err := newCluster(builds{program: opts.Program, other: opts.Other, seed: opts.Seed}, folder, opts.Hosts, opts.Targets)
 	in := newInjector(c)
+	in.checker.dump = opts.Dump
 	defer in.starts.Wait()
 	defer c.close()
 	if err != nil {
@@ -95,12 +101,14 @@
 	return in.result(recovered, folder), in.checker.harnessErr
 }
 
-// startBackground starts to take copies of the store. The returned function ends that.
+// startBackground starts to take copies of the store and to measure the hosts. The returned
+// function ends that.
 func (in *injector) startBackground(ctx context.Context) (stop func()) {
 	ctx, cancel := context.WithCancel(ctx)
 	in.copies.add(time.Now(), in.store.Snapshot())
 	var loops sync.WaitGroup
 	loops.Go(func() { in.copies.take(ctx, in.store) })
+	loops.Go(func() { in.checker.stalls.run(ctx) })
 	return func() {
 		cancel()
 		loops.Wait()
@@ -165,6 +173,6 @@
 	return Result{
 		Faults: in.counts, Sent: c.sent.Load(), Served: c.served.Load(), Refused: c.notRun.Load(),
 		Failed: c.failed.Load(), Dropped: c.dropped.Load(), SentAgain: c.sentAgain.Load(), RecoveredShare: recovered,
-		Violations: c.violations[:min(maxViolations, len(c.violations))], Folder: folder,
+		Violations: c.violations[:min(maxViolations, len(c.violations))], Stalls: c.stalls.summary(), Folder: folder,
 	}
 }
