--- a/entry/apply.go
+++ b/entry/apply.go
@@ -28,10 +28,12 @@
 
 // apply applies records read from the store or pulled from a partner. It returns false if they are
 // of an era that does not count.
-func (h *Host) apply(d mirror.Delta) bool {
+func (h *Host) apply(d mirror.Delta) bool { return h.applyAt(d, time.Now()) }
+
+// applyAt is apply at a given time.
+func (h *Host) applyAt(d mirror.Delta, now time.Time) bool {
 	h.applyMu.Lock()
 	defer h.applyMu.Unlock()
-	now := time.Now()
 	change := h.mirror.Apply(d)
 	h.checkRow(h.storeEra())
 	if change.Restored {
