--- a/request/place/cost.go
+++ b/request/place/cost.go
@@ -22,7 +22,6 @@
 		}
 	}
 	slowdown := math.Sqrt(max(minSlowdown, t.RunFactor(now))) * max(1, t.LatencyRatio(now))
-	choice.slowdown = slowdown
 	if t.IsCold(now) {
 		slowdown *= coldStartFactor
 	}
--- a/request/place/place.go
+++ b/request/place/place.go
@@ -67,11 +67,6 @@
 	uncachedPenalty = 6.0
 	// runTimeSpread is the standard deviation of run times relative to their mean.
 	runTimeSpread = 0.12
-	// deadlineMargin is the time that must be left before a request's deadline, as a multiple
-	// of the expected time at a busy or slow target.
-	deadlineMargin = 1.4
-	// maxUsualSlowdown is the slowdown up to which a target does not count as slow.
-	maxUsualSlowdown = 1.25
 	// failurePenalty is the cost of a request that is certain to fail.
 	failurePenalty = 2 * time.Second
 	// coldStartFactor is the slowdown of a target during its cold start.
@@ -133,8 +128,6 @@
 	bytes   int64
 	// baseRunTime is the expected run time on a target that is not slowed down.
 	baseRunTime time.Duration
-	// slowdown is the run time as a multiple of that, as load reports and latencies show it.
-	slowdown float64
 }
 
 // Chooser selects targets. It is safe for concurrent use.
@@ -196,7 +189,7 @@
 		return Choice{}, ErrNoTarget
 	}
 	if !acceptWait(req, best) {
-		if s.fastest.Wait > 0 || !inTime(req, s.fastest) {
+		if s.fastest.Wait > 0 {
 			return best, ErrOverloaded
 		}
 		best = s.fastest
@@ -271,15 +264,12 @@
 // so it may wait only for a limited time, which is longer for urgent requests. A request
 // that cannot be completed in the time left is not sent. Retries are always accepted.
 func acceptWait(req Request, best Choice) bool {
-	if len(req.Tried) > 0 {
+	if best.Wait <= 0 || len(req.Tried) > 0 {
 		return true
 	}
-	if !inTime(req, best) {
+	if req.TimeLeft > 0 && best.Expected > req.TimeLeft {
 		return false
 	}
-	if best.Wait <= 0 {
-		return true
-	}
 	objective := req.Route.Objective
 	if objective == 0 || best.Expected+callerRTT <= objective {
 		return true
@@ -291,20 +281,6 @@
 	return best.Wait <= time.Duration(maxWait*float64(objective))
 }
 
-// inTime reports whether a request is likely to be completed in the time left. The margin
-// applies to a target that is busy or slow, since its state is known from its last
-// responses only, and a request that is cut off at its deadline has taken a slot for nothing.
-func inTime(req Request, choice Choice) bool {
-	if req.TimeLeft <= 0 {
-		return true
-	}
-	expected := choice.Expected
-	if choice.Wait > 0 || choice.slowdown > maxUsualSlowdown {
-		expected = time.Duration(deadlineMargin * float64(expected))
-	}
-	return expected <= req.TimeLeft
-}
-
 // objectCached reports whether a usable target has the object cached because this host
 // recently sent it there.
 func (c *Chooser) objectCached(info *objectInfo, req Request, now time.Time) bool {
