Hosts tell each other which reports of a restored store are of targets that had left

Cause: that a report is the copy's and its target had left is known from the targets that a host has seen leave. A host that starts knows none, and nobody told it.

Change: whole heartbeats carry the ignored reports, each by key, era and revision; a host that takes one for valid drops its target, and tells on. When a host finds one, it sends whole heartbeats once more. Without such reports no heartbeat is larger (empty fields are not sent).

Why a live target is not lost: only the report at this very era and revision is ignored.

TestNotReadyWithHalfOfTheTargets passes the era on, which applyTarget takes now; it requires the same.

--- a/entry/apply.go
+++ b/entry/apply.go
@@ -39,9 +39,12 @@
 			Int("changed", len(change.Records)).Send()
 		h.restartHolds(now)
 	}
+	if change.Restored && d.Table == adapter.TargetTable {
+		h.stale.enterEra(d.Era)
+	}
 	for _, r := range change.Records {
 		if d.Table == adapter.TargetTable {
-			h.applyTarget(r, now, change.Restored)
+			h.applyTarget(r, d.Era, now, change.Restored)
 			continue
 		}
 		h.applyOperator(r, now, change.Restored)
@@ -109,7 +112,11 @@
 	}
 }
 
-func (h *Host) applyTarget(r mirror.Record, now time.Time, restored bool) {
+// applyTarget applies a target's report of an era. In a restored store the report of a target that had
+// left may be that of the copy; it does not count, and partners are told.
+func (h *Host) applyTarget(r mirror.Record, era uint64, now time.Time, restored bool) {
+	at := mirror.Position{Era: era, Revision: r.Revision}
+	stale := h.stale.contains(r.Key, at)
 	if r.Removed {
 		hold := h.reportHold(now)
 		if restored {
@@ -118,6 +125,10 @@
 		h.fleet.Remove(r.Key, now, hold)
 		return
 	}
+	if stale {
+		h.fleet.Remove(r.Key, now, 0)
+		return
+	}
 	e, err := adapter.ParseTarget(r.Key, r.Value, h.settings.Load().Regions)
 	if err != nil {
 		evReportRejected.Log(h.log).Str("target", r.Key).Err(err).Send()
@@ -125,7 +136,9 @@
 		return
 	}
 	if restored {
-		h.fleet.UpsertRestored(e, now)
+		if !h.fleet.UpsertRestored(e, now) && h.stale.add(r.Key, at) {
+			h.group.ResendWhole()
+		}
 		return
 	}
 	h.fleet.Upsert(e, now)
--- a/entry/half_read_test.go
+++ b/entry/half_read_test.go
@@ -19,7 +19,7 @@
 	}
 	h := New(settings, "", c.logs)
 	h.applyPulled(c.hosts[0].mirror.DeltaSince(adapter.OperatorTable, mirror.Position{}))
-	h.applyTarget(targets.Records[0], time.Now(), false)
+	h.applyTarget(targets.Records[0], targets.Era, time.Now(), false)
 	if h.ready() {
 		t.Error("a host is ready with one of two targets")
 	}
--- a/entry/host.go
+++ b/entry/host.go
@@ -87,6 +87,8 @@
 	// evacuationHolds holds, for each failure domain whose evacuation a restored store lacks,
 	// when the evacuation ends. applyMu guards it.
 	evacuationHolds map[string]time.Time
+	// stale holds the reports of a restored store that are of targets that had left.
+	stale *staleReports
 
 	// followedAt is when this host last had all changes of a partner that reads the store, with a
 	// reading of the steady clock; nil means never.
@@ -115,7 +117,7 @@
 
 // New returns a host that has not started. Reload reads the settings from path.
 func New(s *Settings, path string, logs io.Writer) *Host {
-	h := &Host{path: path, lastUnreadyReason: "the host starts", metrics: metrics.NewSet(), mirror: mirror.New(), storeStatus: newStoreStatus(), outage: newOutage(), taken: newTakenTables(), rowLost: make(chan struct{}, 1), evacuationHolds: make(map[string]time.Time), logWriter: eventlog.NewAsyncWriter(logs)}
+	h := &Host{path: path, lastUnreadyReason: "the host starts", metrics: metrics.NewSet(), mirror: mirror.New(), storeStatus: newStoreStatus(), outage: newOutage(), taken: newTakenTables(), stale: newStaleReports(), rowLost: make(chan struct{}, 1), evacuationHolds: make(map[string]time.Time), logWriter: eventlog.NewAsyncWriter(logs)}
 	h.settings.Store(s)
 	h.log = eventlog.New(h.logWriter, s.Host.Name)
 	h.self = partner.Member{
@@ -141,7 +143,7 @@
 	h.peers = peer.NewServer(nil)
 	h.group = partner.New(partner.Options{
 		Self: h.self, Tables: adapter.Tables(), Mirror: h.mirror, Apply: h.applyPulled, Crashes: h.crashes,
-		RequestRate: h.rate.perSecond, StoreStatus: h.ownStoreStatus, StateVersion: h.stateVersion, Client: h.clients, Metrics: h.metrics, Log: h.log, Now: time.Now,
+		RequestRate: h.rate.perSecond, StoreStatus: h.ownStoreStatus, StateVersion: h.stateVersion, StaleRecords: h.stale.all, IgnoreStale: h.ignoreStale, Client: h.clients, Metrics: h.metrics, Log: h.log, Now: time.Now,
 	})
 	h.clients.OnMessage = h.group.CountMessage
 	h.fleet = fleet.New(h.log, h.group.Owns)
--- /dev/null
+++ b/entry/stale_test.go
@@ -0,0 +1,59 @@
+package entry
+
+import (
+	"fmt"
+	"testing"
+
+	"quetzalknot/process/mirror"
+)
+
+// TestStaleReportIsOneReport: only the very report that is stale must be ignored, not a later one of the
+// target, nor one of another era with the same number.
+func TestStaleReportIsOneReport(t *testing.T) {
+	for _, tc := range []struct {
+		at    mirror.Position
+		stale bool
+	}{
+		{mirror.Position{Era: 2, Revision: 7}, true},
+		{mirror.Position{Era: 2, Revision: 6}, false},
+		{mirror.Position{Era: 2, Revision: 8}, false},
+		{mirror.Position{Era: 3, Revision: 7}, false},
+		{mirror.Position{Era: 1, Revision: 7}, false},
+	} {
+		s := newStaleReports()
+		s.add("i-1", mirror.Position{Era: 2, Revision: 7})
+		if got := s.contains("i-1", tc.at); got != tc.stale {
+			t.Errorf("report at %v is stale: %t", tc.at, got)
+		}
+		if s.contains("i-2", tc.at) {
+			t.Errorf("the report of another target at %v is stale", tc.at)
+		}
+	}
+}
+
+// TestReplacedStaleReportsAreForgotten: reports that were replaced, or are of an earlier era, must not be
+// told to partners.
+func TestReplacedStaleReportsAreForgotten(t *testing.T) {
+	s := newStaleReports()
+	s.add("i-1", mirror.Position{Era: 2, Revision: 7})
+	s.add("i-2", mirror.Position{Era: 2, Revision: 7})
+	s.contains("i-1", mirror.Position{Era: 2, Revision: 8})
+	if got := s.all(); len(got) != 1 || got[0].Key != "i-2" {
+		t.Errorf("after a later report: %v", got)
+	}
+	s.enterEra(3)
+	if got := s.all(); len(got) != 0 {
+		t.Errorf("in a later era: %v", got)
+	}
+}
+
+// TestStaleReportsAreBounded: stale reports must not grow without bound.
+func TestStaleReportsAreBounded(t *testing.T) {
+	s := newStaleReports()
+	for i := range 2 * maxStaleReports {
+		s.add(fmt.Sprint(i), mirror.Position{Era: 2, Revision: 7})
+	}
+	if got := len(s.all()); got != maxStaleReports {
+		t.Errorf("%d reports, want %d", got, maxStaleReports)
+	}
+}
--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -75,15 +75,16 @@
 }
 
 // UpsertRestored is Upsert for a report from a store that was restored from a copy. A report of a
-// removed target that is not newer than its last one is ignored.
-func (f *Fleet) UpsertRestored(e Entry, now time.Time) {
+// removed target that is not newer than its last one is ignored, and false is returned.
+func (f *Fleet) UpsertRestored(e Entry, now time.Time) bool {
 	f.Lock()
 	defer f.Unlock()
 	if f.targets[e.ID] == nil && f.departed.contains(e, now) {
 		evStale.Log(f.log).Str("target", e.ID).Int64("sequence", e.Sequence).Bool("departed", true).Send()
-		return
+		return false
 	}
 	f.upsert(e, now)
+	return true
 }
 
 // upsert is Upsert; the lock must be held.
--- a/process/partner/brief.go
+++ b/process/partner/brief.go
@@ -15,7 +15,7 @@
 type Brief struct {
 	_ struct{} `cbor:",toarray"`
 	// Name and Incarnation are the sender's; an empty Name in a reply says that the receiver
-	// does not know the caller's incarnation and needs a whole heartbeat.
+	// does not know the caller's incarnation or has more to tell, and needs a whole heartbeat.
 	Name        string
 	Incarnation int64
 	Flags       briefFlags
@@ -56,7 +56,7 @@
 // Brief handles a partner's short heartbeat and replies with this host's own.
 func (s *service) Brief(received *Brief, reply *Brief) error {
 	from, ok := s.g.knownMember(received.Name, received.Incarnation)
-	if !ok {
+	if !ok || !s.g.isTold(from.Name) {
 		return nil
 	}
 	s.g.receive(s.g.expand(received, from))
@@ -120,7 +120,7 @@
 // whole one of this incarnation, and whole if it has not, has started again or has a release
 // without the short form.
 func (g *Group) exchange(ctx context.Context, m Member) (*Heartbeat, error) {
-	if g.hasWhole(m) {
+	if g.hasWhole(m) && g.isTold(m.Name) {
 		request, reply := g.brief(), new(Brief)
 		err := g.opts.Client.Call(ctx, m.Peer, serviceName+".Brief", &request, reply)
 		var remote rpc.ServerError
@@ -132,11 +132,13 @@
 		}
 		g.setHasWhole(m, false)
 	}
+	number := g.currentWhole()
 	request, reply := g.heartbeat(), new(Heartbeat)
 	if err := g.opts.Client.Call(ctx, m.Peer, serviceName+".Beat", &request, reply); err != nil {
 		return nil, err
 	}
 	g.setHasWhole(reply.From, reply.TakesBrief)
+	g.setTold(reply.From, number)
 	return reply, nil
 }
 
@@ -157,3 +159,36 @@
 		s.hasWhole = has
 	}
 }
+
+// ResendWhole makes the next heartbeat or reply to each host a whole one, since it has more to tell than
+// a short one.
+func (g *Group) ResendWhole() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.wholeNumber++
+}
+
+// currentWhole returns the number that the whole heartbeats have now.
+func (g *Group) currentWhole() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.wholeNumber
+}
+
+// isTold reports whether a host was sent a whole heartbeat of the current number.
+func (g *Group) isTold(name string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.members[name]
+	return s != nil && s.told == g.wholeNumber
+}
+
+// setTold records that a host was sent a whole heartbeat of a number.
+func (g *Group) setTold(m Member, number uint64) {
+	now := g.opts.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if s := g.addMember(m, now); s != nil {
+		s.told = number
+	}
+}
--- a/process/partner/message.go
+++ b/process/partner/message.go
@@ -32,10 +32,20 @@
 	ReportHold time.Duration
 	// Changed holds the revision of the last change of each table. Earlier releases send none.
 	Changed map[string]uint64
+	// StaleRecords are those of Options.StaleRecords. Short heartbeats and earlier releases have none.
+	StaleRecords []StaleRecord `cbor:",omitempty"`
 	// TakesBrief says that the sender takes short heartbeats. Earlier releases do not.
 	TakesBrief bool
 }
 
+// StaleRecord is a record of a restored store that is of the copy and no longer counts, by its key and
+// by its era and revision.
+type StaleRecord struct {
+	_             struct{} `cbor:",toarray"`
+	Key           string
+	Era, Revision uint64
+}
+
 // minStatedAge is the least Age in a heartbeat, to tell it from none.
 const minStatedAge = time.Nanosecond
 
--- a/process/partner/partner.go
+++ b/process/partner/partner.go
@@ -92,6 +92,11 @@
 	// StateVersion returns the version of the desired state in force on this host, which partners
 	// are told; 0 means none. May be nil.
 	StateVersion func() uint64
+	// StaleRecords returns the records of a restored store that do not count on this host, which
+	// partners are told in whole heartbeats, and IgnoreStale takes those that a partner tells of. Both may
+	// be nil.
+	StaleRecords func() []StaleRecord
+	IgnoreStale  func([]StaleRecord)
 	Client       peer.RPCClient
 	Metrics      *metrics.Set
 	Log          zerolog.Logger
@@ -130,7 +135,9 @@
 	hasMembers bool
 	// forgotten holds the hosts that were removed from the group, by name.
 	forgotten map[string]forgottenHost
-	snapshot  snapshotCache
+	// wholeNumber is the number of ResendWhole calls, which a whole heartbeat has as its number.
+	wholeNumber uint64
+	snapshot    snapshotCache
 }
 
 // memberState is a known host other than this one.
@@ -149,6 +156,8 @@
 	// hasWhole is true once the host has received a whole heartbeat of this host and takes
 	// short ones.
 	hasWhole bool
+	// told is the number of the last whole heartbeat that the host was sent.
+	told uint64
 	// readAt is when the host's last heartbeat reported that it reads the store; zero if it
 	// reported that it does not or stated no age. readAge is the age of the store's responses then, and
 	// readPositions are the positions of the host's tables, in the order of Options.Tables.
@@ -184,9 +193,13 @@
 		g.markSeen(s, h.Leaving, now)
 	}
 	g.mu.Unlock()
-	if s != nil {
-		g.pullNewer(h)
+	if s == nil {
+		return
+	}
+	if len(h.StaleRecords) > 0 && g.opts.IgnoreStale != nil {
+		g.opts.IgnoreStale(h.StaleRecords)
 	}
+	g.pullNewer(h)
 }
 
 // Run sends heartbeats to the partners until ctx ends.
--- a/process/partner/service.go
+++ b/process/partner/service.go
@@ -8,7 +8,9 @@
 // Beat handles a partner's heartbeat and replies with this host's own.
 func (s *service) Beat(received *Heartbeat, reply *Heartbeat) error {
 	s.g.receive(received)
+	number := s.g.currentWhole()
 	*reply = s.g.heartbeat()
+	s.g.setTold(received.From, number)
 	return nil
 }
 
@@ -30,6 +32,9 @@
 	if g.opts.StateVersion != nil {
 		h.StateVersion = g.opts.StateVersion()
 	}
+	if g.opts.StaleRecords != nil {
+		h.StaleRecords = g.opts.StaleRecords()
+	}
 	for _, name := range g.opts.Tables {
 		position, changed := g.opts.Mirror.Progress(name)
 		h.Positions[name], h.Eras[name], h.Changed[name] = position.Revision, position.Era, changed
