A stale report of a target that the host still uses is dropped also if told before the copy is read

Cause: a host compares the copy with what it knows and applies the differences only. A target that it has not heard to have left has the same report in both, so the report was not looked at again after a partner had told that it is stale.

Evidence: TestStaleReportOfKnownTargetIsIgnored failed for a host that is told first (2 targets in place of 1) and holds now; it held for one that reads the copy first.

--- a/entry/apply.go
+++ b/entry/apply.go
@@ -41,6 +41,7 @@
 	}
 	if change.Restored && d.Table == adapter.TargetTable {
 		h.stale.enterEra(d.Era)
+		h.removeStale(now)
 	}
 	for _, r := range change.Records {
 		if d.Table == adapter.TargetTable {
--- a/entry/stale.go
+++ b/entry/stale.go
@@ -78,13 +78,20 @@
 func (h *Host) ignoreStale(reports []partner.StaleRecord) {
 	h.applyMu.Lock()
 	defer h.applyMu.Unlock()
-	now, own := time.Now(), h.mirror.Position(adapter.TargetTable)
+	era := h.mirror.Position(adapter.TargetTable).Era
 	for _, r := range reports {
-		at := mirror.Position{Era: r.Era, Revision: r.Revision}
-		if at.Era < own.Era || !h.stale.add(r.Key, at) {
-			continue
+		if r.Era >= era {
+			h.stale.add(r.Key, mirror.Position{Era: r.Era, Revision: r.Revision})
 		}
-		if known, ok := h.mirror.Get(adapter.TargetTable, r.Key); ok && at.Era == own.Era && known.Revision == at.Revision {
+	}
+	h.removeStale(time.Now())
+}
+
+// removeStale removes the targets whose present reports are stale. applyMu must be held.
+func (h *Host) removeStale(now time.Time) {
+	era := h.mirror.Position(adapter.TargetTable).Era
+	for _, r := range h.stale.all() {
+		if known, ok := h.mirror.Get(adapter.TargetTable, r.Key); ok && r.Era == era && known.Revision == r.Revision {
 			h.fleet.Remove(r.Key, now, 0)
 		}
 	}
--- a/entry/stale_test.go
+++ b/entry/stale_test.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"testing"
 
+	"quetzalknot/platform/adapter"
 	"quetzalknot/process/mirror"
+	"quetzalknot/process/partner"
 )
 
 // TestStaleReportIsOneReport: only the very report that is stale must be ignored, not a later one of the
@@ -57,3 +59,29 @@
 		t.Errorf("%d reports, want %d", got, maxStaleReports)
 	}
 }
+
+// TestStaleReportOfKnownTargetIsIgnored: a host that has not heard that a target left must drop it, whether
+// it is told of the stale report before or after it reads the copy.
+func TestStaleReportOfKnownTargetIsIgnored(t *testing.T) {
+	for _, toldFirst := range []bool{true, false} {
+		c := newCluster(t, 2, 0)
+		h := c.newStoppedHost("front-0")
+		older := c.store.Snapshot()
+		requireRead(t, h, adapter.TargetTable)
+		row, _ := c.store.Get(adapter.TargetTable, "i-1")
+		c.store.Restore(older)
+		tell := func() {
+			h.ignoreStale([]partner.StaleRecord{{Key: "i-1", Era: c.store.Era(), Revision: row.RowVersion}})
+		}
+		if toldFirst {
+			tell()
+		}
+		requireRead(t, h, adapter.TargetTable)
+		if !toldFirst {
+			tell()
+		}
+		if n := h.fleet.Size(); n != 1 {
+			t.Errorf("told first %t: %d targets, want the one that has not left", toldFirst, n)
+		}
+	}
+}
