Callers: a header is denied only by a limit that is confirmed

Callers could see 431 for a header that the operator allows: from a host that has no desired state yet, or lags behind one that raised `headerBytes` above the host's own 1 MiB.

Cause: a body over the limit gets 503 while the state is not confirmed (413 else), but the header is read by the connection server, which used the limit of the moment and asked nobody.

Now the connection server asks whether its limits are confirmed, and then whether the limit is still the one that was used; else the status is 503 with Retry-After, and the connection closes as before.

TestOperatorLimitsHold now waits until the state is confirmed before it expects 431; what it expects is unchanged.

--- a/connection/caller/conn.go
+++ b/connection/caller/conn.go
@@ -114,7 +114,7 @@
 	status := 0
 	switch {
 	case errors.Is(err, errHeadTooLarge):
-		status = http.StatusRequestHeaderFieldsTooLarge
+		status = c.server.longHeaderStatus(c.head.limit)
 	case errors.Is(err, errVersion):
 		status = http.StatusHTTPVersionNotSupported
 	case errors.Is(err, errMalformed):
--- a/connection/caller/exchange.go
+++ b/connection/caller/exchange.go
@@ -111,6 +111,9 @@
 func (x *exchange) reject(status int) {
 	text := http.StatusText(status) + "\n"
 	x.header.Set("Connection", "close")
+	if status == http.StatusServiceUnavailable {
+		x.header.Set("Retry-After", refusalRetryAfter)
+	}
 	x.header.Set("Content-Type", "text/plain; charset=utf-8")
 	x.header.Set("Content-Length", strconv.Itoa(len(text)))
 	x.WriteHeader(status)
--- a/connection/caller/listener.go
+++ b/connection/caller/listener.go
@@ -14,8 +14,11 @@
 	maxRefusals = 64
 	// refusalTimeout limits the time for one refusal.
 	refusalTimeout = time.Second
+	// refusalRetryAfter is after how many seconds a caller that was refused with status 503 may try
+	// again.
+	refusalRetryAfter = "1"
 	// refusal is the response to a connection over the limit.
-	refusal = "HTTP/1.1 503 Service Unavailable\r\nQuetzal-Verdict: not-run\r\nRetry-After: 1\r\n" +
+	refusal = "HTTP/1.1 503 Service Unavailable\r\nQuetzal-Verdict: not-run\r\nRetry-After: " + refusalRetryAfter + "\r\n" +
 		"Connection: close\r\nContent-Type: text/plain\r\nContent-Length: 21\r\n\r\ntoo many connections\n"
 )
 
--- a/connection/caller/server.go
+++ b/connection/caller/server.go
@@ -73,6 +73,10 @@
 	// Limits returns the limits in force. It is called each time a connection becomes idle or
 	// begins to read a header.
 	Limits func() ConnLimits
+	// LimitsConfirmed reports whether the limits in force are known to be the newest. While they are
+	// not, a header over the limit gets status 503, after which the caller may try again. Nil means
+	// that they always are.
+	LimitsConfirmed func() bool
 	// OnReject is called for each request that is malformed. It may be nil.
 	OnReject func(remote string, err error)
 
@@ -172,6 +176,16 @@
 	return limit
 }
 
+// longHeaderStatus returns the status for a header that is longer than a limit in bytes. It denies
+// only what the limit that is confirmed does not allow.
+func (s *Server) longHeaderStatus(limit int) int {
+	confirmed := s.LimitsConfirmed == nil || s.LimitsConfirmed()
+	if !confirmed || s.Limits().HeaderBytes > limit {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusRequestHeaderFieldsTooLarge
+}
+
 // closeListeners stops accepting and lets goroutines without a request end.
 func (s *Server) closeListeners() {
 	s.mu.Lock()
--- a/entry/callers_test.go
+++ b/entry/callers_test.go
@@ -112,6 +112,7 @@
 	h := c.hosts[0]
 	long := "GET /search/1 HTTP/1.1\r\nHost: " + standin.HostName + "\r\n" + standin.Fields("r", "") + "A: " +
 		strings.Repeat("b", 2*callerHeaderBytes) + "\r\n\r\n"
+	c.eventually("the state is confirmed", h.stateConfirmed)
 	if status, body := exchangeRaw(h.addr(), long); status != http.StatusRequestHeaderFieldsTooLarge {
 		t.Errorf("a header over all limits: status %d, %s", status, body)
 	}
--- a/entry/host.go
+++ b/entry/host.go
@@ -260,7 +260,7 @@
 	rejected := h.metrics.Counter("callers.rejected_requests")
 	h.entry = &caller.Server{
 		Handler: h.handler, Idempotent: h.handler.Idempotent,
-		Limits: h.callerLimits,
+		Limits: h.callerLimits, LimitsConfirmed: h.stateConfirmed,
 		OnReject: func(remote string, err error) {
 			rejected.Add(1)
 			evMalformed.Log(h.log).Str("caller", remote).Err(err).Send()
