Readers of the store: two of each failure domain of a large region

Each host of a region with more hosts than partners chose the readers among the hosts that it hears, so the readers grew with the hosts, and the store gave each change to all of them. Now the readers of a large region are the first two alive of each failure domain. They are partners of each host there, which therefore chooses the same ones.

--- a/process/partner/chosen.go
+++ b/process/partner/chosen.go
@@ -7,6 +7,7 @@
 
 // partners returns the hosts that this host sends heartbeats to.
 func (g *Group) partners() []Member {
+	inOwnDomain := g.domainPartners()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	byRegion := make(map[string][]Member)
@@ -17,7 +18,21 @@
 	for region, list := range byRegion {
 		partners = append(partners, g.nearest(list, g.partnerLimit(region, len(list)))...)
 	}
-	return partners
+	return addMissing(partners, inOwnDomain)
+}
+
+// addMissing appends the members that are not in the list yet.
+func addMissing(list, more []Member) []Member {
+	listed := make(map[string]bool, len(list))
+	for _, m := range list {
+		listed[m.Name] = true
+	}
+	for _, m := range more {
+		if !listed[m.Name] {
+			list = append(list, m)
+		}
+	}
+	return list
 }
 
 // partnerLimit returns the largest number of partners in a region of the given number of hosts.
--- a/process/partner/control_bytes_test.go
+++ b/process/partner/control_bytes_test.go
@@ -23,6 +23,8 @@
 	controlBound = 2000
 	// feedInterval is the time between two calls of a reader for the changes of a table.
 	feedInterval = 2500 * time.Millisecond
+	// followInterval is the time between two checks whether a host has to read the store.
+	followInterval = 100 * time.Millisecond
 	// controlTables are the tables of the test; table has the records.
 	otherTable = "state"
 )
@@ -32,10 +34,14 @@
 	*testNetwork
 	store  *mirror.Mirror
 	groups []*Group
+	// feedInterval is the time between two reads of a reader.
+	feedInterval time.Duration
 	// reads says which hosts read the store.
 	reads map[*Group]*atomic.Bool
 	sent  map[string]int
 	calls int
+	// storeRecords is the number of records that the store gave.
+	storeRecords int
 }
 
 // sizedClient is a networkClient that counts the bytes of the encoded messages.
@@ -72,7 +78,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	clear(f.sent)
-	f.calls = 0
+	f.calls, f.storeRecords = 0, 0
 }
 
 func encodedSize(v any) int {
@@ -86,8 +92,8 @@
 // newControlFleet starts hosts in three regions of three failure domains each.
 func newControlFleet(t *testing.T, hosts int) *controlFleet {
 	f := &controlFleet{
-		testNetwork: &testNetwork{groups: make(map[string]*Group), cutLinks: make(map[string]bool)},
-		store:       mirror.New(), sent: make(map[string]int), reads: make(map[*Group]*atomic.Bool),
+		testNetwork:  &testNetwork{groups: make(map[string]*Group), cutLinks: make(map[string]bool)},
+		feedInterval: feedInterval, store: mirror.New(), sent: make(map[string]int), reads: make(map[*Group]*atomic.Bool),
 	}
 	f.write(otherTable, "config", 1)
 	f.write(table, "i-0", 1)
@@ -155,22 +161,33 @@
 	}
 }
 
-// read brings a host's copies up to date.
-func (f *controlFleet) read(g *Group) {
+// read brings a host's copies up to date and reports whether the store gave it records.
+func (f *controlFleet) read(g *Group) bool {
+	records := 0
 	for _, name := range g.opts.Tables {
-		g.opts.Apply(f.store.DeltaSince(name, g.opts.Mirror.Position(name)))
+		delta := f.store.DeltaSince(name, g.opts.Mirror.Position(name))
+		records += len(delta.Records)
+		g.opts.Apply(delta)
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.storeRecords += records
+	return records > 0
 }
 
-// follow reads the store while the host has to.
+// follow reads the store while the host has to, and tells its partners of changes.
 func (f *controlFleet) follow(ctx context.Context, g *Group) {
 	for ctx.Err() == nil {
 		reads := g.IsStoreReader() || !g.HasStoreReader(time.Now())
 		f.reads[g].Store(reads)
-		if reads {
-			f.read(g)
+		if !reads {
+			time.Sleep(followInterval)
+			continue
 		}
-		time.Sleep(feedInterval)
+		if f.read(g) {
+			g.NotifyNonReaders(ctx)
+		}
+		time.Sleep(f.interval())
 	}
 }
 
@@ -228,3 +245,10 @@
 	}
 	return total
 }
+
+// interval returns the time between two reads of a reader.
+func (f *controlFleet) interval() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.feedInterval
+}
--- a/process/partner/partner.go
+++ b/process/partner/partner.go
@@ -1,7 +1,8 @@
 // Package partner monitors other hosts by heartbeats and synchronises tables with them.
 //
 // Each host exchanges heartbeats with a bounded number of partners: its neighbours in the
-// order of host names in its region, and a few hosts of each other region. A heartbeat
+// order of host names in its region, the store readers of its failure domain, and a few hosts of
+// each other region. The readers do so with all hosts of their failure domain. A heartbeat
 // carries the revisions of the mirrored tables and recent crash counts; a host whose copy
 // of a table is older pulls the missing records. So a host that cannot reach the store
 // still receives changes from its partners.
@@ -38,6 +39,9 @@
 	// sent none: that exchange carried the state of both hosts. So only one host of a pair
 	// calls the other.
 	recentContact = 700 * time.Millisecond
+	// recentReaderContact is recentContact for the store readers of a failure domain: with the
+	// interval it is less than readerTimeout, so that a reader that lives counts all the time.
+	recentReaderContact = 400 * time.Millisecond
 	// callTimeout is the timeout of one call.
 	callTimeout = 800 * time.Millisecond
 	// aliveTimeout is how long after its last heartbeat or reply a partner counts as
@@ -206,7 +210,16 @@
 // sendDue expires members and sends heartbeats to the partners without recent contact.
 func (g *Group) sendDue(ctx context.Context) {
 	g.expireMembers()
-	g.sendHeartbeats(ctx, func(m Member) bool { return !g.seenRecently(m) })
+	var readers map[string]bool
+	if g.domainReaders() > 0 {
+		readers = g.readers()
+	}
+	g.sendHeartbeats(ctx, func(m Member) bool {
+		if readers[m.Name] {
+			return !g.seenWithin(m, recentReaderContact)
+		}
+		return !g.seenWithin(m, recentContact)
+	})
 }
 
 // sendHeartbeats starts a heartbeat call to each partner that wanted accepts.
@@ -218,14 +231,13 @@
 	}
 }
 
-// seenRecently reports whether a heartbeat or reply from a host arrived within
-// recentContact.
-func (g *Group) seenRecently(m Member) bool {
+// seenWithin reports whether a heartbeat or reply from a host arrived within d.
+func (g *Group) seenWithin(m Member, d time.Duration) bool {
 	now := g.opts.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s := g.members[m.Name]
-	return s != nil && !s.lastSeen.IsZero() && now.Sub(s.lastSeen) < recentContact
+	return s != nil && !s.lastSeen.IsZero() && now.Sub(s.lastSeen) < d
 }
 
 // sendHeartbeat sends one heartbeat and handles the reply.
--- a/process/partner/readers.go
+++ b/process/partner/readers.go
@@ -14,15 +14,27 @@
 	failureTimeout = 3 * time.Second
 )
 
-// IsStoreReader reports whether this host is one of the store readers of its region: the hosts
-// that serve requests at the lowest demand. The other hosts receive changes by heartbeats,
-// and read the store themselves while no partner reports that it reads it.
+// IsStoreReader reports whether this host is one of the store readers of its region. The other
+// hosts receive changes by heartbeats, and read the store themselves while no partner reports that
+// it reads it.
 func (g *Group) IsStoreReader() bool { return g.readers()[g.opts.Self.Name] }
 
-// readers returns the names of this region's store readers.
+// readers returns the names of the store readers that this host chooses its partners by: in a small
+// region, whose hosts are all partners, those that serve requests at the lowest demand; in a larger
+// one the first hosts alive of this host's failure domain.
 func (g *Group) readers() map[string]bool {
+	alive := inRegion(g.Alive(), g.opts.Self.Region)
 	names := make(map[string]bool)
-	addBaseHosts(names, inRegion(g.Alive(), g.opts.Self.Region))
+	limit := g.domainReaders()
+	if limit == 0 {
+		addBaseHosts(names, alive)
+		return names
+	}
+	for i, m := range rankHosts(inDomain(alive, g.opts.Self.Domain)) {
+		if i < limit {
+			names[m.Name] = true
+		}
+	}
 	return names
 }
 
