--- a/process/partner/chosen.go
+++ b/process/partner/chosen.go
@@ -5,9 +5,12 @@
 	"slices"
 )
 
-// partners returns the hosts that this host sends heartbeats to.
+// allPartners returns the hosts that this host sends heartbeats to.
+func (g *Group) allPartners() []Member { return addMissing(g.partners(), g.domainPartners()) }
+
+// partners returns the hosts that this host sends heartbeats to because they are next to it on the
+// ring of names of their region.
 func (g *Group) partners() []Member {
-	inOwnDomain := g.domainPartners()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	byRegion := make(map[string][]Member)
@@ -18,7 +21,7 @@
 	for region, list := range byRegion {
 		partners = append(partners, g.nearest(list, g.partnerLimit(region, len(list)))...)
 	}
-	return addMissing(partners, inOwnDomain)
+	return partners
 }
 
 // addMissing appends the members that are not in the list yet.
--- a/process/partner/domain.go
+++ b/process/partner/domain.go
@@ -15,6 +15,15 @@
 func (g *Group) domainReaders() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.readerLimit == nil {
+		limit := g.findDomainReaders()
+		g.readerLimit = &limit
+	}
+	return *g.readerLimit
+}
+
+// findDomainReaders computes domainReaders. The lock must be held.
+func (g *Group) findDomainReaders() int {
 	hosts, domains := 1, map[string]bool{g.opts.Self.Domain: true}
 	for _, s := range g.members {
 		if s.Region == g.opts.Self.Region && !s.forgotten {
--- a/process/partner/forgotten.go
+++ b/process/partner/forgotten.go
@@ -15,7 +15,7 @@
 	g.forgottenCount++
 	incarnation := max(s.Incarnation, g.forgotten[s.Name].incarnation)
 	g.forgotten[s.Name] = forgottenHost{incarnation: incarnation, at: now}
-	g.baseNames = nil
+	g.membersChanged()
 }
 
 // isForgotten reports whether a host of this incarnation, or of a later one, was removed from the
@@ -32,7 +32,7 @@
 	}
 	s.forgotten = false
 	delete(g.forgotten, s.Name)
-	g.baseNames = nil
+	g.membersChanged()
 }
 
 // expireForgotten ends the memory of the hosts that were removed forgottenRetention ago. The lock must be
--- a/process/partner/members.go
+++ b/process/partner/members.go
@@ -40,7 +40,7 @@
 		s = &memberState{Member: m, notAliveSince: now, forgotten: g.isForgotten(m)}
 		g.members[m.Name] = s
 		g.classes[m.Peer] = g.class(m)
-		g.baseNames = nil
+		g.membersChanged()
 	}
 	if m.Incarnation < s.Incarnation {
 		return nil
@@ -48,6 +48,9 @@
 	return s
 }
 
+// membersChanged drops what was computed from the members that count. The lock must be held.
+func (g *Group) membersChanged() { g.baseNames, g.readerLimit = nil, nil }
+
 // markSeen records that a host's heartbeat or reply has arrived and whether the host is
 // leaving. The lock must be held.
 func (g *Group) markSeen(s *memberState, leaving bool, now time.Time) {
--- a/process/partner/partner.go
+++ b/process/partner/partner.go
@@ -117,6 +117,8 @@
 	pullsRunning map[string]bool
 	// baseNames caches baseHosts; nil after members were added or removed.
 	baseNames map[string]bool
+	// readerLimit caches domainReaders; nil after members were added or removed.
+	readerLimit *int
 	// readerAt is when a partner last reported that it reads the store, healthyReaderAt when
 	// one last did so without store failures, and storeFailedAt when one last reported a
 	// store failure.
@@ -224,7 +226,7 @@
 
 // sendHeartbeats starts a heartbeat call to each partner that wanted accepts.
 func (g *Group) sendHeartbeats(ctx context.Context, wanted func(Member) bool) {
-	for _, m := range g.partners() {
+	for _, m := range g.allPartners() {
 		if wanted(m) {
 			go g.sendHeartbeat(ctx, m)
 		}
