--- a/process/partner/chosen.go
+++ b/process/partner/chosen.go
@@ -5,7 +5,11 @@
 	"slices"
 )
 
-// partners returns the hosts that this host sends heartbeats to.
+// allPartners returns the hosts that this host sends heartbeats to.
+func (g *Group) allPartners() []Member { return addMissing(g.partners(), g.domainPartners()) }
+
+// partners returns the hosts that this host sends heartbeats to because they are next to it on the
+// ring of names of their region.
 func (g *Group) partners() []Member {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -20,6 +24,20 @@
 	return partners
 }
 
+// addMissing appends the members that are not in the list yet.
+func addMissing(list, more []Member) []Member {
+	listed := make(map[string]bool, len(list))
+	for _, m := range list {
+		listed[m.Name] = true
+	}
+	for _, m := range more {
+		if !listed[m.Name] {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
 // partnerLimit returns the largest number of partners in a region of the given number of hosts.
 func (g *Group) partnerLimit(region string, hosts int) int {
 	switch {
