Tests of stale reports: no data race, and a late first read is no loss of a target

Seen: TestStaleRecordsReachAllPartners set the options of hosts that already ran (reported by -race); TestLiveTargetNotLostByHostStartedOnCopy failed once beside other work (-race, loads of 37 to 78): the started host had one of two targets when the watch began.

Cause: test code. The first now sets the options before the hosts run. The second began to watch when the host was ready, which it also is with the tables of the partner, which lack the live target's report; by reading, no logs were kept. It now waits for the report to be read, and watches from then, before the hosts know each other, until 2.5 s later and until they do.

--- a/entry/started_on_copy_test.go
+++ b/entry/started_on_copy_test.go
@@ -83,9 +83,9 @@
 	c.endpoints[0].SetFaults(standin.StoreFaults{Refuse: 503})
 	c.store.PutTarget("i-1", c.targets[1].Report("bokun", "no-gler", "ready", 1))
 	h := c.addHost("front-late")
-	c.eventually("the host is ready", h.ready)
-	c.eventually("the hosts know each other", func() bool { return len(h.group.Alive()) == 2 && len(c.hosts[0].group.Alive()) == 2 })
-	for end := time.Now().Add(drainBound); time.Now().Before(end); time.Sleep(time.Millisecond) {
+	c.eventually("the host has read the live target's report", func() bool { return h.fleet.Size() == 2 })
+	acquainted := func() bool { return len(h.group.Alive()) == 2 && len(c.hosts[0].group.Alive()) == 2 }
+	for end := time.Now().Add(drainBound); time.Now().Before(end) || !acquainted(); time.Sleep(time.Millisecond) {
 		if h.fleet.Size() != 2 {
 			t.Fatal("a live target was dropped")
 		}
--- a/process/partner/resend_test.go
+++ b/process/partner/resend_test.go
@@ -1,7 +1,9 @@
 package partner
 
 import (
+	"context"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,24 +13,42 @@
 // each partner, whichever of the two calls the other, once.
 func TestStaleRecordsReachAllPartners(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		_, groups := newNetwork(t, 4)
+		const hosts, finder = 4, 1
 		stale := []StaleRecord{{Key: "i-1", Era: 2, Revision: 7}}
-		told := make([]int, len(groups))
-		for i, g := range groups {
+		var found atomic.Bool
+		var told [hosts]atomic.Int64
+		n := &testNetwork{groups: make(map[string]*Group), cutLinks: make(map[string]bool)}
+		var groups []*Group
+		var members []Member
+		for i := range hosts {
+			g := n.add(string(rune('a'+i)), "r", 1)
 			g.opts.IgnoreStale = func(records []StaleRecord) {
 				if !slices.Equal(records, stale) {
 					t.Errorf("host %d was told %v, want %v", i, records, stale)
 				}
-				told[i]++
+				told[i].Add(1)
 			}
+			groups, members = append(groups, g), append(members, g.opts.Self)
+		}
+		groups[finder].opts.StaleRecords = func() []StaleRecord {
+			if found.Load() {
+				return stale
+			}
+			return nil
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		for _, g := range groups {
+			g.AddMembers(members)
+			go g.Run(ctx)
 		}
 		time.Sleep(3 * heartbeatInterval)
-		groups[1].opts.StaleRecords = func() []StaleRecord { return stale }
-		groups[1].ResendWhole()
+		found.Store(true)
+		groups[finder].ResendWhole()
 		time.Sleep(5 * heartbeatInterval)
 		for i := range groups {
-			if want := 1; i != 1 && told[i] != want {
-				t.Errorf("host %d was told %d times, want %d", i, told[i], want)
+			if got := told[i].Load(); i != finder && got != 1 {
+				t.Errorf("host %d was told %d times, want 1", i, got)
 			}
 		}
 	})
