Soak: a violation names the longest time for which a host's thread could run and got no processor

A thread counts as starved between two samples in which it could run and had got no processor between them.

TestStarvedThreadIsNamed. No check of a promise is changed.

--- a/tools/soak/stalls_test.go
+++ b/tools/soak/stalls_test.go
@@ -110,3 +110,46 @@
 		t.Error(got)
 	}
 }
+
+// TestStarvedThreadIsNamed: a thread that could run at several samples, and got no processor
+// between them, is starved for the time between the first and the last of them.
+func TestStarvedThreadIsNamed(t *testing.T) {
+	start := time.Now()
+	sample := func(pid int, after time.Duration, turns map[string]int) processSample {
+		s := processSample{pid: pid, at: start.Add(after), states: "S", starved: make(map[string]starvedThread)}
+		for thread, n := range turns {
+			s.starved[thread] = starvedThread{turns: n, since: s.at}
+		}
+		return s
+	}
+	tests := []struct {
+		name    string
+		samples []processSample
+		want    string
+	}{
+		{"got no processor", []processSample{
+			sample(1, 0, map[string]int{"7": 3}), sample(1, time.Second, map[string]int{"7": 3, "8": 1}), sample(1, 2*time.Second, map[string]int{"7": 3}),
+			sample(1, 3*time.Second, nil),
+		}, "up to 2s;"},
+		{"got one between", []processSample{
+			sample(1, 0, map[string]int{"7": 3}), sample(1, time.Second, map[string]int{"7": 4}), sample(1, 2*time.Second, map[string]int{"7": 5}),
+		}, "up to 0s;"},
+		{"slept between", []processSample{
+			sample(1, 0, map[string]int{"7": 3}), sample(1, time.Second, nil), sample(1, 2*time.Second, map[string]int{"7": 3}),
+		}, "up to 0s;"},
+		{"of an earlier process", []processSample{
+			sample(1, 0, map[string]int{"7": 3}), sample(2, time.Second, map[string]int{"7": 3}),
+		}, "up to 0s;"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var s samples
+			for _, taken := range test.samples {
+				s.add(taken)
+			}
+			if got := s.describe(start); !strings.Contains(got, test.want) {
+				t.Errorf("%q does not contain %q", got, test.want)
+			}
+		})
+	}
+}
