Hosts: a late answer to a host's own call does not prolong the hold of targets that had left

Cause: when a host's own call for the targets' reports succeeds again, all held targets stay for 2 s more. front-4 had the restored store's records from a partner at 02:04:58.85, its own call succeeded at 59.68, and the target would have stayed until 61.68, 3.4 s after the store's return at 58.28.

Change: after a host's own late answer, the hold ends when it ends at a partner which the store answered after this host noticed the outage, and whose changes this host has. The same holds for removals that come after that. Without such a partner nothing changes, nor for evacuations.

--- a/entry/apply.go
+++ b/entry/apply.go
@@ -84,13 +84,18 @@
 	h.fleet.SetEvacuated(domain, !r.Removed, now)
 }
 
-// restartHolds lets what is held stay for the full time from now, since the store was restored once
-// more or was away, and what it lacks is written again only after that. applyMu must be held.
+// restartHolds lets what is held stay for the full time, since the store was restored once more,
+// and what it lacks is written again only after that. applyMu must be held.
 func (h *Host) restartHolds(now time.Time) {
+	h.restartEvacuationHolds(now)
+	h.fleet.RestartHolds(now, missingReportHold)
+}
+
+// restartEvacuationHolds is restartHolds for evacuations only. applyMu must be held.
+func (h *Host) restartEvacuationHolds(now time.Time) {
 	for domain := range h.evacuationHolds {
 		h.evacuationHolds[domain] = now.Add(missingReportHold)
 	}
-	h.fleet.RestartHolds(now, missingReportHold)
 }
 
 // endHeldEvacuations ends the evacuations whose hold has expired, once the store has answered
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -177,7 +177,7 @@
 	own := h.outage.reportHold(now)
 	away, _ := h.outage.isAway()
 	if h.storeStatus.ok() || (own > 0 && !away) {
-		return own
+		return h.holdSinceReturn(own, now)
 	}
 	if hold, ok := h.group.ReportHold(now); ok {
 		return hold
--- a/entry/host.go
+++ b/entry/host.go
@@ -91,6 +91,8 @@
 	// followedAt is when this host last had all changes of a partner that reads the store, in
 	// Unix nanoseconds.
 	followedAt atomic.Int64
+	// awaySince is when this host last noticed that an outage of the store began, in nanoseconds.
+	awaySince atomic.Int64
 
 	rate    peakRate
 	leaving atomic.Bool
--- a/entry/outage.go
+++ b/entry/outage.go
@@ -18,8 +18,9 @@
 	answered, failed map[string]time.Time
 	// unanswered is true if the call that failed last got no response.
 	unanswered bool
-	// returnedAt is when the first answer after an outage came.
-	returnedAt time.Time
+	// returnedAt is when the first answer after an outage came, and readAgainAt when the targets'
+	// reports could be read again.
+	returnedAt, readAgainAt time.Time
 	// untilReturn ends when the store returns.
 	untilReturn context.Context
 	endWaiting  context.CancelFunc
@@ -45,16 +46,31 @@
 		o.endWaiting()
 		o.untilReturn, o.endWaiting = context.WithCancel(context.Background())
 	}
-	return reportsWere && !o.lacks(adapter.TargetTable)
+	if !reportsWere || o.lacks(adapter.TargetTable) {
+		return false
+	}
+	o.readAgainAt = now
+	return true
 }
 
-// recordFailure records a failed call for a table. unanswered says that it got no response.
-func (o *outage) recordFailure(table string, sentAt time.Time, unanswered bool) {
+// recordFailure records a failed call for a table. unanswered says that it got no response. It
+// returns true if an outage begins with it.
+func (o *outage) recordFailure(table string, sentAt time.Time, unanswered bool) (begins bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	was := o.away()
 	if sentAt.After(o.failed[table]) {
 		o.failed[table], o.unanswered = sentAt, unanswered
 	}
+	return !was && o.away()
+}
+
+// readHold returns for how long the targets that are held must stay, since their reports can be
+// written again only once they can be read again.
+func (o *outage) readHold(now time.Time) time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return max(0, o.readAgainAt.Add(missingReportHold).Sub(now))
 }
 
 // reportsUnread reports whether the last call for the targets' reports failed.
--- a/entry/returned.go
+++ b/entry/returned.go
@@ -34,10 +34,12 @@
 
 // recordOutcome records what the outcome of a call for a table shows about the store. When the
 // targets' reports can be read again, all that is held stays for the full time, since only from
-// then on can it be written again.
+// then on can it be written again; for targets see removeExpired.
 func (h *Host) recordOutcome(table string, sentAt time.Time, err error) {
 	if err != nil && !errors.Is(err, adapter.ErrHistoryGone) {
-		h.outage.recordFailure(table, sentAt, errors.Is(err, context.DeadlineExceeded))
+		if h.outage.recordFailure(table, sentAt, errors.Is(err, context.DeadlineExceeded)) {
+			h.awaySince.Store(time.Now().UnixNano())
+		}
 		return
 	}
 	now := time.Now()
@@ -46,12 +48,28 @@
 	}
 	h.applyMu.Lock()
 	defer h.applyMu.Unlock()
-	h.restartHolds(now)
+	h.restartEvacuationHolds(now)
+}
+
+// holdSinceReturn returns the given hold, which counts from this host's own notice of the store's
+// return, or what is left of it by a partner that has read the store earlier. The store must have
+// answered that partner since this host noticed the outage.
+func (h *Host) holdSinceReturn(own time.Duration, now time.Time) time.Duration {
+	if own == 0 {
+		return 0
+	}
+	if stated, ok := h.group.ReportHoldAfter(now, time.Unix(0, h.awaySince.Load())); ok {
+		return min(own, stated)
+	}
+	return own
 }
 
 // removeExpired drops the held targets whose hold has ended, unless neither this host nor a partner
-// can read the targets' reports.
+// can read the targets' reports, or the store has returned too lately for them to be written again.
 func (h *Host) removeExpired(now time.Time) {
+	if h.holdSinceReturn(h.outage.readHold(now), now) > 0 {
+		return
+	}
 	if _, read := h.group.ReportHold(now); read || !h.outage.reportsUnread() {
 		h.fleet.RemoveExpired(now)
 	}
--- a/process/partner/readers.go
+++ b/process/partner/readers.go
@@ -128,17 +128,44 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, s := range g.members {
-		elapsed := now.Sub(s.readAt)
-		if s.readAt.IsZero() || elapsed >= readerTimeout {
+		if s.readsStore(now) && (!ok || s.holdLeft(now) < hold) {
+			hold, ok = s.holdLeft(now), true
+		}
+	}
+	return hold, ok
+}
+
+// ReportHoldAfter is ReportHold of the partners that the store answered after a time and whose
+// changes this host has.
+func (g *Group) ReportHoldAfter(now, after time.Time) (hold time.Duration, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, s := range g.members {
+		if !s.readsStore(now) || !s.answeredAfter(after) || !g.hasAll(s.readPositions) {
 			continue
 		}
-		if left := max(0, s.reportHold-elapsed); !ok || left < hold {
-			hold, ok = left, true
+		if !ok || s.holdLeft(now) < hold {
+			hold, ok = s.holdLeft(now), true
 		}
 	}
 	return hold, ok
 }
 
+// readsStore reports whether the host reported within readerTimeout that it reads the store.
+func (s *memberState) readsStore(now time.Time) bool {
+	return !s.readAt.IsZero() && now.Sub(s.readAt) < readerTimeout
+}
+
+// answeredAfter reports whether the store's answer that the host last reported came after a time.
+func (s *memberState) answeredAfter(t time.Time) bool {
+	return s.readAt.Add(-s.readAge - heartbeatDelay).After(t)
+}
+
+// holdLeft returns what is left of the hold that the host last reported.
+func (s *memberState) holdLeft(now time.Time) time.Duration {
+	return max(0, s.reportHold-now.Sub(s.readAt))
+}
+
 // recordStoreStatus records the store status in the heartbeat of a partner s. One that states no
 // age of the store's answer is a store reader but vouches for nothing: its answer may be of any
 // age. The lock must be held.
