--- a/entry/host.go
+++ b/entry/host.go
@@ -93,6 +93,8 @@
 	// followedAt is when this host last had all changes of a partner that reads the store, with a
 	// reading of the steady clock; nil means never.
 	followedAt atomic.Pointer[time.Time]
+	// awaySince is when this host last noticed that an outage of the store began, in nanoseconds.
+	awaySince atomic.Int64
 
 	rate    peakRate
 	leaving atomic.Bool
