Store: the begin of an outage is known by the steady clock

With a clock that was stepped, answers of partners from before an outage could count as later than its begin, or later ones as earlier, so that held targets were dropped too early or too late.

--- a/entry/host.go
+++ b/entry/host.go
@@ -93,8 +93,9 @@
 	// followedAt is when this host last had all changes of a partner that reads the store, with a
 	// reading of the steady clock; nil means never.
 	followedAt atomic.Pointer[time.Time]
-	// awaySince is when this host last noticed that an outage of the store began, in nanoseconds.
-	awaySince atomic.Int64
+	// awaySince is when this host last noticed that an outage of the store began, with a reading of
+	// the steady clock; nil means never.
+	awaySince atomic.Pointer[time.Time]
 
 	rate    peakRate
 	leaving atomic.Bool
--- a/entry/returned.go
+++ b/entry/returned.go
@@ -36,13 +36,13 @@
 // targets' reports can be read again, all that is held stays for the full time, since only from
 // then on can it be written again; for targets see removeExpired.
 func (h *Host) recordOutcome(table string, sentAt time.Time, err error) {
+	now := time.Now()
 	if err != nil && !errors.Is(err, adapter.ErrHistoryGone) {
 		if h.outage.recordFailure(table, sentAt, errors.Is(err, context.DeadlineExceeded)) {
-			h.awaySince.Store(time.Now().UnixNano())
+			h.awaySince.Store(&now)
 		}
 		return
 	}
-	now := time.Now()
 	if !h.outage.recordAnswer(table, sentAt, now) {
 		return
 	}
@@ -58,7 +58,7 @@
 	if own == 0 {
 		return 0
 	}
-	if stated, ok := h.group.ReportHoldAfter(now, time.Unix(0, h.awaySince.Load())); ok {
+	if stated, ok := h.group.ReportHoldAfter(now, h.awayBegan()); ok {
 		return min(own, stated)
 	}
 	return own
@@ -105,3 +105,12 @@
 		}
 	}()
 }
+
+// awayBegan returns when this host last noticed that an outage of the store began; the zero time means
+// never.
+func (h *Host) awayBegan() time.Time {
+	if since := h.awaySince.Load(); since != nil {
+		return *since
+	}
+	return time.Time{}
+}
