Partner test: the options of running hosts are set while they wait

Seen: -race reported TestBriefHasAllOfAHeartbeat once on, beside other load: the test sets options of hosts whose first heartbeats may still read them. What the test requires is unchanged.

--- a/process/partner/brief_test.go
+++ b/process/partner/brief_test.go
@@ -20,6 +20,7 @@
 func TestBriefHasAllOfAHeartbeat(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		_, groups := newNetwork(t, 2)
+		synctest.Wait() // the hosts run, and read their options only at the next heartbeat
 		g := groups[0]
 		g.opts.RequestRate = func() float64 { return 31.5 }
 		g.opts.StateVersion = func() uint64 { return 17 }
