Hosts: the hold of a restored store's missing targets counts from the first table that shows the restore

Cause: the hold began with the table of the reports. The store had returned when any table showed the restore, and what it lacks can be written again from then on.

Change: the hold ends 2 s after the first table showed the store's era, but not earlier than 0.5 s after the reports were read, since records that come from a partner may be that old. Evacuations are held as before.

TestRestoredHoldCountsFromFirstTable failed before and passes.

--- a/entry/apply.go
+++ b/entry/apply.go
@@ -23,6 +23,10 @@
 // written again by then.
 const missingReportHold = 2 * time.Second
 
+// minRestoredHold is the least time for which a target stays whose report a restored store lacks,
+// since records that were pulled from a partner may be that old.
+const minRestoredHold = 500 * time.Millisecond
+
 // errRefused reports that the store gave records of an earlier era than the known ones.
 var errRefused = errors.New("the store's records are of an earlier era")
 
@@ -32,8 +36,13 @@
 	h.applyMu.Lock()
 	defer h.applyMu.Unlock()
 	now := time.Now()
+	before := h.storeEra()
 	change := h.mirror.Apply(d)
-	h.checkRow(h.storeEra())
+	era := h.storeEra()
+	if era > before {
+		h.eraSeenAt = now
+	}
+	h.checkRow(era)
 	if change.Restored {
 		evStoreRestored.Log(h.log).Str("table", d.Table).Uint64("era", d.Era).Uint64("revision", d.UpTo).
 			Int("changed", len(change.Records)).Send()
@@ -88,7 +97,14 @@
 // and what it lacks is written again only after that. applyMu must be held.
 func (h *Host) restartHolds(now time.Time) {
 	h.restartEvacuationHolds(now)
-	h.fleet.RestartHolds(now, missingReportHold)
+	h.fleet.RestartHolds(now, h.restoredHold(now))
+}
+
+// restoredHold returns for how long a target stays whose report a restored store lacks. It counts
+// from when any table showed the restore, since reports can be written again from then on.
+// applyMu must be held.
+func (h *Host) restoredHold(now time.Time) time.Duration {
+	return max(minRestoredHold, h.eraSeenAt.Add(missingReportHold).Sub(now))
 }
 
 // restartEvacuationHolds is restartHolds for evacuations only. applyMu must be held.
@@ -119,9 +135,9 @@
 
 func (h *Host) applyTarget(r mirror.Record, now time.Time, restored bool) {
 	if r.Removed {
-		hold := h.reportHold(now)
-		if restored {
-			hold = missingReportHold
+		hold := h.restoredHold(now)
+		if !restored {
+			hold = h.reportHold(now)
 		}
 		h.fleet.Remove(r.Key, now, hold)
 		return
--- a/entry/host.go
+++ b/entry/host.go
@@ -87,6 +87,8 @@
 	// evacuationHolds holds, for each failure domain whose evacuation a restored store lacks,
 	// when the evacuation ends. applyMu guards it.
 	evacuationHolds map[string]time.Time
+	// eraSeenAt is when a table first showed the store's present era. applyMu guards it.
+	eraSeenAt time.Time
 
 	// followedAt is when this host last had all changes of a partner that reads the store, in
 	// Unix nanoseconds.
