--- a/entry/host.go
+++ b/entry/host.go
@@ -89,6 +89,8 @@
 	evacuationHolds map[string]time.Time
 	// stale holds the reports of a restored store that are of targets that had left.
 	stale *staleReports
+	// eraSeenAt is when a table first showed the store's present era. applyMu guards it.
+	eraSeenAt time.Time
 
 	// followedAt is when this host last had all changes of a partner that reads the store, with a
 	// reading of the steady clock; nil means never.
