Partner test: the client of a running host is replaced while it waits

Seen once with -race beside other load: TestEarlierReleaseGetsWholeHeartbeats sets the client of a host whose first heartbeat reads it. As in the test of short heartbeats, the test now waits until the hosts wait. What it requires is unchanged.

--- a/process/partner/brief_test.go
+++ b/process/partner/brief_test.go
@@ -112,6 +112,7 @@
 func TestEarlierReleaseGetsWholeHeartbeats(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		_, groups := newNetwork(t, 2)
+		synctest.Wait()
 		g := groups[0]
 		client := &oldClient{networkClient: g.opts.Client.(networkClient)}
 		g.opts.Client = client
