Targets: one that was missing for a hold is not told to partners as departed

Cause: the end of a hold counted as a departure that was seen. Now only a removal outside of a hold, or that of a target whose last report said that it leaves, is told to partners. The host itself goes on ignoring the report as before.

TestLiveTargetMissingInOneCopyStaysElsewhere failed before at a host that used the target and at one that had just started.

--- a/entry/apply.go
+++ b/entry/apply.go
@@ -160,7 +160,7 @@
 		return
 	}
 	if restored {
-		if !h.fleet.UpsertRestored(e, now) && h.stale.add(r.Key, at) {
+		if h.fleet.UpsertRestored(e, now) && h.stale.add(r.Key, at) {
 			h.group.ResendWhole()
 		}
 		return
--- a/entry/stale_test.go
+++ b/entry/stale_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"quetzalknot/platform/adapter"
 	"quetzalknot/process/mirror"
@@ -85,3 +86,28 @@
 		}
 	}
 }
+
+// TestLiveTargetMissingInOneCopyStaysElsewhere: a host that dropped a live target, since an older copy of the
+// store lacked it, must not make other hosts drop it when a newer copy has its report.
+func TestLiveTargetMissingInOneCopyStaysElsewhere(t *testing.T) {
+	c := newCluster(t, 1, 0)
+	without := c.store.Snapshot()
+	c.addTarget("i-1")
+	with := c.store.Snapshot()
+	dropper, user, starter := c.newStoppedHost("front-a"), c.newStoppedHost("front-b"), c.newStoppedHost("front-c")
+	requireRead(t, dropper, adapter.TargetTable)
+	requireRead(t, user, adapter.TargetTable)
+	c.store.Restore(without)
+	requireRead(t, dropper, adapter.TargetTable)
+	dropper.removeExpired(time.Now().Add(missingReportHold))
+	c.store.Restore(with)
+	for _, h := range []*Host{dropper, user, starter} {
+		requireRead(t, h, adapter.TargetTable)
+	}
+	for _, h := range []*Host{user, starter} {
+		h.ignoreStale(dropper.stale.all())
+		if n := h.fleet.Size(); n != 2 {
+			t.Errorf("%s has %d targets, want 2", h.self.Name, n)
+		}
+	}
+}
--- a/process/fleet/departed.go
+++ b/process/fleet/departed.go
@@ -17,11 +17,14 @@
 type departure struct {
 	born, sequence int64
 	at             time.Time
+	// seen is true if the target was seen to leave, false if its report was missing for the whole
+	// of a hold.
+	seen bool
 }
 
 // add records the last report of a target that is removed. A report without the time of the
 // target's start is not recorded, since its sequence may have started anew.
-func (d departures) add(last Entry, now time.Time) {
+func (d departures) add(last Entry, seen bool, now time.Time) {
 	if last.Born == 0 {
 		return
 	}
@@ -29,7 +32,7 @@
 		d.expire(now)
 	}
 	if len(d) < maxDepartures {
-		d[last.ID] = departure{born: last.Born, sequence: last.Sequence, at: now}
+		d[last.ID] = departure{born: last.Born, sequence: last.Sequence, at: now, seen: seen || last.Leaving}
 	}
 }
 
--- a/process/fleet/departed_test.go
+++ b/process/fleet/departed_test.go
@@ -60,12 +60,12 @@
 	now := time.Now()
 	d := make(departures)
 	for i := range 2 * maxDepartures {
-		d.add(Entry{ID: fmt.Sprint(i), Born: 1}, now)
+		d.add(Entry{ID: fmt.Sprint(i), Born: 1}, true, now)
 	}
 	if len(d) != maxDepartures {
 		t.Errorf("%d departures, want %d", len(d), maxDepartures)
 	}
-	d.add(Entry{ID: "late", Born: 1}, now.Add(2*departureRetention))
+	d.add(Entry{ID: "late", Born: 1}, true, now.Add(2*departureRetention))
 	if len(d) != 1 {
 		t.Errorf("%d departures after their retention, want 1", len(d))
 	}
--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -75,16 +75,17 @@
 }
 
 // UpsertRestored is Upsert for a report from a store that was restored from a copy. A report of a
-// removed target that is not newer than its last one is ignored, and false is returned.
-func (f *Fleet) UpsertRestored(e Entry, now time.Time) bool {
+// removed target that is not newer than its last one is ignored. departed is true if such a target was
+// seen to leave, and not only missing for the whole of a hold.
+func (f *Fleet) UpsertRestored(e Entry, now time.Time) (departed bool) {
 	f.Lock()
 	defer f.Unlock()
 	if f.targets[e.ID] == nil && f.departed.contains(e, now) {
 		evStale.Log(f.log).Str("target", e.ID).Int64("sequence", e.Sequence).Bool("departed", true).Send()
-		return false
+		return f.departed[e.ID].seen
 	}
 	f.upsert(e, now)
-	return true
+	return false
 }
 
 // upsert is Upsert; the lock must be held.
@@ -157,7 +158,7 @@
 		f.logState(t, now)
 		return
 	}
-	f.depart(t, now)
+	f.depart(t, true, now)
 }
 
 // Discard removes a target whose report is invalid. The next valid one brings it back.
@@ -169,9 +170,10 @@
 	}
 }
 
-// depart removes a target that has left; its last report does not bring it back.
-func (f *Fleet) depart(t *Target, now time.Time) {
-	f.departed.add(t.Entry, now)
+// depart removes a target that has left; its last report does not bring it back. seen says that it was
+// seen to leave.
+func (f *Fleet) depart(t *Target, seen bool, now time.Time) {
+	f.departed.add(t.Entry, seen, now)
 	f.drop(t, now)
 }
 
@@ -211,7 +213,7 @@
 	defer f.Unlock()
 	for _, t := range f.targets {
 		if !t.removeAt.IsZero() && !now.Before(t.removeAt) {
-			f.depart(t, now)
+			f.depart(t, false, now)
 		}
 	}
 }
