Partners: a host that has just started does not introduce others by the state of a copy

By the review: on a store restored from a copy, of two hosts that start together one could have the copy's state before the heartbeat of the other's first partner with the later one, and its word made the other deny the routes that the copy lacks, for up to a second.

Cause: a desired state alone made a sender count as one that knows what is in force. Now a heartbeat states the version only once its sender is itself introduced: by such a host, by being alone, or since nobody has answered for introductionTime. Hosts that all start together answer 503 to unknown routes for that time, as before without a state. A starting host of an earlier release still states it.

TestHostStartedOnCopyDoesNotIntroduce failed before.

--- a/process/partner/message.go
+++ b/process/partner/message.go
@@ -24,7 +24,8 @@
 	// Age is the time since the store last answered a Fresh sender, for the table for which that
 	// is longest ago, and at least minStatedAge. Earlier releases send none, so 0 means unknown.
 	Age time.Duration
-	// StateVersion is the version of the desired state that the sender has in force; 0 means none.
+	// StateVersion is the version of the desired state that the sender has in force; 0 means none, or
+	// that the sender does not know yet what its own partners have.
 	// Earlier releases send none.
 	StateVersion uint64
 	// ReportHold is for how long the reports of live targets may still be missing, as the sender's
--- a/process/partner/readers.go
+++ b/process/partner/readers.go
@@ -85,8 +85,8 @@
 	return g.stateVersion
 }
 
-// Introduced reports whether this host knows what its partners know: one that has a desired state has
-// told it, there is none, or none has answered within introductionTime of the start.
+// Introduced reports whether this host knows what its partners know: one that is introduced itself and
+// has a desired state has told it, there is none, or none has answered within introductionTime of the start.
 func (g *Group) Introduced(now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/process/partner/service.go
+++ b/process/partner/service.go
@@ -29,7 +29,7 @@
 		Fresh: status.Reachable, Age: max(status.Age, minStatedAge), Troubled: status.Failing, ReportHold: status.ReportHold,
 		Positions: make(map[string]uint64), Eras: make(map[string]uint64), Changed: make(map[string]uint64),
 	}
-	if g.opts.StateVersion != nil {
+	if g.opts.StateVersion != nil && g.Introduced(now) {
 		h.StateVersion = g.opts.StateVersion()
 	}
 	if g.opts.StaleRecords != nil {
