Store: one that answers with older reads is available, though its answers confirm nothing

One record said that the store was away, another that it had returned.

Now the answer and the confirmation are recorded apart. TestStoreOfThePastIsAvailable failed before. The tests of older reads no longer contain names of the platform's wire (standin.IsFullRead).

--- a/entry/claim_age_test.go
+++ b/entry/claim_age_test.go
@@ -12,7 +12,7 @@
 	var last time.Time
 	for _, h := range c.hosts {
 		h.storeStatus.mu.Lock()
-		if at := h.storeStatus.tables[table].answeredAt; at.After(last) {
+		if at := h.storeStatus.tables[table].confirmedAt; at.After(last) {
 			last = at
 		}
 		h.storeStatus.mu.Unlock()
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -104,16 +104,18 @@
 	if !h.apply(delta) {
 		return errRefused
 	}
-	if confirms(delta, known) {
-		h.storeSucceeded(table, started)
-	}
+	h.storeSucceeded(table, confirmedAt(delta, known, started))
 	return nil
 }
 
-// confirms reports whether an answer of the store shows that this host's copy of a table is current.
-// One that ends before the position that was known when the call was sent is of an earlier time.
-func confirms(answer mirror.Delta, known mirror.Position) bool {
-	return !mirror.Position{Era: answer.Era, Revision: answer.UpTo}.Lacks(known)
+// confirmedAt returns when an answer of the store that was made at the given time has confirmed this host's
+// copy of a table. One that ends before the position that was known when the call was sent is of an
+// earlier time and confirms nothing; the result is the zero time then.
+func confirmedAt(answer mirror.Delta, known mirror.Position, made time.Time) time.Time {
+	if (mirror.Position{Era: answer.Era, Revision: answer.UpTo}).Lacks(known) {
+		return time.Time{}
+	}
+	return made
 }
 
 func (h *Host) readChanges(ctx context.Context, table string) error {
@@ -132,9 +134,7 @@
 	if !h.apply(delta) {
 		return errRefused
 	}
-	if confirms(delta, known) {
-		h.storeSucceeded(table, latest(started, arrived.Add(-h.storeStatus.delay(table))))
-	}
+	h.storeSucceeded(table, confirmedAt(delta, known, latest(started, arrived.Add(-h.storeStatus.delay(table)))))
 	if len(delta.Records) > 0 {
 		h.group.NotifyNonReaders(ctx)
 	}
@@ -261,9 +261,10 @@
 	return h.group.SinceReader(now)
 }
 
-// storeSucceeded handles a call for a table that the store answered at the given time.
-func (h *Host) storeSucceeded(table string, answered time.Time) {
-	change := h.storeStatus.recordSuccess(table, answered)
+// storeSucceeded handles a call for a table that the store answered. The answer has confirmed this host's
+// copy of the table at the given time; the zero time means that it has not.
+func (h *Host) storeSucceeded(table string, confirmed time.Time) {
+	change := h.storeStatus.recordSuccess(table, confirmed)
 	if change.ReadsStore {
 		evReaderChanged.Log(h.log).Bool("reads", true).Send()
 	}
--- a/entry/late_answer_test.go
+++ b/entry/late_answer_test.go
@@ -110,7 +110,7 @@
 	if err := h.readTable(t.Context(), "op"); err != nil {
 		t.Fatal(err)
 	}
-	if answered := h.storeStatus.tables["op"].answeredAt; answered.Sub(started) > onTheWay/2 {
+	if answered := h.storeStatus.tables["op"].confirmedAt; answered.Sub(started) > onTheWay/2 {
 		t.Errorf("an answer of a read counts from %v after its start, though it was %v on the way", answered.Sub(started), onTheWay)
 	}
 }
--- a/entry/stale_read_test.go
+++ b/entry/stale_read_test.go
@@ -5,10 +5,10 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"testing"
 	"time"
 
+	"quetzalknot/platform/adapter"
 	"quetzalknot/platform/standin"
 )
 
@@ -26,7 +26,7 @@
 	var older []byte
 	h := c.newBehind("front-stale", func(r *http.Response) time.Duration {
 		switch {
-		case !strings.HasSuffix(r.Request.URL.Path, "rows-get"):
+		case !standin.IsFullRead(r.Request, adapter.OperatorTable):
 		case older == nil:
 			older, _ = io.ReadAll(r.Body)
 			setBody(r, older)
@@ -35,22 +35,22 @@
 		}
 		return 0
 	})
-	if err := h.readTable(t.Context(), "op"); err != nil {
+	if err := h.readTable(t.Context(), adapter.OperatorTable); err != nil {
 		t.Fatal(err)
 	}
 	c.store.PutState(standin.DesiredState(2, coldPerSecond))
-	if err := h.readChanges(t.Context(), "op"); err != nil {
+	if err := h.readChanges(t.Context(), adapter.OperatorTable); err != nil {
 		t.Fatal(err)
 	}
 	c.store.PutState(standin.DesiredState(3, coldPerSecond))
-	confirmed := h.storeStatus.tables["op"].answeredAt
-	if err := h.readTable(t.Context(), "op"); err != nil {
+	confirmed := h.storeStatus.tables[adapter.OperatorTable].confirmedAt
+	if err := h.readTable(t.Context(), adapter.OperatorTable); err != nil {
 		t.Fatal(err)
 	}
 	if h.stateVersion() != 2 {
 		t.Fatalf("version %d is in force; want 2", h.stateVersion())
 	}
-	if at := h.storeStatus.tables["op"].answeredAt; at.After(confirmed) {
+	if at := h.storeStatus.tables[adapter.OperatorTable].confirmedAt; at.After(confirmed) {
 		t.Errorf("a read that lacks version 2, which is in force, confirms the state %v after the last answer that showed it", at.Sub(confirmed))
 	}
 }
--- a/entry/storestatus.go
+++ b/entry/storestatus.go
@@ -33,9 +33,9 @@
 	answered bool
 	// down is true if the last call failed.
 	down bool
-	// answeredAt is when the store last answered, which is before the answer arrived, and failedAt
-	// when a call last failed.
-	answeredAt, failedAt time.Time
+	// confirmedAt is when an answer last confirmed this host's copy of the table, which is before the
+	// answer arrived, and failedAt when a call last failed.
+	confirmedAt, failedAt time.Time
 	// readingSince is when this host made its first call since it began to read the table.
 	readingSince time.Time
 	// delay is how late the last response without changes came.
@@ -85,13 +85,14 @@
 	return s.tables[table].delay
 }
 
-// recordSuccess records a call for a table that the store answered at the given time.
-func (s *storeStatus) recordSuccess(table string, answered time.Time) statusChange {
+// recordSuccess records a call for a table that the store answered. The answer has confirmed this host's
+// copy of the table at the given time; the zero time means that it has not.
+func (s *storeStatus) recordSuccess(table string, confirmed time.Time) statusChange {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.tables[table]
 	change := statusChange{Regained: t.down}
-	t.answered, t.down, t.answeredAt = true, false, answered
+	t.answered, t.down, t.confirmedAt = true, false, latest(t.confirmedAt, confirmed)
 	change.ReadsStore = !s.reads && s.allOK()
 	s.reads = s.reads || change.ReadsStore
 	return change
@@ -121,14 +122,14 @@
 	return stopped
 }
 
-// sinceAnswer returns the time since a call for a table was last answered, or since the first
-// call if none was; 0 while this host does not read the table.
+// sinceAnswer returns the time since an answer last confirmed this host's copy of a table, or since the
+// first call if none was answered; 0 while this host does not read the table.
 func (s *storeStatus) sinceAnswer(table string, now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch t := s.tables[table]; {
 	case t.answered:
-		return now.Sub(t.answeredAt)
+		return now.Sub(t.confirmedAt)
 	case !t.readingSince.IsZero():
 		return now.Sub(t.readingSince)
 	default:
@@ -136,7 +137,7 @@
 	}
 }
 
-// age returns the time since the table that was answered longest ago was answered. ok is false
+// age returns the time since the table that was confirmed longest ago was confirmed. ok is false
 // if this host does not read all tables, or its last call for one failed.
 func (s *storeStatus) age(now time.Time) (age time.Duration, ok bool) {
 	s.mu.Lock()
@@ -145,7 +146,7 @@
 		if !t.ok() {
 			return 0, false
 		}
-		age = max(age, now.Sub(t.answeredAt))
+		age = max(age, now.Sub(t.confirmedAt))
 	}
 	return age, true
 }
