Hosts: one whose answers from the store are old is not up to date for good

By the review: a host that got only older reads counted as up to date without end. It lifted the limit for targets that may have turned cold, and hosts that follow it did not read the store themselves. Since older reads confirm nothing, the age that it stated grew, and nobody looked at it.

A host now counts as a reader of the store, for itself and for partners, only up to twice the bound for changes after the last answer that confirmed its state. On a store that answers, that age stays below the bound.

TestNotUpToDateByOldAnswers failed before (up to date by an answer of 5.1 s ago).

--- a/entry/available_test.go
+++ b/entry/available_test.go
@@ -56,3 +56,15 @@
 		t.Errorf("an older read is an answer of %v ago, the last one that confirmed the state was %v ago", after, before)
 	}
 }
+
+// TestNotUpToDateByOldAnswers: a host that gets only older reads must not count as up to date for good, neither
+// for itself nor for partners that follow it.
+func TestNotUpToDateByOldAnswers(t *testing.T) {
+	h := newCluster(t, 1, 1).newReaderOfThePast()
+	for end := time.Now().Add(maxAnswerAge * changeBound); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		requireRead(t, h, adapter.OperatorTable)
+	}
+	if status := h.ownStoreStatus(); h.upToDate() || status.Reachable {
+		t.Errorf("up to date %t, reads the store %t, by an answer of %v ago", h.upToDate(), status.Reachable, status.Age)
+	}
+}
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -21,6 +21,10 @@
 	evReaderChanged = eventlog.Define(1804, zerolog.InfoLevel, "store reader role changed")
 )
 
+// maxAnswerAge is for how long, in bounds for changes, a host counts as one that reads the store after the
+// last answer that confirmed its state.
+const maxAnswerAge = 2
+
 const (
 	// pollWaitShare is the part of the bound for changes that the store may keep a call for
 	// changes open, and pollMarginShare the part that the call may take beyond that. A call
@@ -188,7 +192,7 @@
 func (h *Host) ownStoreStatus() partner.StoreStatus {
 	now := time.Now()
 	age, ok := h.storeStatus.age(now)
-	return partner.StoreStatus{Reachable: ok, Age: age, Failing: h.storeStatus.recentlyFailed(now), ReportHold: h.outage.reportHold(now)}
+	return partner.StoreStatus{Reachable: ok && h.isRecent(age), Age: age, Failing: h.storeStatus.recentlyFailed(now), ReportHold: h.outage.reportHold(now)}
 }
 
 // reportHold returns for how long the reports of live targets may still be missing, since the store
@@ -210,7 +214,16 @@
 
 // upToDate reports whether this host's state follows the store, read by the host itself or
 // by a partner whose changes this host has.
-func (h *Host) upToDate() bool { return h.storeStatus.ok() || h.group.FollowsStore(time.Now()) }
+func (h *Host) upToDate() bool {
+	now := time.Now()
+	age, ok := h.storeStatus.age(now)
+	return ok && h.isRecent(age) || h.group.FollowsStore(now)
+}
+
+// isRecent reports whether a host whose last answer from the store is that old counts as reading it.
+func (h *Host) isRecent(age time.Duration) bool {
+	return age <= maxAnswerAge*time.Duration(h.settings.Load().Bounds.Change)
+}
 
 // stateConfirmed reports whether the store has confirmed this host's state within the bound for
 // changes, in a response to this host or to a partner whose changes this host has. A state that is
