--- a/entry/drain_model_test.go
+++ b/entry/drain_model_test.go
@@ -240,37 +240,45 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	rapid.Check(t, func(t *rapid.T) {
-		m := newDrainModel(t, settings)
-		defer func() { m.close() }()
-		id := rapid.SampledFrom(slices.Sorted(maps.Keys(m.targets)))
-		t.Repeat(map[string]func(*rapid.T){
-			"": func(*rapid.T) { m.check() },
-			"write": func(t *rapid.T) {
-				m.write(id.Draw(t, "target"), rapid.SampledFrom([]string{"ready", "draining", modelGone}).Draw(t, "state"))
-			},
-			"write again": func(t *rapid.T) {
-				if target := id.Draw(t, "target"); m.targets[target].state != modelGone {
-					m.put(target)
-				}
-			},
-			"copy": func(*rapid.T) { m.copy() },
-			"restore": func(t *rapid.T) {
-				if len(m.copies) > 0 {
-					m.restore(rapid.SampledFrom(m.copies).Draw(t, "copy"))
-				}
-			},
-			"read": func(*rapid.T) { m.read() },
-			"poll": func(*rapid.T) { m.poll() },
-			"late answer": func(t *rapid.T) {
-				if len(m.deltas) > 0 {
-					m.apply(rapid.SampledFrom(m.deltas).Draw(t, "delta"))
-				}
-			},
-			"advance": func(t *rapid.T) {
-				m.advance(time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond)
-			},
-			"restart": func(*rapid.T) { m.restart() },
-		})
+	for range drainModelRounds {
+		rapid.Check(t, func(t *rapid.T) { checkDrain(t, settings) })
+	}
+}
+
+// drainModelRounds is the number of rounds of the default number of cases.
+const drainModelRounds = 10
+
+// checkDrain draws and checks one case.
+func checkDrain(t *rapid.T, settings *Settings) {
+	m := newDrainModel(t, settings)
+	defer func() { m.close() }()
+	id := rapid.SampledFrom(slices.Sorted(maps.Keys(m.targets)))
+	t.Repeat(map[string]func(*rapid.T){
+		"": func(*rapid.T) { m.check() },
+		"write": func(t *rapid.T) {
+			m.write(id.Draw(t, "target"), rapid.SampledFrom([]string{"ready", "draining", modelGone}).Draw(t, "state"))
+		},
+		"write again": func(t *rapid.T) {
+			if target := id.Draw(t, "target"); m.targets[target].state != modelGone {
+				m.put(target)
+			}
+		},
+		"copy": func(*rapid.T) { m.copy() },
+		"restore": func(t *rapid.T) {
+			if len(m.copies) > 0 {
+				m.restore(rapid.SampledFrom(m.copies).Draw(t, "copy"))
+			}
+		},
+		"read": func(*rapid.T) { m.read() },
+		"poll": func(*rapid.T) { m.poll() },
+		"late answer": func(t *rapid.T) {
+			if len(m.deltas) > 0 {
+				m.apply(rapid.SampledFrom(m.deltas).Draw(t, "delta"))
+			}
+		},
+		"advance": func(t *rapid.T) {
+			m.advance(time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond)
+		},
+		"restart": func(*rapid.T) { m.restart() },
 	})
 }
