--- a/entry/host.go
+++ b/entry/host.go
@@ -2,9 +2,11 @@
 // state, the targets' reports and the list of hosts from the store and from partners, and
 // serves callers' requests accordingly.
 //
-// host.go starts and stops the components, apply.go applies records of the store and of
-// partners, follow.go reads the store, endpoints.go answers the directory and the
-// readiness check, settings.go holds the settings.
+// host.go starts and stops the components, load.go takes the tables over at the start, taken.go
+// knows when they are, apply.go applies records of the store and of partners, stale.go knows the
+// reports of a restored store that no longer count, follow.go reads the store, outage.go and
+// returned.go know when it was away, endpoints.go answers the directory and the readiness check,
+// settings.go holds the settings.
 package entry
 
 import (
@@ -122,7 +124,11 @@
 
 // New returns a host that has not started. Reload reads the settings from path.
 func New(s *Settings, path string, logs io.Writer) *Host {
-	h := &Host{path: path, lastUnreadyReason: "the host starts", metrics: metrics.NewSet(), mirror: mirror.New(), storeStatus: newStoreStatus(), outage: newOutage(), taken: newTakenTables(), stale: newStaleReports(), rowLost: make(chan struct{}, 1), evacuationHolds: make(map[string]time.Time), logWriter: eventlog.NewAsyncWriter(logs)}
+	h := &Host{
+		path: path, lastUnreadyReason: "the host starts", logWriter: eventlog.NewAsyncWriter(logs), metrics: metrics.NewSet(),
+		mirror: mirror.New(), storeStatus: newStoreStatus(), outage: newOutage(), taken: newTakenTables(), stale: newStaleReports(),
+		rowLost: make(chan struct{}, 1), evacuationHolds: make(map[string]time.Time),
+	}
 	h.settings.Store(s)
 	h.log = eventlog.New(h.logWriter, s.Host.Name)
 	h.self = partner.Member{
@@ -148,7 +154,9 @@
 	h.peers = peer.NewServer(nil)
 	h.group = partner.New(partner.Options{
 		Self: h.self, Tables: adapter.Tables(), Mirror: h.mirror, Apply: h.applyPulled, Crashes: h.crashes,
-		RequestRate: h.rate.perSecond, StoreStatus: h.ownStoreStatus, StateVersion: h.stateVersion, StaleRecords: h.stale.all, IgnoreStale: h.ignoreStale, Client: h.clients, Metrics: h.metrics, Log: h.log, Now: time.Now,
+		RequestRate: h.rate.perSecond, StoreStatus: h.ownStoreStatus, StateVersion: h.stateVersion,
+		StaleRecords: h.stale.all, IgnoreStale: h.ignoreStale,
+		Client: h.clients, Metrics: h.metrics, Log: h.log, Now: time.Now,
 	})
 	h.clients.OnMessage = h.group.CountMessage
 	h.fleet = fleet.New(h.log, h.group.Owns)
