Requests: the test of targets' responses waits for slow machines where no time-out is its subject

Cause: the test gives each route a time-out of 500 ms, which only the silent target needs. Both subtests of the second run took 7.1 s and ended in the same second: the process had stood still for longer than the time-out, and 503 (not run) and 504 were true.

Statuses and runs are required as before.

--- a/request/serve/handler_test.go
+++ b/request/serve/handler_test.go
@@ -115,15 +115,19 @@
 			t.Run(tc.name+path, func(t *testing.T) {
 				t.Parallel()
 				want := map[string]int{"/search/1": tc.safe, "/book/1": tc.unsafe}[path]
+				timeout := waitTimeout
+				if tc.behaviour == standin.Silent {
+					timeout = 500 * time.Millisecond
+				}
 				f := newFixture(t)
 				f.apply(func(c *routes.Config) {
 					for _, r := range c.Routes {
-						r.Timeout = 500 * time.Millisecond
+						r.Timeout = timeout
 					}
 				})
 				f.handler.Log = zerolog.New(io.Discard) // formats the lines
 				backend := f.addTarget("i-1", tc.behaviour, 0)
-				got := f.exchange(head("POST", path, "Content-Length: 4") + "text")
+				got := f.exchange(standin.Head("POST", path, "r1", "", "Content-Length: 4") + "text")
 				if got.status != want || (got.status == 200 && got.body != standin.Body) {
 					t.Errorf("%+v, want status %d", got, want)
 				}
