Connection server: tests of idle connections count from before the connection is opened

Cause: the time began in the test after the connection was opened; the server's idle time begins when it accepts it, which came 1.7 ms earlier here. TestIdleConnectionEnds had the same order. Both count from before the opening now; the bounds are as they were.

--- a/connection/caller/server_test.go
+++ b/connection/caller/server_test.go
@@ -210,9 +210,9 @@
 func TestIdleConnectionEnds(t *testing.T) {
 	h := newTestHandler()
 	s, addr := startServerWithIdle(t, h, 100*time.Millisecond)
+	start := time.Now()
 	c, idle := dial(t, addr), dial(t, addr)
 	c.send(get("/hold/a"))
-	start := time.Now()
 	idle.expectEnd()
 	if took := time.Since(start); took < s.Limits().IdleTimeout || took > waitLimit/2 {
 		t.Errorf("the idle connection ended after %v", took)
--- a/connection/caller/start_test.go
+++ b/connection/caller/start_test.go
@@ -183,8 +183,8 @@
 // TestIdleConnectionWithEmptyLine: a connection on which only an empty line has come is idle.
 func TestIdleConnectionWithEmptyLine(t *testing.T) {
 	s, addr := startServerWithIdle(t, newTestHandler(), 100*time.Millisecond)
-	c := dial(t, addr)
 	start := time.Now()
+	c := dial(t, addr)
 	c.send("\r\n")
 	c.expectEnd()
 	if took := time.Since(start); took < s.Limits().IdleTimeout || took > waitLimit/2 {
