Entry tests: a claim is about the state that is in force after it, not before it

Seen: TestLateAnswerDoesNotConfirmTooLong failed once on an idle machine, in a run of the whole script on (3.19 s, bound 2.5 s); known red since, suspected to be the claim of an answer with records.

Cause: the test's own. It read the version, and asked after that whether the state is confirmed; when the newer version came in between, the claim was about that one. Since a claim waits for an application of records that runs, this is likelier.

Bound and check are as they were; a claim about the older state is missed only if the newer one comes into force before the next statement. The test of a host that starts on a copy had the same order.

--- a/entry/late_answer_test.go
+++ b/entry/late_answer_test.go
@@ -62,8 +62,9 @@
 		c.store.PutState(standin.DesiredState(version, coldPerSecond))
 		acknowledged := time.Now()
 		for h.stateVersion() < uint64(version) && time.Since(acknowledged) < 8*time.Second {
-			if asked := time.Now(); h.stateConfirmed() {
-				worst = max(worst, asked.Sub(acknowledged))
+			asked := time.Now()
+			if confirmed := h.stateConfirmed(); confirmed && h.stateVersion() < uint64(version) {
+				worst = max(worst, asked.Sub(acknowledged)) // the claim was about the older state
 			}
 			time.Sleep(5 * time.Millisecond)
 		}
--- a/entry/started_on_copy_test.go
+++ b/entry/started_on_copy_test.go
@@ -20,7 +20,8 @@
 	h := c.addHost("front-late")
 	c.eventually("the host is ready", h.ready)
 	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
-		if v := h.stateVersion(); v < 2 && h.stateConfirmed() {
+		confirmed := h.stateConfirmed()
+		if v := h.stateVersion(); confirmed && v < 2 {
 			t.Fatalf("a host takes version %d for confirmed; the others have version %d in force", v, c.hosts[0].stateVersion())
 		}
 	}
