Store: an answer with records confirms the state from when its call was sent

Callers could see 404 for an acknowledged route beyond the bound: an answer with records counted from its arrival, less the delay of an earlier answer without any. One that was the first to be long on its way counted as made at its arrival, and a table that changes all the time never shows a delay.

An answer without records was made at the end of its wait, or else at its arrival; one with records at any time since its call. The delay is no longer kept. The price: after a change behind some seconds without one a reader's state is not confirmed for up to 0.4 s, in which unknown routes get 503 in place of 404.

TestAnswerWithRecordsConfirmsFromItsCall failed before (0.90 s after the call, 0.9 s being the way).

--- a/entry/follow.go
+++ b/entry/follow.go
@@ -131,20 +131,30 @@
 	if err != nil {
 		return err
 	}
-	arrived := time.Now()
+	made := started // how long an answer with records was on the way is not known
 	if len(delta.Records) == 0 {
-		h.storeStatus.recordDelay(table, arrived.Sub(started)-wait, arrived)
+		arrived := time.Now()
+		made = earliest(arrived, started.Add(wait))
+		h.storeStatus.recordDelay(arrived.Sub(made), arrived)
 	}
 	if !h.apply(delta) {
 		return errRefused
 	}
-	h.storeSucceeded(table, confirmedAt(delta, known, latest(started, arrived.Add(-h.storeStatus.delay(table)))))
+	h.storeSucceeded(table, confirmedAt(delta, known, made))
 	if len(delta.Records) > 0 {
 		h.group.NotifyNonReaders(ctx)
 	}
 	return nil
 }
 
+// earliest returns the earlier of two times.
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // latest returns the later of two times.
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
--- a/entry/late_answer_test.go
+++ b/entry/late_answer_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"quetzalknot/platform/adapter"
 	"quetzalknot/platform/standin"
 )
 
@@ -108,10 +109,34 @@
 	const onTheWay = 600 * time.Millisecond
 	h := c.newBehind("front-far", func(*http.Response) time.Duration { return onTheWay })
 	started := time.Now()
-	if err := h.readTable(t.Context(), "op"); err != nil {
+	if err := h.readTable(t.Context(), adapter.OperatorTable); err != nil {
 		t.Fatal(err)
 	}
-	if answered := h.storeStatus.tables["op"].confirmedAt; answered.Sub(started) > onTheWay/2 {
+	if answered := h.storeStatus.tables[adapter.OperatorTable].confirmedAt; answered.Sub(started) > onTheWay/2 {
 		t.Errorf("an answer of a read counts from %v after its start, though it was %v on the way", answered.Sub(started), onTheWay)
 	}
 }
+
+// TestAnswerWithRecordsConfirmsFromItsCall: how long an answer with records was on the way is not known, so
+// it says nothing about the time after its call was sent.
+func TestAnswerWithRecordsConfirmsFromItsCall(t *testing.T) {
+	const onTheWay = 900 * time.Millisecond
+	c := newCluster(t, 1, 1)
+	var far atomic.Bool
+	h := c.newBehind("front-far", func(*http.Response) time.Duration {
+		if far.Load() {
+			return onTheWay
+		}
+		return 0
+	})
+	requireRead(t, h, adapter.OperatorTable)
+	c.store.PutState(standin.DesiredState(2, coldPerSecond))
+	far.Store(true)
+	started := time.Now()
+	if err := h.readChanges(t.Context(), adapter.OperatorTable); err != nil {
+		t.Fatal(err)
+	}
+	if at := h.storeStatus.tables[adapter.OperatorTable].confirmedAt; at.Sub(started) > onTheWay/2 {
+		t.Errorf("an answer with records counts from %v after its call, though it was %v on the way", at.Sub(started), onTheWay)
+	}
+}
--- a/entry/storestatus.go
+++ b/entry/storestatus.go
@@ -38,8 +38,6 @@
 	confirmedAt, failedAt time.Time
 	// readingSince is when this host made its first call since it began to read the table.
 	readingSince time.Time
-	// delay is how late the last response without changes came.
-	delay time.Duration
 }
 
 // statusChange says what a successful call has changed.
@@ -67,24 +65,15 @@
 	}
 }
 
-// recordDelay records by how much a response without changes came later than the wait that it was
-// asked for.
-func (s *storeStatus) recordDelay(table string, delay time.Duration, now time.Time) {
+// recordDelay records how late a response without changes came.
+func (s *storeStatus) recordDelay(delay time.Duration, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.tables[table].delay = max(0, delay)
 	if delay > slowResponse {
 		s.slowAt = now
 	}
 }
 
-// delay returns how late the last response without changes for a table came.
-func (s *storeStatus) delay(table string) time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.tables[table].delay
-}
-
 // recordSuccess records a call for a table that the store answered. The answer has confirmed this host's
 // copy of the table at the given time; the zero time means that it has not.
 func (s *storeStatus) recordSuccess(table string, confirmed time.Time) statusChange {
