Targets: a held one is not dropped on the word of a partner whose changes are lacking

Callers of a host that can read neither the store nor its partners' changes, while heartbeats pass, lost a live target whose report was written again: its hold ended, and a partner that reads the store counted as able to read the report.

The partner's word counts only once this host has its changes. What an outage says of held targets is now read in one step, since an answer between two questions could drop a target too early (by reading).

--- a/entry/late_return_test.go
+++ b/entry/late_return_test.go
@@ -30,7 +30,10 @@
 	returned := time.Now()
 	c.eventually("the target is held", func() bool { return late.fleet.Count("missing", time.Now()) == 1 })
 	c.endpoints[1].SetFaults(standin.StoreFaults{})
-	c.eventually("the late host reads the store", func() bool { return !late.outage.reportsUnread() })
+	c.eventually("the late host reads the store", func() bool {
+		unread, _ := late.outage.heldReports(time.Now())
+		return !unread
+	})
 	c.eventually("the target is dropped", func() bool { return late.fleet.Size() == 1 })
 	if took := time.Since(returned); took > changeBound {
 		t.Errorf("a target that had left got requests until %v after the store's return; at most %v are allowed", took, changeBound)
--- a/entry/outage.go
+++ b/entry/outage.go
@@ -65,19 +65,12 @@
 	return !was && o.away()
 }
 
-// readHold returns for how long the targets that are held must stay, since their reports can be
-// written again only once they can be read again.
-func (o *outage) readHold(now time.Time) time.Duration {
+// heldReports reports whether the last call for the targets' reports failed, and for how long the targets
+// that are held must stay else, since their reports can be written again only once they can be read.
+func (o *outage) heldReports(now time.Time) (unread bool, hold time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return max(0, o.readAgainAt.Add(missingReportHold).Sub(now))
-}
-
-// reportsUnread reports whether the last call for the targets' reports failed.
-func (o *outage) reportsUnread() bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.lacks(adapter.TargetTable)
+	return o.lacks(adapter.TargetTable), max(0, o.readAgainAt.Add(missingReportHold).Sub(now))
 }
 
 // lacks reports whether the last call for a table failed, and no later one for the targets' reports
--- a/entry/returned.go
+++ b/entry/returned.go
@@ -65,12 +65,14 @@
 }
 
 // removeExpired drops the held targets whose hold has ended, unless neither this host nor a partner
-// can read the targets' reports, or the store has returned too lately for them to be written again.
+// whose changes this host has can read the targets' reports, or the store has returned too lately for
+// them to be written again.
 func (h *Host) removeExpired(now time.Time) {
-	if h.holdSinceReturn(h.outage.readHold(now), now) > 0 {
+	unread, hold := h.outage.heldReports(now)
+	if h.holdSinceReturn(hold, now) > 0 {
 		return
 	}
-	if _, read := h.group.ReportHold(now); read || !h.outage.reportsUnread() {
+	if _, read := h.group.ReportHoldAfter(now, time.Time{}); read || !unread {
 		h.fleet.RemoveExpired(now)
 	}
 }
--- a/entry/unread_holds_test.go
+++ b/entry/unread_holds_test.go
@@ -51,3 +51,23 @@
 	c.endpoints[0].SetFaults(standin.StoreFaults{})
 	c.eventually("the target has its report", func() bool { return h.fleet.Count("ready", time.Now()) == 2 })
 }
+
+// TestHeldTargetNotDroppedWithoutChangesOfPartner guards against the loss of a live target whose report is
+// missing, at a host that can read neither the store nor the changes of the partners that do.
+func TestHeldTargetNotDroppedWithoutChangesOfPartner(t *testing.T) {
+	c := newCluster(t, 2, 1)
+	h := c.hosts[0]
+	c.endpoints[0].SetFaults(standin.StoreFaults{Refuse: 503})
+	c.eventually("the store is unavailable", func() bool { return !h.storeStatus.ok() })
+	c.store.RemoveTarget("i-1")
+	c.endpoints[0].SetFaults(standin.StoreFaults{})
+	c.eventually("the target is held", func() bool { return h.fleet.Count("missing", time.Now()) == 1 })
+	c.endpoints[0].SetFaults(standin.StoreFaults{Refuse: 503})
+	const ahead = 1 << 40
+	c.pretendReaders(h, ahead, time.Millisecond)
+	c.store.PutTarget("i-1", c.targets[1].Report("bokun", "no-gler", "ready", 2))
+	time.Sleep(2 * missingReportHold)
+	if h.fleet.Size() != 2 {
+		t.Error("a live target was dropped although its new report could not be read")
+	}
+}
