--- a/entry/apply.go
+++ b/entry/apply.go
@@ -140,7 +140,7 @@
 // left may be that of the copy; it does not count, and partners are told.
 func (h *Host) applyTarget(r mirror.Record, era uint64, now time.Time, restored bool) {
 	at := mirror.Position{Era: era, Revision: r.Revision}
-	stale := h.stale.contains(r.Key, at)
+	h.stale.replace(r.Key, at)
 	if r.Removed {
 		hold := h.restoredHold(now)
 		if !restored {
@@ -149,7 +149,7 @@
 		h.fleet.Remove(r.Key, now, hold)
 		return
 	}
-	if stale {
+	if h.stale.contains(r.Key, at) {
 		h.fleet.Remove(r.Key, now, 0)
 		return
 	}
--- a/entry/stale.go
+++ b/entry/stale.go
@@ -39,16 +39,21 @@
 	return true
 }
 
-// contains reports whether the report of a target at a position is stale. If not, one that is known to be
-// stale has been replaced, and is forgotten.
+// contains reports whether the report of a target at a position is stale.
 func (s *staleReports) contains(target string, at mirror.Position) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	known, ok := s.positions[target]
-	if ok && known.Lacks(at) {
+	return ok && known == at
+}
+
+// replace forgets the stale report of a target that has one at a later position.
+func (s *staleReports) replace(target string, at mirror.Position) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if known, ok := s.positions[target]; ok && known.Lacks(at) {
 		delete(s.positions, target)
 	}
-	return ok && known == at
 }
 
 // enterEra forgets the reports of the eras before the given one.
--- a/entry/stale_test.go
+++ b/entry/stale_test.go
@@ -40,7 +40,7 @@
 	s := newStaleReports()
 	s.add("i-1", mirror.Position{Era: 2, Revision: 7})
 	s.add("i-2", mirror.Position{Era: 2, Revision: 7})
-	s.contains("i-1", mirror.Position{Era: 2, Revision: 8})
+	s.replace("i-1", mirror.Position{Era: 2, Revision: 8})
 	if got := s.all(); len(got) != 1 || got[0].Key != "i-2" {
 		t.Errorf("after a later report: %v", got)
 	}
--- a/process/partner/brief.go
+++ b/process/partner/brief.go
@@ -152,11 +152,16 @@
 
 // setHasWhole records whether a host takes short heartbeats of this host.
 func (g *Group) setHasWhole(m Member, has bool) {
+	g.updateMember(m, func(s *memberState) { s.hasWhole = has })
+}
+
+// updateMember changes what is known of a host, unless it has started again since.
+func (g *Group) updateMember(m Member, change func(*memberState)) {
 	now := g.opts.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if s := g.addMember(m, now); s != nil {
-		s.hasWhole = has
+		change(s)
 	}
 }
 
@@ -185,10 +190,5 @@
 
 // setTold records that a host was sent a whole heartbeat of a number.
 func (g *Group) setTold(m Member, number uint64) {
-	now := g.opts.Now()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if s := g.addMember(m, now); s != nil {
-		s.told = number
-	}
+	g.updateMember(m, func(s *memberState) { s.told = number })
 }
--- a/process/partner/partner.go
+++ b/process/partner/partner.go
@@ -134,8 +134,8 @@
 	startedAt    time.Time
 	// stateVersion is the latest version of the desired state that a partner had in force.
 	stateVersion uint64
-	// heard is true once a heartbeat or reply of another host that has a desired state in force has
-	// arrived, and listed once all members that the store lists were added.
+	// heard is true once a heartbeat or reply has arrived that states the version of the desired state, and
+	// listed once all members that the store lists were added.
 	heard, listed bool
 	// hasMembers is true once the members were taken over from another host.
 	hasMembers bool
@@ -230,10 +230,11 @@
 		readers = g.readers()
 	}
 	g.sendHeartbeats(ctx, func(m Member) bool {
+		recent := recentContact
 		if readers[m.Name] {
-			return !g.seenWithin(m, recentReaderContact)
+			recent = recentReaderContact
 		}
-		return !g.seenWithin(m, recentContact)
+		return !g.seenWithin(m, recent)
 	})
 }
 
--- a/process/partner/readers.go
+++ b/process/partner/readers.go
@@ -137,26 +137,21 @@
 // what the partners say that reported within readerTimeout that they read the store. ok is false
 // if there is none.
 func (g *Group) ReportHold(now time.Time) (hold time.Duration, ok bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, s := range g.members {
-		if s.readsStore(now) && (!ok || s.holdLeft(now) < hold) {
-			hold, ok = s.holdLeft(now), true
-		}
-	}
-	return hold, ok
+	return g.leastHold(now, func(*memberState) bool { return true })
 }
 
 // ReportHoldAfter is ReportHold of the partners that the store answered after a time and whose
 // changes this host has.
 func (g *Group) ReportHoldAfter(now, after time.Time) (hold time.Duration, ok bool) {
+	return g.leastHold(now, func(s *memberState) bool { return s.answeredAfter(after) && g.hasAll(s.readPositions) })
+}
+
+// leastHold is ReportHold of the partners that count.
+func (g *Group) leastHold(now time.Time, counts func(*memberState) bool) (hold time.Duration, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, s := range g.members {
-		if !s.readsStore(now) || !s.answeredAfter(after) || !g.hasAll(s.readPositions) {
-			continue
-		}
-		if !ok || s.holdLeft(now) < hold {
+		if s.readsStore(now) && counts(s) && (!ok || s.holdLeft(now) < hold) {
 			hold, ok = s.holdLeft(now), true
 		}
 	}
--- a/process/partner/resend_test.go
+++ b/process/partner/resend_test.go
@@ -62,3 +62,43 @@
 		}
 	})
 }
+
+// lossyClient loses the reply to the next whole heartbeat.
+type lossyClient struct {
+	networkClient
+	loses bool
+}
+
+// Call implements peer.RPCClient.
+func (c *lossyClient) Call(ctx context.Context, addr, method string, args, reply any) error {
+	_, whole := args.(*Heartbeat)
+	if !whole || !c.loses {
+		return c.networkClient.Call(ctx, addr, method, args, reply)
+	}
+	c.loses = false
+	_ = c.networkClient.Call(ctx, addr, method, args, new(Heartbeat))
+	return errCut
+}
+
+// TestStaleRecordsReachHostThatLostReply: a host that asks must be told even if the reply that told it was
+// lost.
+func TestStaleRecordsReachHostThatLostReply(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &testNetwork{groups: make(map[string]*Group), cutLinks: make(map[string]bool)}
+		asking, finder := n.add("a", "r", 1), n.add("b", "r", 1)
+		told := 0
+		asking.opts.IgnoreStale = func([]StaleRecord) { told++ }
+		client := &lossyClient{networkClient: asking.opts.Client.(networkClient)}
+		asking.opts.Client = client
+		asking.sendHeartbeat(t.Context(), finder.opts.Self)
+		finder.opts.StaleRecords = func() []StaleRecord { return []StaleRecord{{Key: "i-1", Era: 2, Revision: 7}} }
+		finder.ResendWhole()
+		client.loses = true
+		for range 2 {
+			asking.sendHeartbeat(t.Context(), finder.opts.Self)
+		}
+		if told != 1 {
+			t.Errorf("told %d times after a lost reply and a further heartbeat, want once", told)
+		}
+	})
+}
--- a/tools/soak/checker.go
+++ b/tools/soak/checker.go
@@ -70,7 +70,8 @@
 	checker := &checker{
 		cluster: c, processes: newDisturbances(len(c.hosts)), states: newDisturbances(len(c.hosts)),
 		reportedNotRun: make(map[string]bool), maxRuns: make(map[string]int), stopping: make(map[int]bool),
-		departed: make(map[string]bool)}
+		departed: make(map[string]bool),
+	}
 	checker.stalls = newStallMonitor(c.hosts, checker.isSettled)
 	for _, t := range c.targets {
 		t.Observe(func(id string) { checker.checkDeparture(t.ID, id) })
--- a/tools/soak/cluster.go
+++ b/tools/soak/cluster.go
@@ -168,10 +168,13 @@
 	return h.process != nil && h.generation == generation
 }
 
+// readinessURL returns the URL of the host's readiness check.
+func (h *host) readinessURL() string { return "http://" + h.ready + "/-/readiness" }
+
 // isReady reports whether the host's readiness check succeeds.
 func (h *host) isReady() bool {
 	client := http.Client{Timeout: readyTimeout}
-	resp, err := client.Get("http://" + h.ready + "/-/readiness")
+	resp, err := client.Get(h.readinessURL())
 	if err != nil {
 		return false
 	}
--- a/tools/soak/stalls.go
+++ b/tools/soak/stalls.go
@@ -95,7 +95,7 @@
 func (m *hostMonitor) checkReadiness(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, maxCheckTime)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.host.ready+"/-/readiness", http.NoBody)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, m.host.readinessURL(), http.NoBody)
 	if err != nil {
 		return
 	}
