--- a/request/serve/finish.go
+++ b/request/serve/finish.go
@@ -123,7 +123,7 @@
 	if q.config != nil {
 		line = line.Uint64("version", q.config.Version)
 	}
-	if q.route == nil && q.config != nil && q.h.StateAge != nil {
+	if q.config != nil && q.h.StateAge != nil {
 		line = line.Int64("state_age_ms", q.h.StateAge().Milliseconds())
 	}
 	if q.route != nil {
--- a/request/serve/serve.go
+++ b/request/serve/serve.go
@@ -38,8 +38,8 @@
 	Headers HeaderCodec
 	// UpToDate reports whether the configuration is known to be the newest.
 	UpToDate func() bool
-	// StateAge returns the time since the configuration was last confirmed, for the log lines
-	// of requests without a route. May be nil.
+	// StateAge returns the time since the store last confirmed the configuration and the targets'
+	// reports, for the log lines of requests. May be nil.
 	StateAge func() time.Duration
 	Metrics  *metrics.Set
 	Log      zerolog.Logger
