--- a/entry/unanswered_test.go
+++ b/entry/unanswered_test.go
@@ -63,3 +63,25 @@
 		t.Errorf("a request on a route that may have been added got status %d, want 503", got.Status)
 	}
 }
+
+// TestRemovalInForceAfterUnansweredCall guards against calls for changes that the store never answers
+// and that hide the targets that leave later.
+func TestRemovalInForceAfterUnansweredCall(t *testing.T) {
+	c := newCluster(t, 3, 3)
+	c.awaitUnansweredCalls(2, adapter.OperatorTable, adapter.TargetTable)
+	c.silence()
+	c.store.PutTarget("i-1", c.targets[1].Report("bokun", "no-gler", "draining", 3))
+	c.store.RemoveTarget("i-2")
+	acknowledged := time.Now()
+	c.eventually("only one target is used", func() bool {
+		for _, h := range c.hosts {
+			if h.fleet.Count("ready", time.Now()) != 1 {
+				return false
+			}
+		}
+		return true
+	})
+	if took := time.Since(acknowledged); took > changeBound {
+		t.Errorf("targets that had left were used for %v; at most %v are allowed", took, changeBound)
+	}
+}
