Targets: one that says in a response that it is leaving gets no more requests of this host

What callers saw: nothing yet; a target in need of leaving got requests until the store's list said so, which may be never while the store is away. Cause: the header Server-Leaving was not read. It is read now from a target's own responses and health checks, never from a response that belongs to another request or comes from another process (421). The notice stays with the target's start: its report, the report's removal and return, or an invalid one do not end it, a later start does.

--- a/process/fleet/check.go
+++ b/process/fleet/check.go
@@ -36,6 +36,8 @@
 	// ColdRemaining is the remaining duration of the target's cold start.
 	ColdRemaining time.Duration
 	Load          *Load
+	// Notice is what the target said of itself, if it is Reachable.
+	Notice Notice
 }
 
 // RecordCheck records the result of a health check. A failed check doubles the delay before
@@ -51,6 +53,9 @@
 		}
 		t.applyLoadReport(*h.Load, now)
 	}
+	if h.Reachable {
+		f.applyNotice(t, h.Notice, now)
+	}
 	if !h.Reachable || !h.Healthy {
 		t.nextCheckAt = now.Add(t.checkDelay)
 		t.checkDelay = min(maxCheckDelay, 2*t.checkDelay)
--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -5,7 +5,8 @@
 // hosts (its owners) send to it, each at a bounded rate.
 //
 // fleet.go handles the targets' reports and evacuations, target.go holds the state and the
-// estimates of one target, and check.go schedules health checks.
+// estimates of one target, notice.go what targets say of themselves in responses, and check.go
+// schedules health checks.
 package fleet
 
 import (
@@ -34,6 +35,8 @@
 	evacuated map[string]bool
 	// departed holds the last reports of targets that were removed.
 	departed departures
+	// noticesKept holds the notices of targets that were removed.
+	noticesKept keptNotices
 	// owns reports whether this host is among the given number of owners of a target.
 	owns func(id string, owners int) bool
 	// generation changes when targets are added, removed or start to leave, or their slots
@@ -61,8 +64,8 @@
 func New(log zerolog.Logger, owns func(id string, owners int) bool) *Fleet {
 	return &Fleet{
 		log: log, owns: owns,
-		departed: make(departures),
-		targets:  make(map[string]*Target), byService: make(map[string][]*Target), evacuated: make(map[string]bool),
+		departed: make(departures), noticesKept: make(keptNotices),
+		targets: make(map[string]*Target), byService: make(map[string][]*Target), evacuated: make(map[string]bool),
 	}
 }
 
@@ -106,12 +109,17 @@
 
 // replace adds a target, in place of an earlier one of the same identity.
 func (f *Fleet) replace(e Entry, now time.Time) {
+	said := f.noticesKept.take(e)
 	if old := f.targets[e.ID]; old != nil {
+		if old.Born == e.Born {
+			said = old.notices
+		}
 		old.Leaving = true
 		f.removeFromService(old)
 	}
 	f.generation++
 	t := newTarget(e, now)
+	t.notices, t.Leaving = said, e.Leaving || said.leaving
 	if f.firstTargetAt.IsZero() {
 		f.firstTargetAt = now
 	}
@@ -126,6 +134,7 @@
 
 // update applies a newer report to a known target.
 func (f *Fleet) update(t *Target, e Entry, now time.Time) {
+	e.Leaving = e.Leaving || t.notices.leaving
 	changed := t.Leaving != e.Leaving || !t.removeAt.IsZero()
 	if t.Service != e.Service || t.Addr != e.Addr {
 		f.replace(e, now)
@@ -178,6 +187,7 @@
 }
 
 func (f *Fleet) drop(t *Target, now time.Time) {
+	f.noticesKept.add(t, now)
 	t.Leaving = true
 	f.generation++
 	delete(f.targets, t.ID)
@@ -311,6 +321,7 @@
 	defer f.Unlock()
 	wasDown, slots := t.down, t.Slots
 	t.end(number, o, now)
+	f.applyNotice(t, o.Notice, now)
 	if t.Slots != slots {
 		f.generation++
 	}
--- a/process/fleet/target.go
+++ b/process/fleet/target.go
@@ -131,6 +131,8 @@
 	// sendTimes holds the times of the requests sent within sendRateWindow before the last
 	// one, oldest first, at most maxSendTimes.
 	sendTimes []time.Time
+	// notices are what the target has said of itself in responses.
+	notices notices
 	// joined targets are newcomers: they were added after the host's own start had
 	// settled.
 	joined bool
@@ -329,6 +331,8 @@
 	Latency time.Duration
 	// Load is the target's load report; nil when the response has none.
 	Load *Load
+	// Notice is what the target said of itself in the response.
+	Notice Notice
 }
 
 // end records the outcome of a request.
--- a/request/serve/attempt.go
+++ b/request/serve/attempt.go
@@ -103,6 +103,9 @@
 	own := headers.MatchesRequest || !call.Reused
 	moved := own && headers.WrongTarget && headers.Target != choice.ID // the expected target's own 421 is a response
 	notRun := own && headers.NotRun
+	if own && !headers.WrongTarget {
+		outcome.Notice = headers.Notice
+	}
 	if !headers.MatchesRequest {
 		resp.Close = true // the response to this request may follow
 	}
@@ -135,7 +138,7 @@
 	if err != nil {
 		_ = resp.Body.Close()
 		res, out := q.classifyFailure(ctx, choice, err)
-		out.Load = outcome.Load
+		out.Load, out.Notice = outcome.Load, outcome.Notice
 		return res, out
 	}
 	outcome.Failed = resp.StatusCode >= http.StatusInternalServerError
--- a/request/serve/headers.go
+++ b/request/serve/headers.go
@@ -33,6 +33,8 @@
 	// not been re-encoded on the way.
 	Stamped bool
 	Load    *fleet.Load
+	// Notice is what the target says of itself.
+	Notice fleet.Notice
 }
 
 // HeaderCodec converts between HTTP headers and the types of this package.
