--- a/process/fleet/notice.go
+++ b/process/fleet/notice.go
@@ -21,6 +21,16 @@
 type Notice struct {
 	// Leaving says that the target is leaving.
 	Leaving bool
+	// Limit is the limit of requests that the target names, if any.
+	Limit Limit
+}
+
+// Limit is how many requests a target takes from all hosts together, as a response names it.
+type Limit struct {
+	// Named is true if the response names a limit.
+	Named bool
+	// PerSecond is the limit in requests a second.
+	PerSecond float64
 }
 
 // notices are what a target has said of itself since its start.
@@ -28,19 +38,23 @@
 	// leaving is true once the target has said that it is leaving. A target that leaves does not stay;
 	// its next start is another target.
 	leaving bool
+	// limit is the limit that the target names.
+	limit Limit
 }
 
 // any reports whether the target has said anything that counts.
-func (n notices) any() bool { return n.leaving }
+func (n notices) any() bool { return n.leaving || n.limit.Named }
 
 // applyNotice applies a notice of a target. The lock must be held.
 func (f *Fleet) applyNotice(t *Target, n Notice, now time.Time) {
-	if !n.Leaving || t.notices.leaving {
+	before := t.notices
+	t.notices.leaving = before.leaving || n.Leaving
+	t.notices.limit = n.Limit
+	if t.notices == before {
 		return
 	}
-	t.notices.leaving = true
-	evNotice.Log(f.log).Str("target", t.ID).Bool("leaving", true).Send()
-	if t.Leaving {
+	f.logNotices(t)
+	if !t.notices.leaving || t.Leaving {
 		return
 	}
 	t.Leaving = true
@@ -48,6 +62,14 @@
 	f.logState(t, now)
 }
 
+func (f *Fleet) logNotices(t *Target) {
+	line := evNotice.Log(f.log).Str("target", t.ID).Bool("leaving", t.notices.leaving)
+	if t.notices.limit.Named {
+		line = line.Float64("limit_per_second", t.notices.limit.PerSecond)
+	}
+	line.Send()
+}
+
 // keptNotices holds the notices of removed targets by their identities.
 type keptNotices map[string]keptNotice
 
