Targets: one that turns a request away with Retry-After gets none of this host for so long

Cause: Retry-After of a target's 503 was not read. It is one more of a target's notices: the target is not chosen and not checked until its latest pause has ended, also when its report was gone meanwhile. Callers of a service all of whose targets ask for a pause are told to come back when the first has ended.

--- a/process/fleet/check.go
+++ b/process/fleet/check.go
@@ -12,13 +12,14 @@
 
 // DueChecks returns the health checks that are due and marks them as running. Only targets
 // that are down or may be cold are checked; for the others the outcomes of requests are
-// enough. To a target that names a limit a check is a request like others.
+// enough. To a target that names a limit a check is a request like others, and one
+// that asks for a pause is not checked in it.
 func (f *Fleet) DueChecks(now time.Time) []Check {
 	f.Lock()
 	defer f.Unlock()
 	var due []Check
 	for _, t := range f.targets {
-		if t.checking || t.Leaving || !(t.down || t.maybeCold) || now.Before(t.nextCheckAt) {
+		if t.checking || t.Leaving || t.notices.paused(now) || !(t.down || t.maybeCold) || now.Before(t.nextCheckAt) {
 			continue
 		}
 		if t.notices.limit.named {
--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -276,12 +276,30 @@
 // Usable reports whether this host may send a new request to the target now. The lock must
 // be held.
 func (f *Fleet) Usable(t *Target, now time.Time) bool {
-	if t.Leaving || t.down || f.evacuated[t.FailureDomain] {
+	if t.Leaving || t.down || t.notices.paused(now) || f.evacuated[t.FailureDomain] {
 		return false
 	}
 	return f.quotas(t, now, func(q quota) bool { return f.allows(t, q, now) })
 }
 
+// PauseLeft returns the time until the first of a service's targets wants requests of this host again. It is
+// 0 unless all those that it could use otherwise have asked for a pause.
+func (f *Fleet) PauseLeft(service string, now time.Time) time.Duration {
+	f.Lock()
+	defer f.Unlock()
+	left := time.Duration(0)
+	for _, t := range f.byService[service] {
+		switch {
+		case t.Leaving || t.down || f.evacuated[t.FailureDomain]:
+		case !t.notices.paused(now):
+			return 0
+		case left == 0 || t.notices.pausedUntil.Sub(now) < left:
+			left = t.notices.pausedUntil.Sub(now)
+		}
+	}
+	return left
+}
+
 // LimitSendRate bounds how many requests per second this host sends to each target of a
 // service, until LiftSendRateLimit. It is used while reports may be out of date: a target
 // may then have become cold without this host knowing of it. A bound above maxSendTimes has
@@ -359,7 +377,7 @@
 }
 
 // States are the state names that Count accepts.
-var States = []string{"ready", "cold", "down", "leaving", "missing", "limited"}
+var States = []string{"ready", "cold", "down", "leaving", "missing", "paused", "limited"}
 
 // Count returns the number of targets in a state.
 func (f *Fleet) Count(state string, now time.Time) int64 {
@@ -390,6 +408,8 @@
 		return "leaving"
 	case t.down:
 		return "down"
+	case t.notices.paused(now):
+		return "paused"
 	case t.IsCold(now):
 		return "cold"
 	case t.notices.limit.named:
--- a/process/fleet/limit.go
+++ b/process/fleet/limit.go
@@ -148,7 +148,7 @@
 
 func (f *Fleet) applyStatement(t *Target, s StatedLimit, now time.Time) {
 	if t.notices.limit.apply(s, now) {
-		f.logNotices(t, "partner")
+		f.logNotices(t, "partner", now)
 		f.tellLimits(t)
 	}
 }
--- a/process/fleet/notice.go
+++ b/process/fleet/notice.go
@@ -15,6 +15,8 @@
 	noticeRetention = 10 * time.Minute
 	// maxKeptNotices bounds the removed targets whose notices are kept.
 	maxKeptNotices = 4096
+	// maxPause is the longest pause that a target may ask for.
+	maxPause = 24 * time.Hour
 )
 
 // Notice is what a target says of itself in one response, besides its load.
@@ -23,6 +25,8 @@
 	Leaving bool
 	// Limit is the limit of requests that the target names, if any.
 	Limit Limit
+	// Pause is for how long the target wants no requests of this host; 0 if it does not say so.
+	Pause time.Duration
 }
 
 // notices are what a target has said of itself since its start.
@@ -32,18 +36,33 @@
 	leaving bool
 	// limit is the limit that the target names.
 	limit limitState
+	// pausedUntil is when the target wants requests of this host again.
+	pausedUntil time.Time
 }
 
 // any reports whether the target has said anything that counts.
-func (n notices) any() bool { return n.leaving || !n.limit.at.IsZero() }
+func (n notices) any() bool { return n.leaving || !n.limit.at.IsZero() || !n.pausedUntil.IsZero() }
+
+// paused reports whether the target wants no requests of this host now.
+func (n notices) paused(now time.Time) bool { return now.Before(n.pausedUntil) }
+
+// pause lets the target get no requests for a time, at most maxPause. It returns true if that begins.
+func (n *notices) pause(d time.Duration, now time.Time) bool {
+	begins := d > 0 && !n.paused(now)
+	if until := now.Add(min(d, maxPause)); until.After(n.pausedUntil) && d > 0 {
+		n.pausedUntil = until
+	}
+	return begins
+}
 
 // applyNotice applies a notice in the response to a request that was sent at a time. The lock must be held.
 func (f *Fleet) applyNotice(t *Target, n Notice, sentAt, now time.Time) {
 	leaves := n.Leaving && !t.notices.leaving
 	t.notices.leaving = t.notices.leaving || n.Leaving
 	limited := t.notices.limit.respond(n.Limit, sentAt, now)
-	if leaves || limited {
-		f.logNotices(t, "response")
+	pauses := t.notices.pause(n.Pause, now)
+	if leaves || limited || pauses {
+		f.logNotices(t, "response", now)
 	}
 	if limited {
 		f.tellLimits(t)
@@ -57,11 +76,14 @@
 }
 
 // logNotices logs what a target says of itself; by says how this host knows it.
-func (f *Fleet) logNotices(t *Target, by string) {
+func (f *Fleet) logNotices(t *Target, by string, now time.Time) {
 	line := evNotice.Log(f.log).Str("target", t.ID).Str("by", by).Bool("leaving", t.notices.leaving)
 	if t.notices.limit.named {
 		line = line.Float64("limit_per_second", t.notices.limit.perSecond)
 	}
+	if t.notices.paused(now) {
+		line = line.Int64("pause_ms", t.notices.pausedUntil.Sub(now).Milliseconds())
+	}
 	line.Send()
 }
 
--- a/process/fleet/notice_test.go
+++ b/process/fleet/notice_test.go
@@ -81,3 +81,47 @@
 		t.Errorf("%d kept after their retention, want 1", len(k))
 	}
 }
+
+// TestPauseOfTarget: a target must get neither requests nor health checks while it asks for a pause, a later and
+// shorter one must not end it, and callers must be told when the first target wants requests again.
+func TestPauseOfTarget(t *testing.T) {
+	f := newFleet()
+	f.Upsert(entry("t", nil), start)
+	f.Upsert(entry("other", nil), start)
+	pause := func(index int, d time.Duration, now time.Time) {
+		f.Lock()
+		target := f.Service("bokun")[index]
+		f.Unlock()
+		respond(f, target, Notice{Pause: d}, now, now)
+	}
+	pause(0, 10*time.Second, start)
+	pause(0, time.Second, seconds(1))
+	pause(0, 0, seconds(1))
+	if left := f.PauseLeft("bokun", seconds(2)); left != 0 {
+		t.Errorf("callers are told to wait %v for a service with a target without a pause", left)
+	}
+	f.MarkDown(first(f), start)
+	if n := len(f.DueChecks(seconds(9))); n != 0 {
+		t.Errorf("%d health checks in the pause", n)
+	}
+	f.RecordCheck(f.DueChecks(seconds(10))[0], Health{Reachable: true, Healthy: true}, seconds(10))
+	pause(0, 5*time.Second, seconds(10))
+	pause(1, 3*time.Second, seconds(10))
+	if ids := usable(f, seconds(12)); len(ids) > 0 {
+		t.Errorf("%v are used in their pauses", ids)
+	}
+	if left := f.PauseLeft("bokun", seconds(12)); left != time.Second {
+		t.Errorf("callers are told to wait %v, want 1s", left)
+	}
+	if ids := usable(f, seconds(13)); len(ids) != 1 || ids[0] != "other" {
+		t.Errorf("%v are used, want the one whose pause has ended", ids)
+	}
+	f.Discard("t", seconds(13))
+	f.Upsert(entry("t", nil), seconds(13))
+	if n := len(usable(f, seconds(14))); n != 1 {
+		t.Error("the pause has ended with the target's report")
+	}
+	if n := len(usable(f, seconds(15))); n != 2 {
+		t.Error("the pause has no end")
+	}
+}
--- a/request/serve/serve.go
+++ b/request/serve/serve.go
@@ -192,13 +192,23 @@
 
 // retryAfter returns how long a refused caller is asked to wait: a minimum plus a random
 // time of up to the route's objective. The objective stands for how long requests of the
-// route take; the time is random so that callers do not retry all at once.
+// route take; the time is random so that callers do not retry all at once. While no target of the
+// service wants requests, it is at least the time until one does.
 func (q *request) retryAfter() time.Duration {
+	wait := minRetryAfter
+	if q.service != "" {
+		wait = max(wait, q.h.Fleet.PauseLeft(q.service, time.Now()))
+	}
+	return wait + rand.N(q.retrySpread())
+}
+
+// retrySpread returns the random part of retryAfter.
+func (q *request) retrySpread() time.Duration {
 	spread := defaultRetrySpread
 	if q.route != nil && q.route.Objective > 0 {
 		spread = q.route.Objective
 	}
-	return minRetryAfter + rand.N(spread)
+	return spread
 }
 
 // verdict returns whether any target may have run the request.
