--- a/entry/host_test.go
+++ b/entry/host_test.go
@@ -180,6 +180,14 @@
 	if v := c.hosts[0].config.Load().Version; v != 1 {
 		t.Errorf("version %d applied after an invalid one", v)
 	}
+	c.store.PutState(standin.DesiredState(1, coldPerSecond))
+	started := c.addHost("front-9")
+	c.eventually("a host that starts with these rows is ready", started.ready)
+	if n := started.fleet.Size(); n != 2 {
+		t.Errorf("a host that starts with these rows knows %d targets, want 2", n)
+	}
+	c.store.RemoveTarget("i-9")
+	c.eventually("both hosts go on following", func() bool { return c.hosts[0].fleet.Size() == 1 && started.fleet.Size() == 1 })
 }
 
 // TestGracefulStopCompletesRequests checks that a host which is stopped completes the requests in
