--- a/tools/soak/checker.go
+++ b/tools/soak/checker.go
@@ -42,6 +42,7 @@
 	// newest desired state or the targets' reports on a host.
 	processes, states *disturbances
 	stalls            *stallMonitor
+	notices           *noticeChecker
 	// dump makes a host that leaves a request without a response end with all its goroutines
 	// in its log.
 	dump bool
@@ -73,6 +74,7 @@
 		departed: make(map[string]bool),
 	}
 	checker.stalls = newStallMonitor(c.hosts, checker.isSettled)
+	checker.notices = newNoticeChecker(checker)
 	for _, t := range c.targets {
 		t.Observe(func(id string) { checker.checkDeparture(t.ID, id) })
 	}
@@ -150,6 +152,12 @@
 	return fmt.Sprintf("%d-%s-%d", host, sender, n)
 }
 
+// hostOf returns the host that a request is sent to, by the request's id.
+func hostOf(id string) (int, error) {
+	number, _, _ := strings.Cut(id, "-")
+	return strconv.Atoi(number)
+}
+
 // checkDeparture checks that a target that gets a request has not left before. The first
 // request from each host after that is a violation.
 func (c *checker) checkDeparture(target, id string) {
@@ -157,13 +165,12 @@
 	if leftAt.IsZero() || now.Sub(leftAt) <= changeBound+deliveryMargin {
 		return
 	}
-	number, _, _ := strings.Cut(id, "-")
-	host, err := strconv.Atoi(number)
+	host, err := hostOf(id)
 	if err != nil {
 		c.recordViolation("%s got a request with the wrong id %q", target, id)
 		return
 	}
-	if c.states.settledAt(host, now) && c.isFirst(fmt.Sprint(number, target, leftAt.UnixNano())) {
+	if c.states.settledAt(host, now) && c.isFirst(fmt.Sprint(host, target, leftAt.UnixNano())) {
 		c.recordViolation("request %s reached %s %v after it had left; %s", id, target, rounded(now.Sub(leftAt)), c.stalls.describe(host, leftAt))
 	}
 }
@@ -233,6 +240,7 @@
 }
 
 func (c *checker) checkResponse(id string, response standin.Response) {
+	c.notices.passedOn(id, response)
 	switch response.Status {
 	case http.StatusOK:
 		c.served.Add(1)
--- a/tools/soak/faults.go
+++ b/tools/soak/faults.go
@@ -48,6 +48,8 @@
 		in.leave(ctx, f, targetDraining)
 	case TargetGone:
 		in.leave(ctx, f, targetGone)
+	case TargetSaysLeaving, TargetLimits, TargetPauses:
+		in.injectNotice(ctx, f)
 	case TargetLinkDelay, TargetLinkReset, TargetLinkOneWay, TargetLinkSilent:
 		in.injectTargetLinkFault(ctx, f)
 	case NewState:
--- a/tools/soak/plan.go
+++ b/tools/soak/plan.go
@@ -7,7 +7,8 @@
 // states and the targets' reports, and copies.go keeps copies of the store. faults.go injects
 // the faults, with a file each for those of hosts, targets and the store. checker.go sends
 // requests and checks the responses and the targets' runs, versions.go checks the desired state
-// in force, and disturbances.go says since when a host is undisturbed. run.go runs the complete
+// in force, and notices.go checks what targets say in their
+// responses, disturbances.go says since when a host is undisturbed. run.go runs the complete
 // test.
 package soak
 
@@ -51,6 +52,11 @@
 	StoreSilent Kind = "store-silent"
 	// TargetGone removes a target's report.
 	TargetGone Kind = "target-gone"
+	// TargetSaysLeaving makes a target say in its responses that it is leaving, while its report does not, and
+	// start again then. TargetLimits makes it name a limit, and TargetPauses turn requests away for a time.
+	TargetSaysLeaving Kind = "target-says-leaving"
+	TargetLimits      Kind = "target-limits"
+	TargetPauses      Kind = "target-pauses"
 )
 
 // kinds lists the types of faults. Its order decides which faults a seed generates.
@@ -61,6 +67,10 @@
 	StoreRestored, StoreRestored, StoreSilent, TargetGone,
 }
 
+// noticeKinds lists the faults that targets tell of in their responses. They have series of their own, so that
+// the other faults of a seed do not depend on them.
+var noticeKinds = []Kind{TargetSaysLeaving, TargetLimits, TargetLimits, TargetPauses}
+
 // Fault is one fault of a plan.
 type Fault struct {
 	// At is the time from the start of the plan to the start of the fault.
@@ -86,6 +96,11 @@
 	burstOdds  = 3
 	maxBurst   = 3
 	burstRange = 1500 * time.Millisecond
+	// noticeSeriesCount is the number of series of noticeKinds, each with targets of its own. Such a fault
+	// lasts for minNotice and up to noticeRange more.
+	noticeSeriesCount = 2
+	minNotice         = 3 * time.Second
+	noticeRange       = 12 * time.Second
 )
 
 // Plan returns the faults of a seed in order of time. It is deterministic: the same seed
@@ -95,6 +110,9 @@
 	for series := range uint64(seriesCount) {
 		plan = append(plan, planSeries(rand.New(rand.NewPCG(seed, series)), length)...)
 	}
+	for series := range uint64(noticeSeriesCount) {
+		plan = append(plan, planNotices(rand.New(rand.NewPCG(seed, seriesCount+series)), int(series), length)...)
+	}
 	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
@@ -121,6 +139,20 @@
 	}
 }
 
+// planNotices returns the faults of a series of noticeKinds, one after the other.
+func planNotices(r *rand.Rand, series int, length time.Duration) []Fault {
+	var plan []Fault
+	for at := rangeOf(r, pauseRange); at+minNotice <= length; at += rangeOf(r, pauseRange) {
+		f := Fault{
+			At: at, Duration: min(minNotice+rangeOf(r, noticeRange), length-at), Kind: noticeKinds[r.IntN(len(noticeKinds))],
+			Victim: noticeSeriesCount*r.IntN(1<<20) + series, Variant: r.IntN(1 << 20),
+		}
+		plan = append(plan, f)
+		at += f.Duration
+	}
+	return plan
+}
+
 // planBurst returns the faults that follow soon after a first one: the same fault again, or
 // another one of the same victim.
 func planBurst(r *rand.Rand, first Fault, length time.Duration) []Fault {
--- a/tools/soak/plan_test.go
+++ b/tools/soak/plan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 )
@@ -22,7 +23,7 @@
 			seen[f.Kind] = true
 		}
 	}
-	for _, kind := range kinds {
+	for _, kind := range append(slices.Clone(kinds), noticeKinds...) {
 		if !seen[kind] {
 			t.Errorf("50 seeds do not contain the fault %s", kind)
 		}
--- a/tools/soak/targetfaults.go
+++ b/tools/soak/targetfaults.go
@@ -17,7 +17,10 @@
 
 // injectTargetLinkFault disturbs the connections of all hosts to one target.
 func (in *injector) injectTargetLinkFault(ctx context.Context, f Fault) {
-	targetProxy := in.targetProxies[f.Victim%len(in.targetProxies)]
+	i := f.Victim % len(in.targetProxies)
+	targetProxy := in.targetProxies[i]
+	in.checker.notices.links.begin(i)
+	defer in.checker.notices.links.end(i, noticeContact)
 	switch f.Kind {
 	case TargetLinkDelay:
 		targetProxy.setFault(proxyFault{delay: 200 * time.Millisecond})
