Restored store: a target's hold counts from the first partner's notice of the restore

A host that learned of the restore from a partner's heartbeat, 0.31 s after it, counted the 2 s for which missing targets stay from then on; up to a heartbeat's interval is possible. What a host states as its hold now counts from its own notice of a restore too, says so, and binds those that learn of the same era later. Earlier releases do not say so and are not gone by. TestRestoredHoldCountsFromPartnersNotice: held for 2 s, want 0.8 s, before.

--- a/entry/apply.go
+++ b/entry/apply.go
@@ -41,8 +41,8 @@
 	before := h.storeEra()
 	change := h.mirror.Apply(d)
 	era := h.storeEra()
-	if era > before {
-		h.eraSeenAt = now
+	if era > before && before > 0 {
+		h.eraSeenAt.Store(&now)
 	}
 	h.checkRow(era)
 	if change.Restored {
@@ -104,10 +104,23 @@
 }
 
 // restoredHold returns for how long a target stays whose report a restored store lacks. It counts
-// from when any table showed the restore, since reports can be written again from then on.
-// applyMu must be held.
+// from when any table showed the restore to this host or to a partner, since reports can be written
+// again from then on.
 func (h *Host) restoredHold(now time.Time) time.Duration {
-	return max(minRestoredHold, h.eraSeenAt.Add(missingReportHold).Sub(now))
+	hold := h.sinceRestore(now)
+	if stated, ok := h.group.RestoredHold(now, h.storeEra()); ok {
+		hold = min(hold, stated)
+	}
+	return max(minRestoredHold, hold)
+}
+
+// sinceRestore returns what is left of the hold that counts from this host's notice of a restore.
+func (h *Host) sinceRestore(now time.Time) time.Duration {
+	seen := h.eraSeenAt.Load()
+	if seen == nil {
+		return 0
+	}
+	return max(0, seen.Add(missingReportHold).Sub(now))
 }
 
 // restartEvacuationHolds is restartHolds for evacuations only. applyMu must be held.
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -202,7 +202,7 @@
 func (h *Host) ownStoreStatus() partner.StoreStatus {
 	now := time.Now()
 	age, ok := h.storeStatus.age(now)
-	return partner.StoreStatus{Reachable: ok && h.isRecent(age), Age: age, Failing: h.storeStatus.recentlyFailed(now), ReportHold: h.outage.reportHold(now)}
+	return partner.StoreStatus{Reachable: ok && h.isRecent(age), Age: age, Failing: h.storeStatus.recentlyFailed(now), ReportHold: max(h.outage.reportHold(now), h.sinceRestore(now))}
 }
 
 // reportHold returns for how long the reports of live targets may still be missing, since the store
--- a/entry/host.go
+++ b/entry/host.go
@@ -91,8 +91,9 @@
 	evacuationHolds map[string]time.Time
 	// stale holds the reports of a restored store that are of targets that had left.
 	stale *staleReports
-	// eraSeenAt is when a table first showed the store's present era. applyMu guards it.
-	eraSeenAt time.Time
+	// eraSeenAt is when a table first showed the store's present era, with a reading of the steady clock; nil
+	// means that it was that of the host's start.
+	eraSeenAt atomic.Pointer[time.Time]
 
 	// followedAt is when this host last had all changes of a partner that reads the store, with a
 	// reading of the steady clock; nil means never.
--- a/process/partner/message.go
+++ b/process/partner/message.go
@@ -30,8 +30,10 @@
 	// Earlier releases send none.
 	StateVersion uint64
 	// ReportHold is for how long the reports of live targets may still be missing, as the sender's
-	// own calls show it. Earlier releases send none.
-	ReportHold time.Duration
+	// own calls show it. Earlier releases send none. CountsRestores says that it counts also from the
+	// sender's notice of a restore of the store; the release before counts from outages only.
+	ReportHold     time.Duration
+	CountsRestores bool `cbor:",omitempty"`
 	// Changed holds the revision of the last change of each table. Earlier releases send none.
 	Changed map[string]uint64
 	// StaleRecords are those of Options.StaleRecords. Short heartbeats and earlier releases have none.
--- a/process/partner/partner.go
+++ b/process/partner/partner.go
@@ -171,11 +171,13 @@
 	// readAt is when the host's last heartbeat reported that it reads the store; zero if it
 	// reported that it does not or stated no age. readAge is the age of the store's responses then, and
 	// readPositions are the positions of the host's tables, in the order of Options.Tables.
-	// reportHold is for how long the reports of live targets could be missing then.
-	readAt        time.Time
-	readAge       time.Duration
-	reportHold    time.Duration
-	readPositions []mirror.Position
+	// reportHold is for how long the reports of live targets could be missing then, and countsRestores is
+	// true if that counts also from the host's notice of a restore.
+	readAt         time.Time
+	readAge        time.Duration
+	reportHold     time.Duration
+	countsRestores bool
+	readPositions  []mirror.Position
 }
 
 // New returns a group that contains only this host.
--- a/process/partner/readers.go
+++ b/process/partner/readers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"quetzalknot/process/mirror"
@@ -146,6 +147,17 @@
 	return g.leastHold(now, func(s *memberState) bool { return s.answeredAfter(after) && g.hasAll(s.readPositions) })
 }
 
+// RestoredHold is ReportHold of the partners that know of the store's present era and count from their notice
+// of it.
+func (g *Group) RestoredHold(now time.Time, era uint64) (hold time.Duration, ok bool) {
+	return g.leastHold(now, func(s *memberState) bool { return s.countsRestores && s.knowsEra(era) })
+}
+
+// knowsEra reports whether the host's last heartbeat had a position of an era or a later one.
+func (s *memberState) knowsEra(era uint64) bool {
+	return slices.ContainsFunc(s.readPositions, func(p mirror.Position) bool { return p.Era >= era })
+}
+
 // leastHold is ReportHold of the partners that count.
 func (g *Group) leastHold(now time.Time, counts func(*memberState) bool) (hold time.Duration, ok bool) {
 	g.mu.Lock()
@@ -183,7 +195,7 @@
 	}
 	if h.Fresh && h.Age > 0 {
 		s.readAt, s.readAge, s.readPositions = now, h.Age, g.positions(h)
-		s.reportHold = h.ReportHold
+		s.reportHold, s.countsRestores = h.ReportHold, h.CountsRestores
 	}
 	if h.Fresh && !h.Troubled {
 		g.healthyReaderAt = now
--- a/process/partner/service.go
+++ b/process/partner/service.go
@@ -26,7 +26,7 @@
 	status := g.opts.StoreStatus()
 	h := Heartbeat{
 		From: g.opts.Self, TakesBrief: true, Rate: g.opts.RequestRate(), Crashes: g.opts.Crashes.Recent(crashCountMaxAge, now),
-		Fresh: status.Reachable, Age: max(status.Age, minStatedAge), Troubled: status.Failing, ReportHold: status.ReportHold,
+		Fresh: status.Reachable, Age: max(status.Age, minStatedAge), Troubled: status.Failing, ReportHold: status.ReportHold, CountsRestores: true,
 		Positions: make(map[string]uint64), Eras: make(map[string]uint64), Changed: make(map[string]uint64),
 	}
 	if g.opts.StateVersion != nil && g.Introduced(now) {
