Partners: each change of a target's limit is stated until it is acknowledged, and not again

Whole heartbeats are numbered now by the sender's changes and say which number of the receiver's they have seen; what an incarnation has not acknowledged is sent.

--- a/entry/host.go
+++ b/entry/host.go
@@ -157,7 +157,7 @@
 		Self: h.self, Tables: adapter.Tables(), Mirror: h.mirror, Apply: h.applyPulled, Crashes: h.crashes,
 		RequestRate: h.rate.perSecond, StoreStatus: h.ownStoreStatus, StateVersion: h.stateVersion,
 		StaleRecords: h.stale.all, IgnoreStale: h.ignoreStale,
-		Limits:      func(now time.Time) []fleet.StatedLimit { return h.fleet.StatedLimits(now) },
+		Limits:      func(told uint64, now time.Time) []fleet.StatedLimit { return h.fleet.StatedLimits(told, now) },
 		ApplyLimits: func(limits []fleet.StatedLimit, now time.Time) { h.fleet.ApplyStatedLimits(limits, now) },
 		Client:      h.clients, Metrics: h.metrics, Log: h.log, Now: time.Now,
 	})
--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -48,9 +48,9 @@
 	newcomersUntil time.Time
 	// firstTargetAt is when the first target was added.
 	firstTargetAt time.Time
-	// limitChanged is called when partners must be told of the targets' limits; nil means that there
-	// are none.
-	limitChanged func()
+	// limitChanged is called when partners must be told of a target's limit; nil means that there are
+	// none.
+	limitChanged func() uint64
 	// maxPerSecond bounds how many requests per second this host sends to a target of a
 	// service while the targets' reports may be out of date; nil means no bound.
 	maxPerSecond func(service string) int
@@ -131,6 +131,9 @@
 	}
 	delete(f.departed, e.ID)
 	f.targets[e.ID] = t
+	if !said.limit.at.IsZero() {
+		f.tellLimits(t)
+	}
 	f.byService[e.Service] = append(f.byService[e.Service], t)
 	f.logState(t, now)
 }
--- a/process/fleet/limit.go
+++ b/process/fleet/limit.go
@@ -37,8 +37,9 @@
 	at time.Time
 	// without counts the responses without the limit, in a row, to requests that were sent after at.
 	without int
-	// stated is the limit that partners were told last.
+	// stated is the limit that partners are told, and number that of the change by which they are.
 	stated float64
+	number uint64
 }
 
 // respond applies what a response to a request says that was sent at a time. It returns true if partners
@@ -106,18 +107,18 @@
 	return StatedLimit{Target: e.ID, Born: e.Born, Ended: !l.named, PerSecond: l.perSecond, AgeMs: now.Sub(l.at).Milliseconds()}
 }
 
-// OnLimitChange sets a function that is called, with the lock held, when partners must be told of the
-// targets' limits. It must be set before the fleet is used.
-func (f *Fleet) OnLimitChange(changed func()) { f.limitChanged = changed }
+// OnLimitChange sets a function that is called, with the lock held, when partners must be told of a
+// target's limit, and that returns the number of that change. It must be set before the fleet is used.
+func (f *Fleet) OnLimitChange(changed func() uint64) { f.limitChanged = changed }
 
-// StatedLimits returns what this host states to its partners about the limits of targets: the latest
-// maxLimitStatements.
-func (f *Fleet) StatedLimits(now time.Time) []StatedLimit {
+// StatedLimits returns what this host states to a partner about the limits of targets, which has been told
+// of all changes up to a number: the latest maxLimitStatements.
+func (f *Fleet) StatedLimits(told uint64, now time.Time) []StatedLimit {
 	f.Lock()
 	defer f.Unlock()
 	var all []StatedLimit
 	for _, t := range f.targets {
-		if l := &t.notices.limit; !l.at.IsZero() {
+		if l := &t.notices.limit; !l.at.IsZero() && (told == 0 || l.number > told) {
 			all = append(all, l.statement(t.Entry, now))
 		}
 	}
@@ -153,9 +154,9 @@
 	}
 }
 
-// tellLimits lets partners be told of the limits, if a target is known. The lock must be held.
+// tellLimits lets partners be told of the limit of a target, if it is known. The lock must be held.
 func (f *Fleet) tellLimits(t *Target) {
 	if f.limitChanged != nil && f.targets[t.ID] == t {
-		f.limitChanged()
+		t.notices.limit.number = f.limitChanged()
 	}
 }
--- a/process/fleet/limit_test.go
+++ b/process/fleet/limit_test.go
@@ -96,7 +96,7 @@
 			respond(f, first(f), named(1), seconds(test.known), seconds(test.known))
 		}
 		told := false
-		f.OnLimitChange(func() { told = true })
+		f.OnLimitChange(func() uint64 { told = true; return 1 })
 		f.ApplyStatedLimits([]StatedLimit{test.statement}, seconds(now))
 		limit := first(f).notices.limit
 		if limit.named != (test.want > 0) || limit.perSecond != test.want || told != test.told {
@@ -128,7 +128,7 @@
 		}
 		now := 1.0
 		state := func(from, to int) {
-			fleets[to].ApplyStatedLimits(fleets[from].StatedLimits(seconds(now)), seconds(now))
+			fleets[to].ApplyStatedLimits(fleets[from].StatedLimits(0, seconds(now)), seconds(now))
 		}
 		host := rapid.IntRange(0, len(fleets)-1)
 		for range rapid.IntRange(1, 20).Draw(t, "steps") {
--- a/process/partner/brief.go
+++ b/process/partner/brief.go
@@ -137,12 +137,15 @@
 		g.setHasWhole(m, false)
 	}
 	number := g.currentWhole()
-	request, reply := g.heartbeat(), new(Heartbeat)
+	request, reply := g.wholeHeartbeat(m), new(Heartbeat)
 	if err := g.opts.Client.Call(ctx, m.Peer, serviceName+".Beat", &request, reply); err != nil {
 		return nil, err
 	}
 	g.setHasWhole(reply.From, reply.TakesBrief)
-	g.setTold(reply.From, number)
+	if reply.From.Incarnation == m.Incarnation { // else it was told only what an earlier start lacked
+		g.setTold(m, number)
+		g.updateMember(m, func(s *memberState) { s.acknowledged = max(s.acknowledged, number) })
+	}
 	return reply, nil
 }
 
@@ -170,11 +173,12 @@
 }
 
 // ResendWhole makes the next heartbeat or reply to each host a whole one, since it has more to tell than
-// a short one.
-func (g *Group) ResendWhole() {
+// a short one. It returns the number of that change.
+func (g *Group) ResendWhole() uint64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.wholeNumber++
+	return g.wholeNumber
 }
 
 // currentWhole returns the number that the whole heartbeats have now.
--- a/process/partner/partner.go
+++ b/process/partner/partner.go
@@ -101,9 +101,10 @@
 	// be nil.
 	StaleRecords func() []StaleRecord
 	IgnoreStale  func([]StaleRecord)
-	// Limits returns what this host states about the limits of targets, in whole heartbeats, and
-	// ApplyLimits takes what a partner states. Both may be nil.
-	Limits      func(now time.Time) []fleet.StatedLimit
+	// Limits returns what this host states about the limits of targets, in whole heartbeats to a partner
+	// that was told of all changes up to a number of ResendWhole, and ApplyLimits takes what a partner
+	// states. Both may be nil.
+	Limits      func(told uint64, now time.Time) []fleet.StatedLimit
 	ApplyLimits func(limits []fleet.StatedLimit, now time.Time)
 	Client      peer.RPCClient
 	Metrics     *metrics.Set
@@ -166,8 +167,9 @@
 	// hasWhole is true once the host has received a whole heartbeat of this host and takes
 	// short ones.
 	hasWhole bool
-	// told is the number of the last whole heartbeat that the host was sent.
-	told uint64
+	// told is the number of the last whole heartbeat that the host was sent, acknowledged that of the last one
+	// that it is known to have received, and received that of the last one that was received of it.
+	told, acknowledged, received uint64
 	// readAt is when the host's last heartbeat reported that it reads the store; zero if it
 	// reported that it does not or stated no age. readAge is the age of the store's responses then, and
 	// readPositions are the positions of the host's tables, in the order of Options.Tables.
@@ -200,6 +202,9 @@
 	if s != nil {
 		g.heard = g.heard || h.StateVersion > 0
 		s.requestRate = h.Rate
+		if h.To == g.opts.Self.Incarnation {
+			s.received, s.acknowledged = max(s.received, h.Number), max(s.acknowledged, h.Received)
+		}
 		g.stateVersion = max(g.stateVersion, h.StateVersion)
 		g.recordStoreStatus(s, h, now)
 		g.markSeen(s, h.Leaving, now)
--- a/process/partner/service.go
+++ b/process/partner/service.go
@@ -9,7 +9,7 @@
 func (s *service) Beat(received *Heartbeat, reply *Heartbeat) error {
 	s.g.receive(received)
 	number := s.g.currentWhole()
-	*reply = s.g.heartbeat()
+	*reply = s.g.wholeHeartbeat(received.From)
 	s.g.setTold(received.From, number)
 	return nil
 }
@@ -20,7 +20,27 @@
 	return nil
 }
 
-// heartbeat returns this host's current heartbeat message.
+// wholeHeartbeat returns this host's current heartbeat message to a host, with what only whole ones have. Of
+// the targets' limits these are the changes of which the host has not acknowledged that it knows them.
+func (g *Group) wholeHeartbeat(to Member) Heartbeat {
+	number, acknowledged := g.currentWhole(), uint64(0)
+	h := g.heartbeat()
+	h.Number = number
+	g.mu.Lock()
+	if s := g.members[to.Name]; s != nil && s.Incarnation == to.Incarnation {
+		acknowledged, h.Received, h.To = s.acknowledged, s.received, s.Incarnation
+	}
+	g.mu.Unlock()
+	if g.opts.StaleRecords != nil {
+		h.StaleRecords = g.opts.StaleRecords()
+	}
+	if g.opts.Limits != nil {
+		h.Limits = g.opts.Limits(acknowledged, g.opts.Now())
+	}
+	return h
+}
+
+// heartbeat returns this host's current heartbeat message, with what short ones have.
 func (g *Group) heartbeat() Heartbeat {
 	now := g.opts.Now()
 	status := g.opts.StoreStatus()
@@ -32,12 +52,6 @@
 	if g.opts.StateVersion != nil && g.Introduced(now) {
 		h.StateVersion = g.opts.StateVersion()
 	}
-	if g.opts.StaleRecords != nil {
-		h.StaleRecords = g.opts.StaleRecords()
-	}
-	if g.opts.Limits != nil {
-		h.Limits = g.opts.Limits(now)
-	}
 	for _, name := range g.opts.Tables {
 		position, changed := g.opts.Mirror.Progress(name)
 		h.Positions[name], h.Eras[name], h.Changed[name] = position.Revision, position.Era, changed
