Partners: the field's terms for what full heartbeats carry and hosts have acknowledged

"whole" for a full heartbeat, "told" and "heard" for what was sent, acknowledged and received, in the packages partner, fleet and entry. Names only; outer names (RPC methods, fields, metrics) are as before.

--- a/entry/apply.go
+++ b/entry/apply.go
@@ -150,7 +150,7 @@
 }
 
 // applyTarget applies a target's report of an era. In a restored store the report of a target that had
-// left may be that of the copy; it does not count, and partners are told.
+// left may be that of the copy; it does not count, and partners are informed.
 func (h *Host) applyTarget(r mirror.Record, era uint64, now time.Time, restored bool) {
 	at := mirror.Position{Era: era, Revision: r.Revision}
 	h.stale.replace(r.Key, at)
@@ -174,7 +174,7 @@
 	}
 	if restored {
 		if h.fleet.UpsertRestored(e, now) && h.stale.add(r.Key, at) {
-			h.group.ResendWhole()
+			h.group.ResendFull()
 		}
 		return
 	}
--- a/entry/host.go
+++ b/entry/host.go
@@ -157,13 +157,15 @@
 		Self: h.self, Tables: adapter.Tables(), Mirror: h.mirror, Apply: h.applyPulled, Crashes: h.crashes,
 		RequestRate: h.rate.perSecond, StoreStatus: h.ownStoreStatus, StateVersion: h.stateVersion,
 		StaleRecords: h.stale.all, IgnoreStale: h.ignoreStale,
-		Limits:      func(told uint64, now time.Time) []fleet.StatedLimit { return h.fleet.StatedLimits(told, now) },
+		Limits: func(acknowledged uint64, now time.Time) []fleet.StatedLimit {
+			return h.fleet.StatedLimits(acknowledged, now)
+		},
 		ApplyLimits: func(limits []fleet.StatedLimit, now time.Time) { h.fleet.ApplyStatedLimits(limits, now) },
 		Client:      h.clients, Metrics: h.metrics, Log: h.log, Now: time.Now,
 	})
 	h.clients.OnMessage = h.group.CountMessage
 	h.fleet = fleet.New(h.log, h.group)
-	h.fleet.OnLimitChange(h.group.ResendWhole)
+	h.fleet.OnLimitChange(h.group.ResendFull)
 	h.chooser = place.New(h.fleet, place.Options{
 		Region: s.Host.Region, FailureDomain: s.Host.FailureDomain,
 		Costs: place.Costs{CrossDomain: crossDomainCost, CrossRegion: crossRegionCost},
--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -48,7 +48,7 @@
 	newcomersUntil time.Time
 	// firstTargetAt is when the first target was added.
 	firstTargetAt time.Time
-	// limitChanged is called when partners must be told of a target's limit; nil means that there are
+	// limitChanged is called when partners must be informed of a target's limit; nil means that there are
 	// none.
 	limitChanged func() uint64
 	// maxPerSecond bounds how many requests per second this host sends to a target of a
@@ -132,7 +132,7 @@
 	delete(f.departed, e.ID)
 	f.targets[e.ID] = t
 	if !said.limit.at.IsZero() {
-		f.tellLimits(t)
+		f.informPartners(t)
 	}
 	f.byService[e.Service] = append(f.byService[e.Service], t)
 	f.logState(t, now)
--- a/process/fleet/limit.go
+++ b/process/fleet/limit.go
@@ -18,7 +18,7 @@
 const (
 	// responsesWithoutLimit is how many responses in a row without the limit show that it has ended.
 	responsesWithoutLimit = 2
-	// limitChange is the ratio by which a limit must change for partners to be told again.
+	// limitChange is the ratio by which a limit must change for partners to be informed again.
 	limitChange = 1.2
 	// maxLimit is the largest limit in requests a second; a larger one counts as that.
 	maxLimit = 1e6
@@ -37,13 +37,13 @@
 	at time.Time
 	// without counts the responses without the limit, in a row, to requests that were sent after at.
 	without int
-	// stated is the limit that partners are told, and number that of the change by which they are.
+	// stated is the limit that partners are informed of, and number that of the change by which they are.
 	stated float64
 	number uint64
 }
 
-// respond applies what a response to a request says that was sent at a time. It returns true if partners
-// must be told.
+// respond applies what a response to a request says that was sent at a time. It returns true if partners must be informed
+// must be informed.
 func (l *limitState) respond(n Limit, sentAt, now time.Time) bool {
 	switch {
 	case n.Invalid:
@@ -57,7 +57,7 @@
 	return l.without >= responsesWithoutLimit && l.end(now)
 }
 
-// set records that the target named a limit. It returns true if partners must be told.
+// set records that the target named a limit. It returns true if partners must be informed.
 func (l *limitState) set(perSecond float64, at time.Time) bool {
 	perSecond = min(perSecond, maxLimit)
 	small, large := min(perSecond, l.stated), max(perSecond, l.stated)
@@ -69,7 +69,7 @@
 	return changed
 }
 
-// end records that the limit has ended. It returns true, since partners must be told.
+// end records that the limit has ended. It returns true, since partners must be informed.
 func (l *limitState) end(at time.Time) bool {
 	*l = limitState{at: at}
 	return true
@@ -90,7 +90,7 @@
 }
 
 // apply applies a partner's statement that arrives now. It returns true if the limit has changed. When it
-// cannot be told which is later, the limit stays.
+// is not known which is later, the limit stays.
 func (l *limitState) apply(s StatedLimit, now time.Time) bool {
 	at := now.Add(-time.Duration(s.AgeMs) * time.Millisecond)
 	if s.Ended {
@@ -107,18 +107,18 @@
 	return StatedLimit{Target: e.ID, Born: e.Born, Ended: !l.named, PerSecond: l.perSecond, AgeMs: now.Sub(l.at).Milliseconds()}
 }
 
-// OnLimitChange sets a function that is called, with the lock held, when partners must be told of a
+// OnLimitChange sets a function that is called, with the lock held, when partners must be informed of a
 // target's limit, and that returns the number of that change. It must be set before the fleet is used.
 func (f *Fleet) OnLimitChange(changed func() uint64) { f.limitChanged = changed }
 
-// StatedLimits returns what this host states to a partner about the limits of targets, which has been told
-// of all changes up to a number: the latest maxLimitStatements.
-func (f *Fleet) StatedLimits(told uint64, now time.Time) []StatedLimit {
+// StatedLimits returns what this host states to a partner about the limits of targets, which has
+// all changes up to a number: the latest maxLimitStatements.
+func (f *Fleet) StatedLimits(acknowledged uint64, now time.Time) []StatedLimit {
 	f.Lock()
 	defer f.Unlock()
 	var all []StatedLimit
 	for _, t := range f.targets {
-		if l := &t.notices.limit; !l.at.IsZero() && (told == 0 || l.number > told) {
+		if l := &t.notices.limit; !l.at.IsZero() && (acknowledged == 0 || l.number > acknowledged) {
 			all = append(all, l.statement(t.Entry, now))
 		}
 	}
@@ -150,12 +150,12 @@
 func (f *Fleet) applyStatement(t *Target, s StatedLimit, now time.Time) {
 	if t.notices.limit.apply(s, now) {
 		f.logNotices(t, "partner", now)
-		f.tellLimits(t)
+		f.informPartners(t)
 	}
 }
 
-// tellLimits lets partners be told of the limit of a target, if it is known. The lock must be held.
-func (f *Fleet) tellLimits(t *Target) {
+// informPartners lets partners be informed of the limit of a target, if it is known. The lock must be held.
+func (f *Fleet) informPartners(t *Target) {
 	if f.limitChanged != nil && f.targets[t.ID] == t {
 		t.notices.limit.number = f.limitChanged()
 	}
--- a/process/fleet/notice.go
+++ b/process/fleet/notice.go
@@ -65,7 +65,7 @@
 		f.logNotices(t, "response", now)
 	}
 	if limited {
-		f.tellLimits(t)
+		f.informPartners(t)
 	}
 	if !leaves || t.Leaving {
 		return
--- a/process/partner/brief.go
+++ b/process/partner/brief.go
@@ -11,11 +11,11 @@
 )
 
 // Brief is the short form of a heartbeat, sent as a call and as its reply to a host that has
-// received a whole heartbeat of the sender's incarnation. It is encoded as an array.
+// received a full heartbeat of the sender's incarnation. It is encoded as an array.
 type Brief struct {
 	_ struct{} `cbor:",toarray"`
 	// Name and Incarnation are the sender's; an empty Name in a reply says that the receiver
-	// does not know the caller's incarnation or has more to tell, and needs a whole heartbeat.
+	// does not know the caller's incarnation or has more to tell, and needs a full heartbeat.
 	Name        string
 	Incarnation int64
 	Flags       briefFlags
@@ -57,7 +57,7 @@
 // Brief handles a partner's short heartbeat and replies with this host's own.
 func (s *service) Brief(received *Brief, reply *Brief) error {
 	from, ok := s.g.knownMember(received.Name, received.Incarnation)
-	if !ok || !s.g.isTold(from.Name) {
+	if !ok || !s.g.hasChanges(from.Name) {
 		return nil
 	}
 	s.g.receive(s.g.expand(received, from))
@@ -121,10 +121,10 @@
 }
 
 // exchange sends a heartbeat and returns the reply: in the short form if the host has received a
-// whole one of this incarnation, and whole if it has not, has started again or has a release
+// full one of this incarnation, and full if it has not, has started again or has a release
 // without the short form.
 func (g *Group) exchange(ctx context.Context, m Member) (*Heartbeat, error) {
-	if g.hasWhole(m) && g.isTold(m.Name) {
+	if g.hasFull(m) && g.hasChanges(m.Name) {
 		request, reply := g.brief(), new(Brief)
 		err := g.opts.Client.Call(ctx, m.Peer, serviceName+".Brief", &request, reply)
 		var remote rpc.ServerError
@@ -134,32 +134,32 @@
 		if err == nil && reply.Name == m.Name && reply.Incarnation == m.Incarnation {
 			return g.expand(reply, m), nil
 		}
-		g.setHasWhole(m, false)
+		g.setHasFull(m, false)
 	}
-	number := g.currentWhole()
-	request, reply := g.wholeHeartbeat(m), new(Heartbeat)
+	number := g.currentChange()
+	request, reply := g.fullHeartbeat(m), new(Heartbeat)
 	if err := g.opts.Client.Call(ctx, m.Peer, serviceName+".Beat", &request, reply); err != nil {
 		return nil, err
 	}
-	g.setHasWhole(reply.From, reply.TakesBrief)
-	if reply.From.Incarnation == m.Incarnation { // else it was told only what an earlier start lacked
-		g.setTold(m, number)
+	g.setHasFull(reply.From, reply.TakesBrief)
+	if reply.From.Incarnation == m.Incarnation { // else it was sent only what an earlier start lacked
+		g.setSentChange(m, number)
 		g.updateMember(m, func(s *memberState) { s.acknowledged = max(s.acknowledged, number) })
 	}
 	return reply, nil
 }
 
-// hasWhole reports whether a host takes short heartbeats of this host.
-func (g *Group) hasWhole(m Member) bool {
+// hasFull reports whether a host takes short heartbeats of this host.
+func (g *Group) hasFull(m Member) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s := g.members[m.Name]
-	return s != nil && s.Incarnation == m.Incarnation && s.hasWhole
+	return s != nil && s.Incarnation == m.Incarnation && s.hasFull
 }
 
-// setHasWhole records whether a host takes short heartbeats of this host.
-func (g *Group) setHasWhole(m Member, has bool) {
-	g.updateMember(m, func(s *memberState) { s.hasWhole = has })
+// setHasFull records whether a host takes short heartbeats of this host.
+func (g *Group) setHasFull(m Member, has bool) {
+	g.updateMember(m, func(s *memberState) { s.hasFull = has })
 }
 
 // updateMember changes what is known of a host, unless it has started again since.
@@ -172,31 +172,31 @@
 	}
 }
 
-// ResendWhole makes the next heartbeat or reply to each host a whole one, since it has more to tell than
+// ResendFull makes the next heartbeat or reply to each host a full one, since it has more to tell than
 // a short one. It returns the number of that change.
-func (g *Group) ResendWhole() uint64 {
+func (g *Group) ResendFull() uint64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.wholeNumber++
-	return g.wholeNumber
+	g.changeNumber++
+	return g.changeNumber
 }
 
-// currentWhole returns the number that the whole heartbeats have now.
-func (g *Group) currentWhole() uint64 {
+// currentChange returns the number that the full heartbeats have now.
+func (g *Group) currentChange() uint64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.wholeNumber
+	return g.changeNumber
 }
 
-// isTold reports whether a host was sent a whole heartbeat of the current number.
-func (g *Group) isTold(name string) bool {
+// hasChanges reports whether a host was sent a full heartbeat of the current number.
+func (g *Group) hasChanges(name string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s := g.members[name]
-	return s != nil && s.told == g.wholeNumber
+	return s != nil && s.sent == g.changeNumber
 }
 
-// setTold records that a host was sent a whole heartbeat of a number.
-func (g *Group) setTold(m Member, number uint64) {
-	g.updateMember(m, func(s *memberState) { s.told = number })
+// setSentChange records that a host was sent a full heartbeat of a number.
+func (g *Group) setSentChange(m Member, number uint64) {
+	g.updateMember(m, func(s *memberState) { s.sent = number })
 }
--- a/process/partner/brief_test.go
+++ b/process/partner/brief_test.go
@@ -15,7 +15,7 @@
 	"quetzalknot/process/mirror"
 )
 
-// TestBriefHasAllOfAHeartbeat: a short heartbeat must say all that a whole one says, after it was
+// TestBriefHasAllOfAHeartbeat: a short heartbeat must say all that a full one says, after it was
 // encoded and decoded.
 func TestBriefHasAllOfAHeartbeat(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -59,9 +59,9 @@
 	})
 }
 
-// TestRestartedHostGetsWholeHeartbeat: a host that has started again does not know its partners, so they must
-// send it whole heartbeats, and learn its new incarnation in the same second.
-func TestRestartedHostGetsWholeHeartbeat(t *testing.T) {
+// TestRestartedHostGetsFullHeartbeat: a host that has started again does not know its partners, so they must
+// send it full heartbeats, and learn its new incarnation in the same second.
+func TestRestartedHostGetsFullHeartbeat(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n, groups := newNetwork(t, 2)
 		old := n.add("h02", "r", 1).opts.Self
@@ -69,7 +69,7 @@
 			g.AddMembers([]Member{old})
 		}
 		time.Sleep(3 * heartbeatInterval)
-		if !groups[0].hasWhole(old) || !groups[1].hasWhole(old) {
+		if !groups[0].hasFull(old) || !groups[1].hasFull(old) {
 			t.Error("no short heartbeats are sent between hosts that know each other")
 		}
 		restarted := n.add("h02", "r", 2) // in place of the old incarnation, at the same address
@@ -107,16 +107,16 @@
 	return err
 }
 
-// TestEarlierReleaseGetsWholeHeartbeats: a host of a release without short heartbeats must get whole ones
+// TestEarlierReleaseGetsFullHeartbeats: a host of a release without short heartbeats must get full one
 // only, also if it had a later release before.
-func TestEarlierReleaseGetsWholeHeartbeats(t *testing.T) {
+func TestEarlierReleaseGetsFullHeartbeats(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		_, groups := newNetwork(t, 2)
 		synctest.Wait()
 		g := groups[0]
 		client := &oldClient{networkClient: g.opts.Client.(networkClient)}
 		g.opts.Client = client
-		g.setHasWhole(groups[1].opts.Self, true)
+		g.setHasFull(groups[1].opts.Self, true)
 		for range 3 {
 			g.sendHeartbeat(t.Context(), groups[1].opts.Self)
 		}
--- a/process/partner/domain.go
+++ b/process/partner/domain.go
@@ -11,7 +11,7 @@
 
 // domainReaders returns the number of store readers of this host's failure domain: such that its
 // region has at least minServingHosts. It is 0 if the region is so small that its hosts are all
-// partners; their readers are chosen for the whole region.
+// partners; their readers are chosen for the region.
 func (g *Group) domainReaders() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -55,7 +55,7 @@
 
 // firstOfDomain returns the other hosts of the failure domain in the order in which they become store
 // readers, up to the one that is the limit-th alive. The ones before it may have started again
-// or were not heard yet.
+// or sent no heartbeat yet.
 func (g *Group) firstOfDomain(limit int) []Member {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/process/partner/domain_test.go
+++ b/process/partner/domain_test.go
@@ -183,7 +183,7 @@
 	})
 }
 
-// TestReadersAndTheirDomainAreMutual: once the hosts have heard each other, of a store reader and a host of its failure
+// TestReadersAndTheirDomainAreMutual: once the hosts have exchanged heartbeats, of a store reader and a host of its failure
 // domain each must be a partner of the other, so that one of them makes a call in each interval.
 func TestReadersAndTheirDomainAreMutual(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/process/partner/limits_test.go
+++ b/process/partner/limits_test.go
@@ -15,9 +15,9 @@
 // limitSource is a host's changes of limits, one for each number.
 type limitSource struct{ changes uint64 }
 
-func (s *limitSource) since(told uint64, _ time.Time) []fleet.StatedLimit {
+func (s *limitSource) since(acknowledged uint64, _ time.Time) []fleet.StatedLimit {
 	var all []fleet.StatedLimit
-	for n := told + 1; n <= s.changes; n++ {
+	for n := acknowledged + 1; n <= s.changes; n++ {
 		all = append(all, fleet.StatedLimit{Target: fmt.Sprint(n)})
 	}
 	return all
@@ -67,7 +67,7 @@
 	for range rapid.IntRange(1, 20).Draw(t, "steps") {
 		switch rapid.IntRange(0, 7).Draw(t, "step") {
 		case 0, 1:
-			source.changes = stating.ResendWhole()
+			source.changes = stating.ResendFull()
 		case 2:
 			client.loses = true
 		case 3:
@@ -91,7 +91,7 @@
 		}
 	}
 	before := repeated
-	source.changes = stating.ResendWhole()
+	source.changes = stating.ResendFull()
 	asking.sendHeartbeat(context.Background(), stating.opts.Self)
 	if repeated > before {
 		t.Fatalf("%d changes were told again that had been acknowledged", repeated-before)
--- a/process/partner/members.go
+++ b/process/partner/members.go
@@ -27,7 +27,7 @@
 
 // addMember adds a member, or replaces an older incarnation of it. It returns nil for this
 // host itself and for an incarnation older than the known one. A host that was forgotten does not
-// count until it is heard from. The lock must be held.
+// count until a heartbeat of it arrives. The lock must be held.
 func (g *Group) addMember(m Member, now time.Time) *memberState {
 	if m.Name == g.opts.Self.Name {
 		return nil
--- a/process/partner/message.go
+++ b/process/partner/message.go
@@ -40,8 +40,8 @@
 	StaleRecords []StaleRecord `cbor:",omitempty"`
 	// Limits are those of Options.Limits. Short heartbeats and earlier releases have none.
 	Limits []fleet.StatedLimit `cbor:",omitempty"`
-	// To is the incarnation of the receiver to which this whole heartbeat is sent. Number is the number of the
-	// sender's changes up to which that one is told, and Received that of the last whole heartbeat that the
+	// To is the incarnation of the receiver to which this full heartbeat is sent. Number is the number of the
+	// sender's changes up to which that one is informed, and Received that of the last full heartbeat that the
 	// sender has received of it. Earlier releases send none.
 	To               int64
 	Number, Received uint64
--- a/process/partner/partner.go
+++ b/process/partner/partner.go
@@ -94,17 +94,17 @@
 	// StoreStatus returns the store's status as this host's own calls show it.
 	StoreStatus func() StoreStatus
 	// StateVersion returns the version of the desired state in force on this host, which partners
-	// are told; 0 means none. May be nil.
+	// are informed; 0 means none. May be nil.
 	StateVersion func() uint64
 	// StaleRecords returns the records of a restored store that do not count on this host, which
-	// partners are told in whole heartbeats, and IgnoreStale takes those that a partner tells of. Both may
+	// partners are informed of in full heartbeats, and IgnoreStale takes those of a partner. Both may
 	// be nil.
 	StaleRecords func() []StaleRecord
 	IgnoreStale  func([]StaleRecord)
-	// Limits returns what this host states about the limits of targets, in whole heartbeats to a partner
-	// that was told of all changes up to a number of ResendWhole, and ApplyLimits takes what a partner
+	// Limits returns what this host states about the limits of targets, in full heartbeats to a partner
+	// that has acknowledged all changes up to a number of ResendFull, and ApplyLimits takes what a partner
 	// states. Both may be nil.
-	Limits      func(told uint64, now time.Time) []fleet.StatedLimit
+	Limits      func(acknowledged uint64, now time.Time) []fleet.StatedLimit
 	ApplyLimits func(limits []fleet.StatedLimit, now time.Time)
 	Client      peer.RPCClient
 	Metrics     *metrics.Set
@@ -139,16 +139,16 @@
 	startedAt    time.Time
 	// stateVersion is the latest version of the desired state that a partner had in force.
 	stateVersion uint64
-	// heard is true once a heartbeat or reply has arrived that states the version of the desired state, and
+	// introduced is true once a heartbeat or reply has arrived that states the version of the desired state, and
 	// listed once all members that the store lists were added.
-	heard, listed bool
+	introduced, listed bool
 	// hasMembers is true once the members were taken over from another host.
 	hasMembers bool
 	// forgotten holds the hosts that were removed from the group, by name.
 	forgotten map[string]forgottenHost
-	// wholeNumber is the number of ResendWhole calls, which a whole heartbeat has as its number.
-	wholeNumber uint64
-	snapshot    snapshotCache
+	// changeNumber is the number of ResendFull calls, which a full heartbeat has as its number.
+	changeNumber uint64
+	snapshot     snapshotCache
 }
 
 // memberState is a known host other than this one.
@@ -164,12 +164,12 @@
 	// same incarnation only. It is sent heartbeats but does not count.
 	forgotten   bool
 	requestRate float64
-	// hasWhole is true once the host has received a whole heartbeat of this host and takes
+	// hasFull is true once the host has received a full heartbeat of this host and takes
 	// short ones.
-	hasWhole bool
-	// told is the number of the last whole heartbeat that the host was sent, acknowledged that of the last one
+	hasFull bool
+	// sent is the number of the last full heartbeat that the host was sent, acknowledged that of the last one
 	// that it is known to have received, and received that of the last one that was received of it.
-	told, acknowledged, received uint64
+	sent, acknowledged, received uint64
 	// readAt is when the host's last heartbeat reported that it reads the store; zero if it
 	// reported that it does not or stated no age. readAge is the age of the store's responses then, and
 	// readPositions are the positions of the host's tables, in the order of Options.Tables.
@@ -200,7 +200,7 @@
 	g.mu.Lock()
 	s := g.addMember(h.From, now)
 	if s != nil {
-		g.heard = g.heard || h.StateVersion > 0
+		g.introduced = g.introduced || h.StateVersion > 0
 		s.requestRate = h.Rate
 		if h.To == g.opts.Self.Incarnation {
 			s.received, s.acknowledged = max(s.received, h.Number), max(s.acknowledged, h.Received)
--- a/process/partner/readers.go
+++ b/process/partner/readers.go
@@ -87,12 +87,12 @@
 }
 
 // Introduced reports whether this host knows what its partners know: one that is introduced itself and
-// has a desired state has told it, there is none, or none has answered within introductionTime of the start.
+// has a desired state has informed it, there is none, or none has answered within introductionTime of the start.
 func (g *Group) Introduced(now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	alone := g.listed && len(g.members) == 0
-	return g.heard || alone || now.Sub(g.startedAt) >= introductionTime
+	return g.introduced || alone || now.Sub(g.startedAt) >= introductionTime
 }
 
 // hasAll reports whether this host's copy of each table is complete up to its position.
--- a/process/partner/resend_test.go
+++ b/process/partner/resend_test.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-// TestStaleRecordsReachAllPartners: what a host finds stale after whole heartbeats were exchanged must reach
+// TestStaleRecordsReachAllPartners: what a host finds stale after full heartbeats were exchanged must reach
 // each partner, whichever of the two calls the other: once, or twice if both call at the same moment, and
 // not again after that.
 func TestStaleRecordsReachAllPartners(t *testing.T) {
@@ -45,7 +45,7 @@
 		}
 		time.Sleep(3 * heartbeatInterval)
 		found.Store(true)
-		groups[finder].ResendWhole()
+		groups[finder].ResendFull()
 		time.Sleep(5 * heartbeatInterval)
 		var first [hosts]int64
 		for i := range groups {
@@ -63,7 +63,7 @@
 	})
 }
 
-// lossyClient loses the reply to the next whole heartbeat.
+// lossyClient loses the reply to the next full heartbeat.
 type lossyClient struct {
 	networkClient
 	loses bool
@@ -92,7 +92,7 @@
 		asking.opts.Client = client
 		asking.sendHeartbeat(t.Context(), finder.opts.Self)
 		finder.opts.StaleRecords = func() []StaleRecord { return []StaleRecord{{Key: "i-1", Era: 2, Revision: 7}} }
-		finder.ResendWhole()
+		finder.ResendFull()
 		client.loses = true
 		for range 2 {
 			asking.sendHeartbeat(t.Context(), finder.opts.Self)
--- a/process/partner/service.go
+++ b/process/partner/service.go
@@ -8,9 +8,9 @@
 // Beat handles a partner's heartbeat and replies with this host's own.
 func (s *service) Beat(received *Heartbeat, reply *Heartbeat) error {
 	s.g.receive(received)
-	number := s.g.currentWhole()
-	*reply = s.g.wholeHeartbeat(received.From)
-	s.g.setTold(received.From, number)
+	number := s.g.currentChange()
+	*reply = s.g.fullHeartbeat(received.From)
+	s.g.setSentChange(received.From, number)
 	return nil
 }
 
@@ -20,10 +20,10 @@
 	return nil
 }
 
-// wholeHeartbeat returns this host's current heartbeat message to a host, with what only whole ones have. Of
+// fullHeartbeat returns this host's current heartbeat message to a host, with what only full one have. Of
 // the targets' limits these are the changes of which the host has not acknowledged that it knows them.
-func (g *Group) wholeHeartbeat(to Member) Heartbeat {
-	number, acknowledged := g.currentWhole(), uint64(0)
+func (g *Group) fullHeartbeat(to Member) Heartbeat {
+	number, acknowledged := g.currentChange(), uint64(0)
 	h := g.heartbeat()
 	h.Number = number
 	g.mu.Lock()
--- a/process/partner/snapshot.go
+++ b/process/partner/snapshot.go
@@ -26,7 +26,7 @@
 	farPullDelay = 3 * time.Second
 )
 
-// Snapshot holds the whole tables and the members that a host knows.
+// Snapshot holds the full tables and the members that a host knows.
 type Snapshot struct {
 	Tables  []mirror.Delta
 	Members []Member
@@ -147,7 +147,7 @@
 	}()
 }
 
-// pullSnapshot fetches and applies the snapshot of a host in place of whole tables. It
+// pullSnapshot fetches and applies the snapshot of a host in place of full tables. It
 // returns false if that host has none to give.
 func (g *Group) pullSnapshot(ctx context.Context, from Member) bool {
 	reply := new(SnapshotReply)
