--- a/process/fleet/limit.go
+++ b/process/fleet/limit.go
@@ -42,7 +42,7 @@
 	number uint64
 }
 
-// respond applies what a response to a request says that was sent at a time. It returns true if partners must be informed
+// respond applies what a response to a request says that was sent at a time. It returns true if partners
 // must be informed.
 func (l *limitState) respond(n Limit, sentAt, now time.Time) bool {
 	switch {
