Limits: a health check without the limit does not count towards its end

Two health checks whose responses do not name the limit ended it, and all owners sent freely. Only responses to requests are known to name it. A check that names one still counts. TestHealthChecksDoNotEndLimit failed before.

--- a/process/fleet/check.go
+++ b/process/fleet/check.go
@@ -28,7 +28,7 @@
 			}
 			t.rememberSend(f.longestWindow(t), now)
 		}
-		t.checking, t.checkedAt = true, now
+		t.checking = true
 		due = append(due, Check{Target: t, ID: t.ID, Addr: t.Addr, Service: t.Service})
 	}
 	return due
@@ -61,7 +61,7 @@
 		t.applyLoadReport(*h.Load, now)
 	}
 	if h.Reachable {
-		f.applyNotice(t, h.Notice, t.checkedAt, now)
+		f.applyNotice(t, h.Notice, time.Time{}, now) // only responses to requests end a limit
 	}
 	if !h.Reachable || !h.Healthy {
 		t.nextCheckAt = now.Add(t.checkDelay)
--- a/process/fleet/limit_test.go
+++ b/process/fleet/limit_test.go
@@ -172,3 +172,25 @@
 		}
 	})
 }
+
+// TestHealthChecksDoNotEndLimit: health checks without the limit must not end it, since only responses to
+// requests are known to name it, and one that names a limit must count.
+func TestHealthChecksDoNotEndLimit(t *testing.T) {
+	f := newFleet()
+	f.Upsert(entry("t", nil), start)
+	check := func(n Notice, now time.Time) {
+		f.MarkDown(first(f), now)
+		checks := f.DueChecks(now.Add(maxCheckDelay))
+		if len(checks) != 1 {
+			t.Fatalf("%d checks are due", len(checks))
+		}
+		f.RecordCheck(checks[0], Health{Reachable: true, Healthy: true, Notice: n}, now.Add(maxCheckDelay))
+	}
+	check(named(1), start)
+	for i := range 2 * responsesWithoutLimit {
+		check(Notice{}, start.Add(time.Duration(i+1)*time.Minute))
+	}
+	if !first(f).notices.limit.named {
+		t.Error("health checks have ended the limit")
+	}
+}
--- a/process/fleet/target.go
+++ b/process/fleet/target.go
@@ -117,7 +117,6 @@
 	checkDelay  time.Duration
 	nextCheckAt time.Time
 	checking    bool
-	checkedAt   time.Time
 	removeAt    time.Time
 	// sendTimes holds the times of the requests sent within the longest window of a quota before the
 	// last one, oldest first, at most maxSendTimes.
