Partners: a heartbeat that has not all changes of limits says up to which number it has them

With more than 256 limits that began at once a full heartbeat had the latest 256 and the number of all, so that partners acknowledged the others, too, and never learned of them. They are stated in the order of their changes now, and the number is that of the last one stated; the next heartbeat has the rest.

--- a/entry/host.go
+++ b/entry/host.go
@@ -157,7 +157,7 @@
 		Self: h.self, Tables: adapter.Tables(), Mirror: h.mirror, Apply: h.applyPulled, Crashes: h.crashes,
 		RequestRate: h.rate.perSecond, StoreStatus: h.ownStoreStatus, StateVersion: h.stateVersion,
 		StaleRecords: h.stale.all, IgnoreStale: h.ignoreStale,
-		Limits: func(acknowledged uint64, now time.Time) []fleet.StatedLimit {
+		Limits: func(acknowledged uint64, now time.Time) ([]fleet.StatedLimit, uint64) {
 			return h.fleet.StatedLimits(acknowledged, now)
 		},
 		ApplyLimits: func(limits []fleet.StatedLimit, now time.Time) { h.fleet.ApplyStatedLimits(limits, now) },
--- a/process/fleet/limit.go
+++ b/process/fleet/limit.go
@@ -24,7 +24,7 @@
 	maxLimit = 1e6
 	// statementError is by how much the time of a partner's statement may be wrong.
 	statementError = 500 * time.Millisecond
-	// maxLimitStatements bounds the statements that are given to partners.
+	// maxLimitStatements bounds the statements in one message to a partner.
 	maxLimitStatements = 256
 )
 
@@ -111,21 +111,27 @@
 // target's limit, and that returns the number of that change. It must be set before the fleet is used.
 func (f *Fleet) OnLimitChange(changed func() uint64) { f.limitChanged = changed }
 
-// StatedLimits returns what this host states to a partner about the limits of targets, which has
-// all changes up to a number: the latest maxLimitStatements.
-func (f *Fleet) StatedLimits(acknowledged uint64, now time.Time) []StatedLimit {
+// StatedLimits returns what this host states about the limits of targets to a partner that has acknowledged
+// all changes up to a number: the next maxLimitStatements changes, and the number of the last of them. The
+// number is 0 if there are no more changes.
+func (f *Fleet) StatedLimits(acknowledged uint64, now time.Time) (limits []StatedLimit, upTo uint64) {
 	f.Lock()
 	defer f.Unlock()
-	var all []StatedLimit
+	var changed []*Target
 	for _, t := range f.targets {
-		if l := &t.notices.limit; !l.at.IsZero() && (acknowledged == 0 || l.number > acknowledged) {
-			all = append(all, l.statement(t.Entry, now))
+		if t.notices.limit.number > acknowledged {
+			changed = append(changed, t)
 		}
 	}
-	slices.SortFunc(all, func(a, b StatedLimit) int {
-		return cmp.Or(cmp.Compare(a.AgeMs, b.AgeMs), cmp.Compare(a.Target, b.Target))
-	})
-	return all[:min(len(all), maxLimitStatements)]
+	slices.SortFunc(changed, func(a, b *Target) int { return cmp.Compare(a.notices.limit.number, b.notices.limit.number) })
+	if len(changed) > maxLimitStatements {
+		changed = changed[:maxLimitStatements]
+		upTo = changed[len(changed)-1].notices.limit.number
+	}
+	for _, t := range changed {
+		limits = append(limits, t.notices.limit.statement(t.Entry, now))
+	}
+	return limits, upTo
 }
 
 // maxStatementAge is the largest age of a statement in milliseconds that is taken.
--- a/process/fleet/limit_test.go
+++ b/process/fleet/limit_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -14,6 +15,47 @@
 // named is a notice with a limit.
 func named(perSecond float64) Notice { return Notice{Limit: Limit{Named: true, PerSecond: perSecond}} }
 
+// countChanges returns a function that numbers the changes of limits.
+func countChanges() func() uint64 {
+	changes := uint64(0)
+	return func() uint64 {
+		changes++
+		return changes
+	}
+}
+
+// TestAllLimitsAreStated: a partner that acknowledges what it was given must be given every change in turn.
+func TestAllLimitsAreStated(t *testing.T) {
+	const targets = 2*maxLimitStatements + 10
+	f := newFleet()
+	f.OnLimitChange(countChanges())
+	for i := range targets {
+		f.Upsert(entry(fmt.Sprint("t", i), nil), start)
+	}
+	f.Lock()
+	all := f.Service("bokun")
+	f.Unlock()
+	for _, target := range all {
+		respond(f, target, named(1), start, start)
+	}
+	given, acknowledged := make(map[string]bool), uint64(0)
+	for acknowledged < targets {
+		limits, upTo := f.StatedLimits(acknowledged, start)
+		if len(limits) == 0 || len(limits) > maxLimitStatements {
+			t.Fatalf("%d limits after change %d", len(limits), acknowledged)
+		}
+		for _, l := range limits {
+			given[l.Target] = true
+		}
+		if acknowledged = upTo; upTo == 0 {
+			break
+		}
+	}
+	if len(given) != targets {
+		t.Errorf("%d of %d limits were given", len(given), targets)
+	}
+}
+
 // TestLimitEndsByResponses: a limit must not end by one response without it, by responses to requests that
 // were sent before the last one that named it, nor by an invalid one, and must end by two in a row.
 func TestLimitEndsByResponses(t *testing.T) {
@@ -124,11 +166,13 @@
 		fleets := make([]*Fleet, rapid.IntRange(2, 5).Draw(t, "hosts"))
 		for i := range fleets {
 			fleets[i] = newFleet()
+			fleets[i].OnLimitChange(countChanges())
 			fleets[i].Upsert(entry("t", nil), start)
 		}
 		now := 1.0
 		state := func(from, to int) {
-			fleets[to].ApplyStatedLimits(fleets[from].StatedLimits(0, seconds(now)), seconds(now))
+			limits, _ := fleets[from].StatedLimits(0, seconds(now))
+			fleets[to].ApplyStatedLimits(limits, seconds(now))
 		}
 		host := rapid.IntRange(0, len(fleets)-1)
 		for range rapid.IntRange(1, 20).Draw(t, "steps") {
--- a/process/partner/brief.go
+++ b/process/partner/brief.go
@@ -136,15 +136,14 @@
 		}
 		g.setHasFull(m, false)
 	}
-	number := g.currentChange()
 	request, reply := g.fullHeartbeat(m), new(Heartbeat)
 	if err := g.opts.Client.Call(ctx, m.Peer, serviceName+".Beat", &request, reply); err != nil {
 		return nil, err
 	}
 	g.setHasFull(reply.From, reply.TakesBrief)
 	if reply.From.Incarnation == m.Incarnation { // else it was sent only what an earlier start lacked
-		g.setSentChange(m, number)
-		g.updateMember(m, func(s *memberState) { s.acknowledged = max(s.acknowledged, number) })
+		g.setSentChange(m, request.Number)
+		g.updateMember(m, func(s *memberState) { s.acknowledged = max(s.acknowledged, request.Number) })
 	}
 	return reply, nil
 }
--- a/process/partner/limits_test.go
+++ b/process/partner/limits_test.go
@@ -15,14 +15,20 @@
 // limitSource is a host's changes of limits, one for each number.
 type limitSource struct{ changes uint64 }
 
-func (s *limitSource) since(acknowledged uint64, _ time.Time) []fleet.StatedLimit {
-	var all []fleet.StatedLimit
+// since returns at most maxStated changes at once.
+func (s *limitSource) since(acknowledged uint64, _ time.Time) (limits []fleet.StatedLimit, upTo uint64) {
 	for n := acknowledged + 1; n <= s.changes; n++ {
-		all = append(all, fleet.StatedLimit{Target: fmt.Sprint(n)})
+		if len(limits) == maxStated {
+			return limits, n - 1
+		}
+		limits = append(limits, fleet.StatedLimit{Target: fmt.Sprint(n)})
 	}
-	return all
+	return limits, 0
 }
 
+// maxStated is how many changes a limitSource states at once.
+const maxStated = 2
+
 // TestEachLimitIsStatedOnce: a partner must be told of each change of a limit, also when replies are lost and
 // when either host starts again, and of no change again that it has acknowledged.
 func TestEachLimitIsStatedOnce(t *testing.T) {
@@ -81,7 +87,7 @@
 		}
 	}
 	client.loses = false
-	for range 4 {
+	for range 4 + source.changes/maxStated {
 		asking.sendHeartbeat(context.Background(), stating.opts.Self)
 		stating.sendHeartbeat(context.Background(), asking.opts.Self)
 	}
--- a/process/partner/partner.go
+++ b/process/partner/partner.go
@@ -102,9 +102,9 @@
 	StaleRecords func() []StaleRecord
 	IgnoreStale  func([]StaleRecord)
 	// Limits returns what this host states about the limits of targets, in full heartbeats to a partner
-	// that has acknowledged all changes up to a number of ResendFull, and ApplyLimits takes what a partner
-	// states. Both may be nil.
-	Limits      func(acknowledged uint64, now time.Time) []fleet.StatedLimit
+	// that has acknowledged all changes up to a number of ResendFull, and the number up to which these are
+	// all, or 0 if there are no more. ApplyLimits takes what a partner states. Both may be nil.
+	Limits      func(acknowledged uint64, now time.Time) (limits []fleet.StatedLimit, upTo uint64)
 	ApplyLimits func(limits []fleet.StatedLimit, now time.Time)
 	Client      peer.RPCClient
 	Metrics     *metrics.Set
--- a/process/partner/service.go
+++ b/process/partner/service.go
@@ -8,9 +8,8 @@
 // Beat handles a partner's heartbeat and replies with this host's own.
 func (s *service) Beat(received *Heartbeat, reply *Heartbeat) error {
 	s.g.receive(received)
-	number := s.g.currentChange()
 	*reply = s.g.fullHeartbeat(received.From)
-	s.g.setSentChange(received.From, number)
+	s.g.setSentChange(received.From, reply.Number)
 	return nil
 }
 
@@ -20,7 +19,7 @@
 	return nil
 }
 
-// fullHeartbeat returns this host's current heartbeat message to a host, with what only full one have. Of
+// fullHeartbeat returns this host's current heartbeat message to a host, with what only full ones have. Of
 // the targets' limits these are the changes of which the host has not acknowledged that it knows them.
 func (g *Group) fullHeartbeat(to Member) Heartbeat {
 	number, acknowledged := g.currentChange(), uint64(0)
@@ -35,7 +34,10 @@
 		h.StaleRecords = g.opts.StaleRecords()
 	}
 	if g.opts.Limits != nil {
-		h.Limits = g.opts.Limits(acknowledged, g.opts.Now())
+		upTo := uint64(0)
+		if h.Limits, upTo = g.opts.Limits(acknowledged, g.opts.Now()); upTo != 0 {
+			h.Number = min(h.Number, upTo)
+		}
 	}
 	return h
 }
