--- a/entry/limit_named_test.go
+++ b/entry/limit_named_test.go
@@ -6,6 +6,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"quetzalknot/platform/standin"
 )
 
 const (
@@ -88,7 +90,7 @@
 			c := newCluster(t, 2, 6)
 			var got arrivals
 			c.targets[0].Observe(got.add)
-			c.targets[0].SetLimit(fmt.Sprint(limit))
+			c.targets[0].Say(standin.Notice{Limit: fmt.Sprint(limit)})
 			stop := c.sendEverywhere()
 			c.eventually("the target has named its limit", func() bool { return len(got.since(time.Time{})) > 0 })
 			bound := got.since(time.Time{})[0].Add(limitNotice)
@@ -108,7 +110,7 @@
 // to the target that would say that it has ended, and against a limit that only one host knows.
 func TestEndedLimitIsKnownEverywhere(t *testing.T) {
 	c := newCluster(t, 2, 6)
-	c.targets[0].SetLimit("1")
+	c.targets[0].Say(standin.Notice{Limit: "1"})
 	c.awaitRun(0)
 	limited := func(n int64) func() bool {
 		return func() bool {
@@ -121,7 +123,7 @@
 		}
 	}
 	c.eventually("all hosts know the limit", limited(1))
-	c.targets[0].SetLimit("")
+	c.targets[0].Say(standin.Notice{})
 	stop := c.sendEverywhere()
 	c.eventually("all hosts know its end", limited(0))
 	stop()
@@ -131,7 +133,7 @@
 // truthfully, and the target must still get requests.
 func TestOnlyTargetWithLimit(t *testing.T) {
 	c := newCluster(t, 1, 3)
-	c.targets[0].SetLimit("2")
+	c.targets[0].Say(standin.Notice{Limit: "2"})
 	c.awaitRun(0)
 	var got arrivals
 	c.targets[0].Observe(got.add)
--- a/entry/paused_test.go
+++ b/entry/paused_test.go
@@ -21,7 +21,7 @@
 // so that no other is preferred.
 func TestTargetThatAsksForAPauseGetsNoRequests(t *testing.T) {
 	c := newCluster(t, 1, 1)
-	c.targets[0].SetRetryAfter(fmt.Sprint(pauseLength.Seconds()))
+	c.targets[0].Say(standin.Notice{RetryAfter: fmt.Sprint(pauseLength.Seconds())})
 	c.targets[0].SetBehaviour(standin.Shed, 0)
 	c.eventually("the target refuses a request", func() bool { return c.requestTo("first") == 503 && c.targets[0].Refusals() > 0 })
 	refused := time.Now()
--- a/entry/said_leaving_test.go
+++ b/entry/said_leaving_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"quetzalknot/platform/standin"
 )
 
 // awaitRun sends requests through the first host until a target has run one more.
@@ -30,7 +32,7 @@
 // it is leaving, while the store still lists it as ready, and also writes its report again.
 func TestTargetThatSaysItLeavesGetsNoRequests(t *testing.T) {
 	c := newCluster(t, 2, 1)
-	c.targets[0].SetLeaving(true)
+	c.targets[0].Say(standin.Notice{Leaving: true})
 	c.awaitRun(0)
 	time.Sleep(drainBound)
 	if n := c.requestsTo(0); n > 0 {
--- a/request/serve/body_test.go
+++ b/request/serve/body_test.go
@@ -36,6 +36,8 @@
 	Status  int    `json:"status"`
 	Verdict string `json:"verdict"`
 	Error   string `json:"error"`
+	// StateAge is the age of the host's state in milliseconds.
+	StateAge int64 `json:"state_age_ms"`
 }
 
 // first waits for the first line with a status and returns it.
--- a/tools/soak/notices.go
+++ b/tools/soak/notices.go
@@ -79,17 +79,16 @@
 	in.checker.notices.begin(t.ID, i, f.Kind, limit)
 	switch f.Kind {
 	case TargetSaysLeaving:
-		t.SetLeaving(true)
+		t.Say(standin.Notice{Leaving: true})
 	case TargetLimits:
-		t.SetLimit(limit)
+		t.Say(standin.Notice{Limit: limit})
 	case TargetPauses:
-		t.SetRetryAfter(strconv.FormatFloat(pauseTime.Seconds(), 'f', -1, 64))
+		t.Say(standin.Notice{RetryAfter: strconv.FormatFloat(pauseTime.Seconds(), 'f', -1, 64)})
 		t.SetBehaviour(standin.Shed, 0)
 	}
 	sleep(ctx, f.Duration)
 	in.checker.notices.end(t.ID)
-	t.SetLimit("")
-	t.SetRetryAfter("")
+	t.Say(standin.Notice{})
 	if f.Kind == TargetPauses {
 		t.SetBehaviour(standin.Good, 0)
 	}
