--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -67,7 +67,7 @@
 func New(log zerolog.Logger, owners Owners) *Fleet {
 	return &Fleet{
 		log: log, owners: owners,
-		departed: make(departures), noticesKept: make(keptNotices),
+		departed: make(departures), noticesKept: newKeptNotices(),
 		targets: make(map[string]*Target), byService: make(map[string][]*Target), evacuated: make(map[string]bool),
 	}
 }
@@ -120,7 +120,7 @@
 	if t.Leaving || t.down || t.notices.paused(now) || f.evacuated[t.FailureDomain] {
 		return false
 	}
-	return f.quotas(t, now, func(q quota) bool { return f.allows(t, q, now) })
+	return f.withinQuotas(t, now)
 }
 
 // PauseLeft returns the time until the first of a service's targets wants requests of this host again. It is
--- a/process/fleet/notice.go
+++ b/process/fleet/notice.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
 	"github.com/rs/zerolog"
 
 	"quetzalknot/process/eventlog"
@@ -11,9 +12,7 @@
 var evNotice = eventlog.Define(1604, zerolog.InfoLevel, "target notice")
 
 const (
-	// noticeRetention is how long the notices of a removed target are kept, in case its report returns.
-	noticeRetention = 10 * time.Minute
-	// maxKeptNotices bounds the removed targets whose notices are kept.
+	// maxKeptNotices bounds the removed targets whose notices are kept, in case their reports return.
 	maxKeptNotices = 4096
 	// maxPause is the longest pause that a target may ask for.
 	maxPause = 24 * time.Hour
@@ -87,64 +86,52 @@
 	line.Send()
 }
 
-// keptNotices holds the notices of removed targets by their identities.
-type keptNotices map[string]keptNotice
+// keptNotices holds the notices of the targets that were removed last, by their identities.
+type keptNotices struct {
+	targets *simplelru.LRU[string, keptNotice]
+}
 
 // keptNotice holds the notices of a removed target that was started at the time born.
 type keptNotice struct {
 	notices
 	born int64
-	at   time.Time
+}
+
+func newKeptNotices() keptNotices {
+	targets, err := simplelru.NewLRU[string, keptNotice](maxKeptNotices, nil)
+	if err != nil {
+		panic(err) // the limit is a positive constant
+	}
+	return keptNotices{targets}
 }
 
 // add keeps the notices of a target that is removed. Those of a target whose start is not known are
 // not kept, since they might be taken for those of its next start.
-func (k keptNotices) add(t *Target, now time.Time) {
-	if t.Born == 0 || !t.notices.any() {
-		return
+func (k keptNotices) add(t *Target) {
+	if t.Born != 0 && t.notices.any() {
+		k.targets.Add(t.ID, keptNotice{notices: t.notices, born: t.Born})
 	}
-	k.put(t.ID, keptNotice{notices: t.notices, born: t.Born, at: now}, now)
 }
 
 // addLimit keeps what a partner states about the limit of a target without a known report.
 func (k keptNotices) addLimit(s StatedLimit, now time.Time) {
-	kept, ok := k[s.Target]
+	kept, ok := k.targets.Get(s.Target)
 	if s.Born == 0 || ok && kept.born > s.Born {
 		return
 	}
-	if !ok || kept.born < s.Born {
+	if kept.born < s.Born {
 		kept = keptNotice{born: s.Born}
 	}
 	kept.limit.apply(s, now)
-	kept.at = now
-	k.put(s.Target, kept, now)
-}
-
-// put keeps the notices of a target, unless there are too many.
-func (k keptNotices) put(id string, kept keptNotice, now time.Time) {
-	if len(k) >= maxKeptNotices {
-		k.expire(now)
-	}
-	if _, known := k[id]; known || len(k) < maxKeptNotices {
-		k[id] = kept
-	}
+	k.targets.Add(s.Target, kept)
 }
 
 // take removes and returns what is kept of a target's present start.
 func (k keptNotices) take(e Entry) notices {
-	kept, ok := k[e.ID]
-	delete(k, e.ID)
+	kept, ok := k.targets.Get(e.ID)
+	k.targets.Remove(e.ID)
 	if !ok || kept.born != e.Born {
 		return notices{}
 	}
 	return kept.notices
 }
-
-// expire removes the notices that were kept for noticeRetention.
-func (k keptNotices) expire(now time.Time) {
-	for id, kept := range k {
-		if now.Sub(kept.at) > noticeRetention {
-			delete(k, id)
-		}
-	}
-}
--- a/process/fleet/quota.go
+++ b/process/fleet/quota.go
@@ -75,16 +75,16 @@
 	return quota{owners: owners, sends: sends, window: window}
 }
 
-// quotas calls allows with each quota of a target that is in force, and returns false if one does not
-// allow a request. The lock must be held.
-func (f *Fleet) quotas(t *Target, now time.Time, allows func(quota) bool) bool {
-	if f.maxPerSecond != nil && !allows(quota{sends: f.maxPerSecond(t.Service), window: sendRateWindow}) {
+// withinQuotas reports whether all quotas of a target that are in force allow this host a request. The lock
+// must be held.
+func (f *Fleet) withinQuotas(t *Target, now time.Time) bool {
+	if f.maxPerSecond != nil && !f.allows(t, quota{sends: f.maxPerSecond(t.Service), window: sendRateWindow}, now) {
 		return false
 	}
-	if t.notices.limit.named && !allows(f.limitQuota(t)) {
+	if t.notices.limit.named && !f.allows(t, f.limitQuota(t), now) {
 		return false
 	}
-	return !t.IsCold(now) || allows(coldQuota)
+	return !t.IsCold(now) || f.allows(t, coldQuota, now)
 }
 
 // limitQuota returns the quota of a target that names a limit. The lock must be held.
--- a/process/fleet/reports.go
+++ b/process/fleet/reports.go
@@ -123,7 +123,7 @@
 }
 
 func (f *Fleet) drop(t *Target, now time.Time) {
-	f.noticesKept.add(t, now)
+	f.noticesKept.add(t)
 	t.Leaving = true
 	f.generation++
 	delete(f.targets, t.ID)
