--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -123,7 +123,7 @@
 	return f.withinQuotas(t, now)
 }
 
-// PauseLeft returns the time until the first of a service's targets wants requests of this host again. It is
+// PauseLeft returns the time until the first of a service's targets accepts requests of this host again. It is
 // 0 unless all those that it could use otherwise have asked for a pause.
 func (f *Fleet) PauseLeft(service string, now time.Time) time.Duration {
 	f.Lock()
--- a/process/fleet/limit.go
+++ b/process/fleet/limit.go
@@ -81,7 +81,7 @@
 	// Target and Born identify the target and its start.
 	Target string
 	Born   int64
-	// Ended is true if the target names no limit any more; else PerSecond is the limit in requests a
+	// Ended is true if the target reports no limit any more; else PerSecond is the limit in requests a
 	// second.
 	Ended     bool
 	PerSecond float64
--- a/process/fleet/limit_test.go
+++ b/process/fleet/limit_test.go
@@ -105,7 +105,7 @@
 }
 
 // TestStatedLimits: a partner's statement must count by when its response came, the limit staying when
-// that cannot be told, and only for the same start; it must be told on if it changes what is known.
+// that is not known, and only for the same start; partners must be informed if it changes what is known.
 func TestStatedLimits(t *testing.T) {
 	const now = 20 // seconds
 	statement := func(ended bool, perSecond, at float64) StatedLimit {
@@ -115,7 +115,7 @@
 		known     float64 // when the limit of 1 was named here; 0 means never
 		statement StatedLimit
 		want      float64 // the limit; 0 means none
-		told      bool
+		informed  bool
 	}{
 		"new":                    {0, statement(false, 3, 10), 3, true},
 		"another limit":          {5, statement(false, 3, 10), 3, true},
@@ -137,12 +137,12 @@
 		if test.known > 0 {
 			respond(f, first(f), named(1), seconds(test.known), seconds(test.known))
 		}
-		told := false
-		f.OnLimitChange(func() uint64 { told = true; return 1 })
+		informed := false
+		f.OnLimitChange(func() uint64 { informed = true; return 1 })
 		f.ApplyStatedLimits([]StatedLimit{test.statement}, seconds(now))
 		limit := first(f).notices.limit
-		if limit.named != (test.want > 0) || limit.perSecond != test.want || told != test.told {
-			t.Errorf("%s: limit %+v, told %v", name, limit, told)
+		if limit.named != (test.want > 0) || limit.perSecond != test.want || informed != test.informed {
+			t.Errorf("%s: limit %+v, informed %v", name, limit, informed)
 		}
 	}
 }
@@ -159,7 +159,7 @@
 }
 
 // TestLimitsAgreeOnceStated: whatever responses some hosts get, all must know the same of a target's limit,
-// and what it last said, if a host that knows of the limit is told that, once they have stated it to each
+// and what it last said, if a host that knows of the limit learns that, once they have stated it to each
 // other.
 func TestLimitsAgreeOnceStated(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/process/fleet/notice.go
+++ b/process/fleet/notice.go
@@ -24,7 +24,7 @@
 	Leaving bool
 	// Limit is the limit of requests that the target names, if any.
 	Limit Limit
-	// Pause is for how long the target wants no requests of this host; 0 if it does not say so.
+	// Pause is for how long the target accepts no requests of this host; 0 if it does not say so.
 	Pause time.Duration
 }
 
@@ -35,14 +35,14 @@
 	leaving bool
 	// limit is the limit that the target names.
 	limit limitState
-	// pausedUntil is when the target wants requests of this host again.
+	// pausedUntil is when the target accepts requests of this host again.
 	pausedUntil time.Time
 }
 
 // any reports whether the target has said anything that counts.
 func (n notices) any() bool { return n.leaving || !n.limit.at.IsZero() || !n.pausedUntil.IsZero() }
 
-// paused reports whether the target wants no requests of this host now.
+// paused reports whether the target accepts no requests of this host now.
 func (n notices) paused(now time.Time) bool { return now.Before(n.pausedUntil) }
 
 // pause lets the target get no requests for a time, at most maxPause. It returns true if that begins.
--- a/process/fleet/notice_test.go
+++ b/process/fleet/notice_test.go
@@ -80,7 +80,7 @@
 }
 
 // TestPauseOfTarget: a target must get neither requests nor health checks while it asks for a pause, a later and
-// shorter one must not end it, and callers must be told when the first target wants requests again.
+// shorter one must not end it, and callers must learn when the first target accepts requests again.
 func TestPauseOfTarget(t *testing.T) {
 	f := newFleet()
 	f.Upsert(entry("t", nil), start)
@@ -95,7 +95,7 @@
 	pause(0, time.Second, seconds(1))
 	pause(0, 0, seconds(1))
 	if left := f.PauseLeft("bokun", seconds(2)); left != 0 {
-		t.Errorf("callers are told to wait %v for a service with a target without a pause", left)
+		t.Errorf("callers are asked to wait %v for a service with a target without a pause", left)
 	}
 	f.MarkDown(first(f), start)
 	if n := len(f.DueChecks(seconds(9))); n != 0 {
@@ -108,7 +108,7 @@
 		t.Errorf("%v are used in their pauses", ids)
 	}
 	if left := f.PauseLeft("bokun", seconds(12)); left != time.Second {
-		t.Errorf("callers are told to wait %v, want 1s", left)
+		t.Errorf("callers are asked to wait %v, want 1s", left)
 	}
 	if ids := usable(f, seconds(13)); len(ids) != 1 || ids[0] != "other" {
 		t.Errorf("%v are used, want the one whose pause has ended", ids)
--- a/process/fleet/quota.go
+++ b/process/fleet/quota.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Owners knows which hosts may send to a target that bears few requests.
+// Owners knows which hosts may send to a target that tolerates few requests.
 type Owners interface {
 	// Owns reports whether this host is among the given number of owners of a target.
 	Owns(id string, owners int) bool
@@ -39,21 +39,21 @@
 	maxSendTimes = 256
 )
 
-// A target that names a limit bears from all hosts together, in any limitWindow, limitOverrun times what
+// A target with a limit tolerates from all hosts together, in any limitWindow, limitOverrun times what
 // that allows and limitSlack requests.
 const (
 	limitWindow  = 4 * time.Second
 	limitOverrun = 1.5
 	limitSlack   = 5
-	// limitViews is by how many different lists of the members hosts may act at once.
-	limitViews = 2
-	// limitJitter is by how much the times differ that requests take to a target.
+	// memberLists is the number of different member lists that hosts may use at the same time.
+	memberLists = 2
+	// limitJitter is the largest difference between the times that requests take to a target.
 	limitJitter = 300 * time.Millisecond
 	// limitOwners is the least number of owners of a target with a limit, and limitPerOwner the limit in
 	// requests a second for which there is one more.
 	limitOwners   = 2
 	limitPerOwner = 2.0
-	// minLimit is the least limit, in requests a second, at which owners still ask a target whether it
+	// minLimit is the least limit, in requests a second, at which owners still send requests that show whether it
 	// has ended.
 	minLimit = 0.05
 )
@@ -62,12 +62,12 @@
 var coldQuota = quota{owners: maxColdOwners, sends: 1, window: coldInterval}
 
 // limitQuota returns the quota of a target that names a limit in requests a second, with a number of
-// hosts that can be owners. The owners of limitViews lists of members together keep what the target bears,
+// hosts that can be owners. The owners of memberLists lists of members together stay below what the target tolerates,
 // and those of one list keep the limit itself on average.
 func limitQuota(perSecond float64, candidates int) quota {
 	owners := min(limitOwners+int(perSecond/limitPerOwner), max(1, candidates))
-	borne := limitOverrun*perSecond*limitWindow.Seconds() + limitSlack
-	sends := min(maxSendTimes, max(1, int(borne)/(limitViews*owners)))
+	tolerated := limitOverrun*perSecond*limitWindow.Seconds() + limitSlack
+	sends := min(maxSendTimes, max(1, int(tolerated)/(memberLists*owners)))
 	window := limitWindow + limitJitter
 	if average := time.Duration(float64(owners*sends) / max(minLimit, perSecond) * float64(time.Second)); average > window {
 		window = average
--- a/process/fleet/quota_test.go
+++ b/process/fleet/quota_test.go
@@ -21,8 +21,8 @@
 	return slices.Contains((*o.list)[:min(owners, len(*o.list))], o.host)
 }
 
-// borne returns how many requests a target bears in limitWindow that names a limit.
-func borne(limit float64) float64 { return limitOverrun*limit*limitWindow.Seconds() + limitSlack }
+// tolerated returns how many requests a target bears in limitWindow that names a limit.
+func tolerated(limit float64) float64 { return limitOverrun*limit*limitWindow.Seconds() + limitSlack }
 
 // mostIn returns the largest number of sorted times within limitWindow.
 func mostIn(times []time.Time) int {
@@ -73,8 +73,8 @@
 			}
 		}
 		slices.SortFunc(arrived, time.Time.Compare)
-		if most := mostIn(arrived); float64(most) > borne(limit) {
-			t.Fatalf("%d requests in %v at a limit of %v a second, at most %v are borne", most, limitWindow, limit, borne(limit))
+		if most := mostIn(arrived); float64(most) > tolerated(limit) {
+			t.Fatalf("%d requests in %v at a limit of %v a second, at most %v are tolerated", most, limitWindow, limit, tolerated(limit))
 		}
 	})
 }
--- a/process/partner/brief.go
+++ b/process/partner/brief.go
@@ -15,7 +15,7 @@
 type Brief struct {
 	_ struct{} `cbor:",toarray"`
 	// Name and Incarnation are the sender's; an empty Name in a reply says that the receiver
-	// does not know the caller's incarnation or has more to tell, and needs a full heartbeat.
+	// does not know the caller's incarnation or has more changes, and needs a full heartbeat.
 	Name        string
 	Incarnation int64
 	Flags       briefFlags
@@ -171,7 +171,7 @@
 	}
 }
 
-// ResendFull makes the next heartbeat or reply to each host a full one, since it has more to tell than
+// ResendFull makes the next heartbeat or reply to each host a full one, since it has changes that are not in
 // a short one. It returns the number of that change.
 func (g *Group) ResendFull() uint64 {
 	g.mu.Lock()
--- a/process/partner/brief_test.go
+++ b/process/partner/brief_test.go
@@ -107,7 +107,7 @@
 	return err
 }
 
-// TestEarlierReleaseGetsFullHeartbeats: a host of a release without short heartbeats must get full one
+// TestEarlierReleaseGetsFullHeartbeats: a host of a release without short heartbeats must get full ones
 // only, also if it had a later release before.
 func TestEarlierReleaseGetsFullHeartbeats(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/tools/soak/notices.go
+++ b/tools/soak/notices.go
@@ -10,26 +10,26 @@
 )
 
 const (
-	// noticeContact is how long after a target first named a limit it binds, and after a fault of the
+	// noticeSettle is how long after a target first reported a limit it applies, and how long after a fault of the
 	// target's link nothing is checked.
-	noticeContact = 4 * time.Second
-	// toldMargin is how long after an answer a host keeps what it said.
-	toldMargin = 500 * time.Millisecond
-	// A target with a limit may get limitOverrun times what that allows and limitSlack requests in
+	noticeSettle = 4 * time.Second
+	// noticeMargin is how long a response may take before its notice counts at a host.
+	noticeMargin = 500 * time.Millisecond
+	// A target with a limit tolerates limitOverrun times what that allows and limitSlack requests in
 	// limitWindow.
 	limitWindow  = 4 * time.Second
 	limitOverrun = 1.5
 	limitSlack   = 5
-	// pauseTime is the time for which a target that turns requests away wants none, and maxInPause how many
+	// pauseTime is the time for which a target that turns requests away accepts none, and maxInPause how many
 	// may reach it all the same.
 	pauseTime  = 3 * time.Second
 	maxInPause = 2
 )
 
-// limits are the limits, in requests a second, that targets name.
+// limits are the limits, in requests a second, that targets report.
 var limits = []string{"1", "0.5", "2", "5", "20", "0"}
 
-// noticeChecker checks that hosts heed what targets say in their responses. It is safe for concurrent use.
+// noticeChecker checks that hosts respect what targets say in their responses. It is safe for concurrent use.
 type noticeChecker struct {
 	checker *checker
 	// links are the disturbances of the targets' links, by index.
@@ -45,22 +45,22 @@
 	index int
 	kind  Kind
 	limit float64
-	// namedAt is when a host first passed on an answer of the target that says it.
+	// namedAt is when a host first passed on a response of the target that says it.
 	namedAt time.Time
-	// told is when each process of a host first passed on such an answer, or when one was refused.
-	told     map[process]time.Time
+	// informed is when each process of a host first passed on such a response, or was refused.
+	informed map[hostProcess]time.Time
 	arrivals []arrival
 	// inPause counts the requests of each process in its pause.
-	inPause  map[process]int
+	inPause  map[hostProcess]int
 	violated bool
 }
 
-// process is a process of a host.
-type process struct{ host, generation int }
+// hostProcess is a process of a host.
+type hostProcess struct{ host, generation int }
 
 // arrival is a request that reached a target.
 type arrival struct {
-	process
+	hostProcess
 	at time.Time
 }
 
@@ -108,7 +108,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.said[target] = &saying{index: index, kind: kind, limit: perSecond, told: make(map[process]time.Time), inPause: make(map[process]int)}
+	n.said[target] = &saying{index: index, kind: kind, limit: perSecond, informed: make(map[hostProcess]time.Time), inPause: make(map[hostProcess]int)}
 }
 
 func (n *noticeChecker) end(target string) {
@@ -118,12 +118,12 @@
 }
 
 // processOf returns the process that a request is sent to; ok is false if its id is wrong.
-func (n *noticeChecker) processOf(id string) (p process, ok bool) {
+func (n *noticeChecker) processOf(id string) (p hostProcess, ok bool) {
 	host, err := hostOf(id)
 	if err != nil || host >= len(n.checker.cluster.hosts) {
-		return process{}, false
+		return hostProcess{}, false
 	}
-	return process{host, n.checker.cluster.hosts[host].currentGeneration()}, true
+	return hostProcess{host, n.checker.cluster.hosts[host].currentGeneration()}, true
 }
 
 // passedOn records a response that a host has passed on.
@@ -134,7 +134,7 @@
 	if s == nil || !(s.kind == TargetSaysLeaving && response.Leaving || s.kind == TargetLimits && response.HasLimit) {
 		return
 	}
-	s.tell(n, id, time.Now())
+	s.record(n, id, time.Now())
 }
 
 // refused records that a target turns a request away.
@@ -142,12 +142,12 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if s := n.said[target]; s != nil && s.kind == TargetPauses {
-		s.tell(n, id, now)
+		s.record(n, id, now)
 	}
 }
 
-// tell records that a host knows what a target says. A pause counts again when it has ended.
-func (s *saying) tell(n *noticeChecker, id string, now time.Time) {
+// record records that a host knows what a target says. A pause counts again when it has ended.
+func (s *saying) record(n *noticeChecker, id string, now time.Time) {
 	p, ok := n.processOf(id)
 	if !ok {
 		return
@@ -155,11 +155,11 @@
 	if s.namedAt.IsZero() {
 		s.namedAt = now
 	}
-	told, known := s.told[p]
-	if known && (s.kind != TargetPauses || now.Sub(told) < pauseTime) {
+	informed, known := s.informed[p]
+	if known && (s.kind != TargetPauses || now.Sub(informed) < pauseTime) {
 		return
 	}
-	s.told[p], s.inPause[p] = now, 0
+	s.informed[p], s.inPause[p] = now, 0
 }
 
 // arrived checks a request that has reached a target.
@@ -172,34 +172,34 @@
 		return
 	}
 	if !n.links.settledAt(s.index, now) {
-		s.arrivals, s.inPause = nil, make(map[process]int)
+		s.arrivals, s.inPause = nil, make(map[hostProcess]int)
 		return
 	}
-	told, known := s.told[p]
-	if !known || now.Sub(told) < toldMargin || !n.checker.processes.settledAt(p.host, told) {
+	informed, known := s.informed[p]
+	if !known || now.Sub(informed) < noticeMargin || !n.checker.processes.settledAt(p.host, informed) {
 		return
 	}
-	if s.breaks(arrival{p, now}, told) {
+	if s.breaks(arrival{p, now}, informed) {
 		s.violated = true
-		n.checker.recordViolation("request %s reached %s, which had said %s (limit %v a second), %v after the host knew that; %d requests from all hosts in %v; %s",
-			id, target, s.kind, s.limit, rounded(now.Sub(told)), len(s.arrivals), limitWindow, n.checker.stalls.describe(p.host, told))
+		n.checker.recordViolation("request %s reached %s, which had reported %s (limit %v a second), %v after the host knew that; %d requests from all hosts in %v; %s",
+			id, target, s.kind, s.limit, rounded(now.Sub(informed)), len(s.arrivals), limitWindow, n.checker.stalls.describe(p.host, informed))
 	}
 }
 
-// breaks reports whether a request that has reached the target must not have done so; told is when its host
-// was told.
-func (s *saying) breaks(a arrival, told time.Time) bool {
+// breaks reports whether a request that has reached the target must not have done so; informed is when its host
+// was informed.
+func (s *saying) breaks(a arrival, informed time.Time) bool {
 	switch s.kind {
 	case TargetSaysLeaving:
-		return a.at.Sub(told) > changeBound+deliveryMargin
+		return a.at.Sub(informed) > changeBound+deliveryMargin
 	case TargetPauses:
-		if since := a.at.Sub(told); since < toldMargin+deliveryMargin || since > pauseTime-toldMargin {
+		if since := a.at.Sub(informed); since < noticeMargin+deliveryMargin || since > pauseTime-noticeMargin {
 			return false
 		}
-		s.inPause[a.process]++
-		return s.inPause[a.process] > maxInPause
+		s.inPause[a.hostProcess]++
+		return s.inPause[a.hostProcess] > maxInPause
 	}
-	if a.at.Sub(s.namedAt) < noticeContact {
+	if a.at.Sub(s.namedAt) < noticeSettle {
 		return false
 	}
 	s.arrivals = append(s.arrivals, a)
--- a/tools/soak/targetfaults.go
+++ b/tools/soak/targetfaults.go
@@ -20,7 +20,7 @@
 	i := f.Victim % len(in.targetProxies)
 	targetProxy := in.targetProxies[i]
 	in.checker.notices.links.begin(i)
-	defer in.checker.notices.links.end(i, noticeContact)
+	defer in.checker.notices.links.end(i, noticeSettle)
 	switch f.Kind {
 	case TargetLinkDelay:
 		targetProxy.setFault(proxyFault{delay: 200 * time.Millisecond})
