--- a/review/_lab/lab.go
+++ b/review/_lab/lab.go
@@ -13,6 +13,7 @@
 	"net/url"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"sync"
 	"sync/atomic"
@@ -55,7 +56,7 @@
 	store           *store
 	hosts           []*host
 	upstreams       []*upstream
-	port            [4]int
+	port            [5]int
 	ids             atomic.Int64
 
 	mu      sync.Mutex
@@ -149,11 +150,11 @@
 	return shortRun
 }
 
-// freePorts finds four ports that are free on all addresses of the hosts.
-func freePorts(ips []string) ([4]int, error) {
-	var found [4]int
+// freePorts finds five ports that are free on all addresses of the hosts.
+func freePorts(ips []string) ([5]int, error) {
+	var found [5]int
 	n := 0
-	for port := 21000 + os.Getpid()%4000; port < 32000 && n < 4; port++ {
+	for port := 21000 + os.Getpid()%4000; port < 32000 && n < 5; port++ {
 		free := true
 		for _, ip := range ips {
 			l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port))
@@ -168,7 +169,7 @@
 			n++
 		}
 	}
-	if n < 4 {
+	if n < 5 {
 		return found, fmt.Errorf("no free ports")
 	}
 	return found, nil
@@ -187,6 +188,7 @@
 		os.Exit(notRun)
 	}
 	l := &lab{program: program, folder: folder, trouble: trouble, began: time.Now(), record: bufio.NewWriter(file), runs: make(map[string]int), atWork: make(map[string][2]time.Time)}
+	go l.watch()
 	var ips []string
 	for i := range hosts {
 		ips = append(ips, fmt.Sprintf("127.10.%d.1", i+1))
@@ -225,6 +227,21 @@
 	return l
 }
 
+// longestRun is how long a case may run.
+const longestRun = 110 * time.Second
+
+// watch ends a case that is interrupted or takes too long.
+func (l *lab) watch() {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, os.Interrupt, sigterm)
+	select {
+	case s := <-stop:
+		l.fail("%v", s)
+	case <-time.After(longestRun):
+		l.fail("it takes too long")
+	}
+}
+
 // settings fills in what the template of the deploy file gives for a host of the small site.
 func (l *lab) settings(h *host, storeAddr string, first bool) string {
 	text := fmt.Sprintf("[host]\nname = %q\nregion = %q\nfailure_domain = %q\nip = %q\n", h.name, h.region, h.zone, h.ip)
@@ -232,8 +249,8 @@
 		text += "first_start = true\n"
 	}
 	text += "link_mbps = 1000.0\ncpu_share = 0.32\ncores = 1\n" +
-		fmt.Sprintf("[listen]\nentry = \"%s:%d\"\nready = \"%s:%d\"\ndirectory = \"%s:%d\"\nfirst_peer_port = %d\nlast_peer_port = %d\nmetrics_port = 9464\n",
-			h.ip, l.port[0], h.ip, l.port[1], h.ip, l.port[2], l.port[3], l.port[3]+15) +
+		fmt.Sprintf("[listen]\nentry = \"%s:%d\"\nready = \"%s:%d\"\ndirectory = \"%s:%d\"\nfirst_peer_port = %d\nlast_peer_port = %d\nmetrics_port = %d\n",
+			h.ip, l.port[0], h.ip, l.port[1], h.ip, l.port[2], l.port[3], l.port[3]+15, l.port[4]) +
 		fmt.Sprintf("[store]\naddress = %q\n", storeAddr) +
 		"[bounds]\ngrace = \"6s\"\nretry_window = \"10s\"\nretry_ratio = 0.2\nretry_extra = 62\nlookup_ttl_max = \"5s\"\n" +
 		"change = \"2500ms\"\ncold_overrun = 1.5\ncold_slack = 5\n[regions]\n"
--- a/review/_lab/poison.go
+++ b/review/_lab/poison.go
@@ -146,9 +146,9 @@
 		l.awaitReady(h)
 	}
 	time.Sleep(contact + time.Second)
-	for i := range 6 {
+	for i := range zones {
 		v.visit(i)
-		time.Sleep(time.Second)
+		time.Sleep(300 * time.Millisecond)
 	}
 	time.Sleep(500 * time.Millisecond)
 	ordinary.end(l)
