Review, case 3: a request that crashes targets is forgotten by a rolling restart

Cause: crash counts live in the hosts' memory and are told to partners for 20 s after their last change only, so hosts that start later never learn of them (BUDGET).

--- a/review/_lab/lab.go
+++ b/review/_lab/lab.go
@@ -412,7 +412,9 @@
 	r, _ := http.NewRequestWithContext(ctx, method, "http://"+addr+path, reader)
 	r.Host = hostName
 	r.Header.Set("Request-Identifier", id)
-	r.Header.Set("Cookie", "Affinity-Key="+object)
+	if object != "" {
+		r.Header.Set("Cookie", "Affinity-Key="+object)
+	}
 	r.Header.Set("Deadline-Milliseconds", fmt.Sprint(limit.Milliseconds()))
 	for k, v := range c.header {
 		r.Header.Set(k, v)
--- a/review/_lab/poison.go
+++ b/review/_lab/poison.go
@@ -78,7 +78,7 @@
 		if res.status == http.StatusOK {
 			return
 		}
-		if res.status == http.StatusServiceUnavailable {
+		if res.status == http.StatusServiceUnavailable && try < v.retries {
 			time.Sleep(500 * time.Millisecond)
 		}
 	}
@@ -124,7 +124,7 @@
 	l := newLab(program, record, trouble, 7, 20)
 	l.poison = func(r *http.Request, _ []byte) bool { return r.URL.Path == "/leit/77" }
 	ordinary := l.startLoad([]string{"/leit/1", "/leit/2", "/leit/3"}, "17", 200*time.Millisecond)
-	v := &visitor{lab: l, path: "/leit/77", object: "13", touched: make(map[string]bool), retries: 1}
+	v := &visitor{lab: l, path: "/leit/77", touched: make(map[string]bool), retries: 1}
 	time.Sleep(contact + time.Second)
 	for i := 0; i < 8 && l.third().IsZero(); i++ {
 		v.visit(i % len(zones))
@@ -146,9 +146,10 @@
 		l.awaitReady(h)
 	}
 	time.Sleep(contact + time.Second)
-	for i := range zones {
-		v.visit(i)
-		time.Sleep(300 * time.Millisecond)
+	v.retries = 0
+	for i := range 2 * len(zones) {
+		v.visit(i % len(zones))
+		time.Sleep(100 * time.Millisecond)
 	}
 	time.Sleep(500 * time.Millisecond)
 	ordinary.end(l)
