--- a/review/_lab/main.go
+++ b/review/_lab/main.go
@@ -18,13 +18,13 @@
 }
 
 func main() {
-	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: lab CASE PROGRAM RECORD")
+	if len(os.Args) != 5 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: lab CASE with|without PROGRAM RECORD")
 		os.Exit(notRun)
 	}
-	program, err := filepath.Abs(os.Args[2])
+	program, err := filepath.Abs(os.Args[3])
 	if err != nil {
 		os.Exit(notRun)
 	}
-	os.Exit(cases[os.Args[1]](program, os.Args[3], os.Getenv("TROUBLE") != "0"))
+	os.Exit(cases[os.Args[1]](program, os.Args[4], os.Args[2] != "without"))
 }
