Stop: requests in flight at the end of a planned stop get an answer

Callers whose requests waited in a target's queue 0.25 s before the end of a host's grace period got the end of the connection (LOST). Cause: Stop closed the connections; the handler knew of no end, and took requests that could not end in time.

--- a/entry/host.go
+++ b/entry/host.go
@@ -330,6 +330,9 @@
 	// logMargin is how long before the end of the grace period a host stops waiting for its
 	// log output.
 	logMargin = stopMargin / 2
+	// answerMargin is how long before that the requests in flight get their final responses, so that
+	// these are written.
+	answerMargin = 150 * time.Millisecond
 	// stopPoll is the time between two checks for requests in flight.
 	stopPoll = 20 * time.Millisecond
 	// withdrawTimeout limits how long the removal of this host's row may take.
@@ -338,10 +341,11 @@
 
 // Stop shuts the host down gracefully: it leaves the directory, keeps serving until callers
 // have new directory answers, and stops when the last request has ended or the grace period
-// is over.
+// is over. Requests that are still in flight shortly before get their final responses then.
 func (h *Host) Stop(ctx context.Context) {
 	deadline := time.Now().Add(time.Duration(h.settings.Load().Bounds.Grace) - stopMargin)
 	h.leaving.Store(true)
+	h.handler.Stop(deadline.Add(-answerMargin))
 	h.entry.Drain()
 	evLeaving.Log(h.log).Int64("in_flight", h.handler.InFlight()).Send()
 	h.group.Leave(ctx)
--- a/request/place/place.go
+++ b/request/place/place.go
@@ -106,6 +106,8 @@
 	BodyBytes int64
 	// TimeLeft is the time until the caller's deadline; 0 means that there is none.
 	TimeLeft time.Duration
+	// MustFit refuses the request unless it is expected to end in TimeLeft.
+	MustFit bool
 	// Tried are the IDs of the targets of earlier attempts.
 	Tried []string
 }
@@ -189,7 +191,7 @@
 		return Choice{}, ErrNoTarget
 	}
 	if !acceptWait(req, best) {
-		if s.fastest.Wait > 0 {
+		if s.fastest.Wait > 0 || !fits(req, s.fastest) {
 			return best, ErrOverloaded
 		}
 		best = s.fastest
@@ -264,6 +266,9 @@
 // so it may wait only for a limited time, which is longer for urgent requests. A request
 // that cannot be completed in the time left is not sent. Retries are always accepted.
 func acceptWait(req Request, best Choice) bool {
+	if !fits(req, best) {
+		return false
+	}
 	if best.Wait <= 0 || len(req.Tried) > 0 {
 		return true
 	}
@@ -281,6 +286,9 @@
 	return best.Wait <= time.Duration(maxWait*float64(objective))
 }
 
+// fits reports whether a request that must end in the time left is expected to.
+func fits(req Request, best Choice) bool { return !req.MustFit || best.Expected <= req.TimeLeft }
+
 // objectCached reports whether a usable target has the object cached because this host
 // recently sent it there.
 func (c *Chooser) objectCached(info *objectInfo, req Request, now time.Time) bool {
--- a/request/serve/fingerprint_test.go
+++ b/request/serve/fingerprint_test.go
@@ -19,7 +19,7 @@
 	if chunked {
 		r.ContentLength, r.TransferEncoding = -1, []string{"chunked"}
 	}
-	q := &request{r: r, w: httptest.NewRecorder(), config: new(routes.Config), deadline: time.Now().Add(time.Minute)}
+	q := &request{h: New(Options{}), r: r, w: httptest.NewRecorder(), config: new(routes.Config), deadline: time.Now().Add(time.Minute)}
 	if !q.readBody() {
 		t.Fatal("the body is refused")
 	}
--- a/request/serve/finish.go
+++ b/request/serve/finish.go
@@ -43,7 +43,7 @@
 	case last.err == nil && last.resp != nil:
 		q.relay(last)
 	default:
-		q.respond(status(q.verdict(), ctx.Err() != nil), last.err, evFailed)
+		q.respond(status(q.verdict(), errors.Is(context.Cause(ctx), errDeadline)), last.err, evFailed)
 	}
 }
 
@@ -160,7 +160,7 @@
 		name string
 	}{
 		{place.ErrOverloaded, "busy"}, {place.ErrNoTarget, "no_target"}, {errCrashLoop, "crashes"}, {errNoConfig, "no_config"},
-		{errNoRoute, "no_route"}, {errDeadline, "out_of_time"}, {errCallerGone, "caller_gone"}, {errNoBudget, "no_budget"},
+		{errNoRoute, "no_route"}, {errStopping, "stopping"}, {errDeadline, "out_of_time"}, {errCallerGone, "caller_gone"}, {errNoBudget, "no_budget"},
 	} {
 		if errors.Is(err, known.err) {
 			return known.name
--- a/request/serve/read.go
+++ b/request/serve/read.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -87,7 +88,7 @@
 }
 
 // readBody reads the request's body into memory or, when its length shows that it is too large
-// for that, its start. It stops at the deadline.
+// for that, its start. It stops at the deadline and at the end of a planned stop.
 func (q *request) readBody() bool {
 	if q.r.Body == nil || q.r.Body == http.NoBody {
 		return true
@@ -101,6 +102,8 @@
 	}
 	stop := time.AfterFunc(time.Until(q.deadline), func() { _ = q.r.Body.Close() })
 	defer stop.Stop()
+	release := context.AfterFunc(q.h.ending, func() { _ = q.r.Body.Close() })
+	defer release()
 	body, err := io.ReadAll(io.LimitReader(q.r.Body, buffered))
 	if err != nil {
 		return q.bodyFailed(err)
@@ -129,6 +132,8 @@
 		return false
 	case !time.Now().Before(q.deadline):
 		return q.refuse(http.StatusRequestTimeout, errDeadline)
+	case q.h.ending.Err() != nil:
+		return q.refuse(http.StatusServiceUnavailable, errStopping)
 	default:
 		return q.refuse(http.StatusBadRequest, errors.Wrap(err, "request body"))
 	}
--- a/request/serve/serve.go
+++ b/request/serve/serve.go
@@ -3,8 +3,8 @@
 //
 // serve.go runs the attempts of a request, read.go reads it and finds its route, attempt.go
 // sends it to a target and classifies the response, finish.go sends the final response and
-// writes the log line, headers.go declares the values carried in headers, path.go keeps the
-// path as it was sent.
+// writes the log line, stop.go bounds requests at a planned stop, headers.go declares the values
+// carried in headers, path.go keeps the path as it was sent.
 package serve
 
 import (
@@ -52,10 +52,18 @@
 	received atomic.Int64
 	// shareCounter distributes the requests of weighted routes over their services.
 	shareCounter atomic.Uint64
+	// stop is nil until a planned stop begins. ending ends with endRequests, at the end of its window.
+	stop        atomic.Pointer[stopWindow]
+	ending      context.Context
+	endRequests context.CancelFunc
 }
 
 // New returns a handler.
-func New(opts Options) *Handler { return &Handler{Options: opts} }
+func New(opts Options) *Handler {
+	h := &Handler{Options: opts}
+	h.ending, h.endRequests = context.WithCancel(context.Background())
+	return h
+}
 
 // Received returns the number of requests received since the start.
 func (h *Handler) Received() int64 { return h.received.Load() }
@@ -72,7 +80,9 @@
 	if !q.read() {
 		return
 	}
-	ctx, cancel := context.WithDeadlineCause(r.Context(), q.deadline, errDeadline)
+	ctx, release := h.untilStop(r.Context())
+	defer release()
+	ctx, cancel := context.WithDeadlineCause(ctx, q.deadline, errDeadline)
 	defer cancel()
 	q.run(ctx)
 }
@@ -149,9 +159,10 @@
 	if ctx.Err() != nil {
 		return place.Choice{}, context.Cause(ctx)
 	}
+	left, mustFit := q.timeLeft(now)
 	choice, err := q.h.Chooser.Choose(place.Request{
 		Route: q.route, Service: q.service, Object: q.object, BodyBytes: max(int64(len(q.body)), q.r.ContentLength), Tried: q.tried,
-		TimeLeft: q.deadline.Sub(now),
+		TimeLeft: left, MustFit: mustFit,
 	}, now)
 	if err != nil {
 		q.refusedChoice = &choice
--- /dev/null
+++ b/request/serve/stop.go
@@ -0,0 +1,55 @@
+package serve
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// errStopping reports a request that this host ended or refused because it stops.
+var errStopping = errors.New("the host stops")
+
+// lateFactor is how many times its expected time a request must have left that is sent to a target in
+// the second half of a stop, since its target may be slower than expected.
+const lateFactor = 2
+
+// stopWindow is the time from the start of a planned stop until requests are ended.
+type stopWindow struct{ start, end time.Time }
+
+// Stop begins a planned stop. A request is then sent to a target only if its response can be expected by
+// end; others are refused. At end, each request that is still in flight gets its final response: that it
+// has not run, or that it may have.
+func (h *Handler) Stop(end time.Time) {
+	now := time.Now()
+	if !h.stop.CompareAndSwap(nil, &stopWindow{start: now, end: end}) {
+		return
+	}
+	time.AfterFunc(end.Sub(now), h.endRequests)
+}
+
+// untilStop returns a context that ends with ctx, or with the cause errStopping when this host ends its
+// requests.
+func (h *Handler) untilStop(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	release := context.AfterFunc(h.ending, func() { cancel(errStopping) })
+	return ctx, func() {
+		release()
+		cancel(nil)
+	}
+}
+
+// timeLeft returns how long a request that is sent to a target now may take, and whether it must be
+// refused if it is expected to take longer.
+func (q *request) timeLeft(now time.Time) (left time.Duration, mustFit bool) {
+	left = q.deadline.Sub(now)
+	s := q.h.stop.Load()
+	if s == nil {
+		return left, false
+	}
+	untilEnd := s.end.Sub(now)
+	if now.Sub(s.start) > untilEnd {
+		untilEnd /= lateFactor
+	}
+	return min(left, untilEnd), true
+}
