Crashes: hosts that start learn the counts of their partners, and keep them

Cause: heartbeats carried only counts that had changed within 20 s, and a refused request changes nothing; besides, counts ended after two minutes.

--- a/entry/host.go
+++ b/entry/host.go
@@ -147,7 +147,8 @@
 	h.logWriter.OnDropped(func(lines int64) {
 		evLinesDropped.Log(h.log).Int64("lines", lines).Int64("total", h.logWriter.Dropped()).Send()
 	})
-	h.crashes = crash.New(h.self.Name + "/" + strconv.FormatInt(h.self.Incarnation, 10))
+	h.crashes = crash.New()
+	h.crashes.MayTry = func(fingerprint uint64) bool { return h.group.Owns(strconv.FormatUint(fingerprint, 16), 1) }
 	h.crashes.OnLimitReached = func(fingerprint uint64, crashes int) {
 		evRequestQuarantined.Log(h.log).Uint64("fingerprint", fingerprint).Int("crashes", crashes).Send()
 	}
--- a/entry/host_test.go
+++ b/entry/host_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -277,6 +278,31 @@
 	}
 }
 
+// TestCrashesOutliveRestarts: hosts that were stopped and started in turn forgot a request that crashes targets
+// (incident 0013). Each must know it again within seconds of its start, and the log must name the crashes.
+func TestCrashesOutliveRestarts(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	const fingerprint = 7
+	longAgo := time.Now().Add(-3 * time.Minute)
+	for i := range crash.MaxCrashes {
+		c.hosts[0].crashes.RecordCrash(fingerprint, fmt.Sprintf("i-%d/1", i), longAgo)
+	}
+	for _, name := range []string{"front-1", "front-0"} {
+		for i, h := range c.hosts {
+			if h.self.Name == name {
+				h.close()
+				c.hosts = append(c.hosts[:i:i], c.hosts[i+1:]...)
+				break
+			}
+		}
+		h := c.addHost(name)
+		c.eventually("the host that starts knows the crashes", func() bool { return h.crashes.LimitReached(fingerprint, time.Now()) })
+		if got := h.crashes.Crashes(fingerprint, time.Now()); strings.Count(got, " 3m") != crash.MaxCrashes {
+			t.Errorf("the crashes are told as %q", got)
+		}
+	}
+}
+
 // TestCrashesBeforeAndAfterRestartAddUp: the crashes that a host saw before its restart must not
 // hide those after it from the other hosts, and the host itself must learn of its earlier ones.
 func TestCrashesBeforeAndAfterRestartAddUp(t *testing.T) {
@@ -285,12 +311,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	other, before := crash.New("front-1"), New(settings, "", io.Discard)
-	before.crashes.RecordCrash(7, now)
-	before.crashes.RecordCrash(7, now)
+	other, before := crash.New(), New(settings, "", io.Discard)
+	before.crashes.RecordCrash(7, "i-0/1", now)
+	before.crashes.RecordCrash(7, "i-1/1", now)
 	other.Merge(before.crashes.Recent(time.Minute, now), now)
 	after := New(settings, "", io.Discard)
-	after.crashes.RecordCrash(7, now)
+	after.crashes.RecordCrash(7, "i-2/1", now)
 	other.Merge(after.crashes.Recent(time.Minute, now), now)
 	if !other.LimitReached(7, now) {
 		t.Error("three crashes, one of them after a restart of the host, do not reach the limit of three")
--- a/process/crash/crash.go
+++ b/process/crash/crash.go
@@ -1,11 +1,17 @@
 // Package crash counts how many targets crashed while they ran a request, summed over all
 // hosts, so that no host sends a request again that has reached the limit.
 //
-// The counts of different hosts are added; of two reports of the same host the larger
-// count is kept. So the order and repetition of reports do not matter.
+// crash.go counts and merges, trial.go allows few trials of a request at the limit, space.go bounds
+// the memory.
+//
+// An incarnation of a target counts once for a request, whichever hosts saw its crash: of two reports
+// the larger count is kept. A response to the request shows that it does not crash targets, and clears
+// what was counted so far. So the order and repetition of reports do not matter.
 package crash
 
 import (
+	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -14,21 +20,34 @@
 	// MaxCrashes is the number of crashes at which a request reaches the limit, so that no
 	// host sends it again.
 	MaxCrashes = 3
-	// retention is how long the counts of a request apply after they last changed on this
-	// host. Expired counts are removed when a new one arrives or space is needed.
-	retention = 2 * time.Minute
-	// maxRequests bounds the requests with counts.
-	maxRequests = 2000
+	// maxCounted is the number of crashes from which on further ones are not counted.
+	maxCounted = MaxCrashes + maxTrials
+	// suspicionAge is how long the counts of a request below the limit apply after they last changed,
+	// and limitAge the same for one at the limit. Expired counts are removed when a new one arrives or
+	// space is needed.
+	suspicionAge = 30 * time.Minute
+	limitAge     = 24 * time.Hour
+	// sameCrash is how long after its crash an incarnation that is reported again has not crashed
+	// again: it is back after some seconds.
+	sameCrash = 2 * time.Second
+	// maxTargets bounds the incarnations of targets that are kept for a request.
+	maxTargets = 32
 	// maxReported bounds the counts in one report.
-	maxReported = 64
+	maxReported = 512
+	// maxStated is the largest count that is accepted from another host.
+	maxStated = 1 << 20
 )
 
-// Count is the number of crashes that one host observed for one request.
+// Count is how often an incarnation of a target crashed while it ran a request, or, negative, how many
+// of these crashes were cleared.
 type Count struct {
 	Fingerprint uint64
-	// Host identifies an incarnation of a host.
-	Host    string
+	// Target is the incarnation. Earlier releases state that of the host that observed the crashes.
+	Target  string `cbor:"Host"`
 	Crashes int
+	// Age is the time since the counts of the request last changed. Earlier releases and short
+	// heartbeats state none.
+	Age time.Duration `cbor:",omitempty"`
 }
 
 // Counts holds the crash counts of requests. It is safe for concurrent use.
@@ -36,31 +55,46 @@
 	// OnLimitReached is called for each request that reaches the limit. It is set before
 	// the first use of Counts and may be nil.
 	OnLimitReached func(fingerprint uint64, crashes int)
-
-	host string
+	// MayTry reports whether this host is the one that tries a request at the limit. It is set before the
+	// first use of Counts; nil means that it always is.
+	MayTry func(fingerprint uint64) bool
 
 	mu       sync.Mutex
 	requests map[uint64]*requestCounts
 }
 
+// requestCounts are the counts of a request by the incarnation of the target.
 type requestCounts struct {
-	byHost    map[string]int
+	byTarget  map[string]targetCount
 	changedAt time.Time
+	// trials is the number of trials that this host has made since the limit was reached, the last one
+	// at triedAt.
+	trials  int
+	triedAt time.Time
 }
 
-// New returns empty counts of a host. host must differ between incarnations.
-func New(host string) *Counts {
-	return &Counts{host: host, requests: make(map[uint64]*requestCounts)}
+// targetCount is how often an incarnation crashed, how many of these crashes were cleared, and when the
+// first number last rose on this host.
+type targetCount struct {
+	crashes, cleared int
+	at               time.Time
 }
 
-// RecordCrash records that a target crashed while it ran a request, and returns the total.
-func (c *Counts) RecordCrash(fingerprint uint64, now time.Time) int {
+// New returns empty counts.
+func New() *Counts { return &Counts{requests: make(map[uint64]*requestCounts)} }
+
+// RecordCrash records that an incarnation of a target crashed while it ran a request, and returns the
+// total of the request.
+func (c *Counts) RecordCrash(fingerprint uint64, target string, now time.Time) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := c.requestCountsFor(fingerprint, now)
-	before := r.total()
-	r.byHost[c.host]++
-	r.changedAt = now
+	before, t := r.total(), r.byTarget[target]
+	if before >= maxCounted || (t.crashes > 0 && now.Sub(t.at) < sameCrash) {
+		return before
+	}
+	t.crashes, t.at = t.crashes+1, now
+	r.set(target, t, now)
 	c.notifyIfLimitReached(fingerprint, before, r)
 	return r.total()
 }
@@ -73,19 +107,53 @@
 }
 
 // RecordSuccess records that a target responded to a request. That shows that the request
-// does not crash targets, so its counts are cleared.
-func (c *Counts) RecordSuccess(fingerprint uint64) {
+// does not crash targets, so its counts are cleared, here and at the other hosts.
+func (c *Counts) RecordSuccess(fingerprint uint64, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.requests, fingerprint)
+	r := c.requests[fingerprint]
+	if r == nil || r.total() == 0 {
+		return
+	}
+	for target, t := range r.byTarget {
+		t.cleared = t.crashes
+		r.set(target, t, now)
+	}
+	r.trials = 0
 }
 
 // LimitReached reports whether a request has reached the limit of crashes.
 func (c *Counts) LimitReached(fingerprint uint64, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.atLimit(fingerprint, now) != nil
+}
+
+// atLimit returns the counts of a request that has reached the limit, else nil. mu must be held.
+func (c *Counts) atLimit(fingerprint uint64, now time.Time) *requestCounts {
+	r := c.requests[fingerprint]
+	if r == nil || r.total() < MaxCrashes || r.expired(now) {
+		return nil
+	}
+	return r
+}
+
+// Crashes returns the incarnations whose crashes count for a request, each with the time since then.
+func (c *Counts) Crashes(fingerprint uint64, now time.Time) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := c.requests[fingerprint]
-	return r != nil && !r.expired(now) && r.total() >= MaxCrashes
+	if r == nil {
+		return ""
+	}
+	var crashes []string
+	for target, t := range r.byTarget {
+		if t.crashes > t.cleared {
+			crashes = append(crashes, target+" "+now.Sub(t.at).Round(time.Second).String()+" ago")
+		}
+	}
+	slices.Sort(crashes)
+	return strings.Join(crashes, ", ")
 }
 
 // Merge merges the counts of other hosts.
@@ -93,33 +161,67 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, other := range counts {
-		if other.Host == c.host {
-			continue
-		}
-		r := c.requestCountsFor(other.Fingerprint, now)
-		if other.Crashes > r.byHost[other.Host] {
-			before := r.total()
-			r.byHost[other.Host] = other.Crashes
-			r.changedAt = now
-			c.notifyIfLimitReached(other.Fingerprint, before, r)
-		}
+		c.merge(other, now)
 	}
 }
 
+func (c *Counts) merge(other Count, now time.Time) {
+	age := max(0, other.Age)
+	if other.Crashes == 0 || max(other.Crashes, -other.Crashes) > maxStated || age >= limitAge {
+		return
+	}
+	r := c.requestCountsFor(other.Fingerprint, now)
+	before, t := r.total(), r.byTarget[other.Target]
+	switch {
+	case other.Crashes > t.crashes:
+		t.crashes, t.at = other.Crashes, now.Add(-age)
+	case -other.Crashes > t.cleared:
+		t.cleared = -other.Crashes
+	default:
+		return
+	}
+	r.set(other.Target, t, now.Add(-age))
+	c.notifyIfLimitReached(other.Fingerprint, before, r)
+}
+
 // Recent returns counts that changed within a duration, at most maxReported.
 func (c *Counts) Recent(within time.Duration, now time.Time) []Count {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var counts []Count
 	for fingerprint, r := range c.requests {
-		if now.Sub(r.changedAt) > within {
-			continue
+		if now.Sub(r.changedAt) <= within && len(counts) < maxReported {
+			counts = append(counts, r.report(fingerprint, now)...)
+		}
+	}
+	return counts
+}
+
+// All returns the counts that apply, about maxReported at most, those of requests at the limit first.
+func (c *Counts) All(now time.Time) []Count {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var counts, below []Count
+	for fingerprint, r := range c.requests {
+		switch {
+		case r.expired(now):
+		case r.total() >= MaxCrashes && len(counts) < maxReported:
+			counts = append(counts, r.report(fingerprint, now)...)
+		case len(below) < maxReported:
+			below = append(below, r.report(fingerprint, now)...)
 		}
-		for host, n := range r.byHost {
-			if len(counts) == maxReported {
-				return counts
+	}
+	return append(counts, below[:min(len(below), max(0, maxReported-len(counts)))]...)
+}
+
+// report returns the counts of a request.
+func (r *requestCounts) report(fingerprint uint64, now time.Time) []Count {
+	var counts []Count
+	for target, t := range r.byTarget {
+		for _, n := range []int{t.crashes, -t.cleared} {
+			if n != 0 {
+				counts = append(counts, Count{Fingerprint: fingerprint, Target: target, Crashes: n, Age: now.Sub(r.changedAt)})
 			}
-			counts = append(counts, Count{Fingerprint: fingerprint, Host: host, Crashes: n})
 		}
 	}
 	return counts
@@ -131,33 +233,49 @@
 	r := c.requests[fingerprint]
 	if r == nil || r.expired(now) {
 		delete(c.requests, fingerprint)
-		c.evict(now)
-		r = &requestCounts{byHost: make(map[string]int)}
+		c.makeSpace(now)
+		r = &requestCounts{byTarget: make(map[string]targetCount), changedAt: now}
 		c.requests[fingerprint] = r
-		r.changedAt = now
 	}
 	return r
 }
 
-// evict makes space for a request when maxRequests is reached: it removes all expired
-// counts and, as long as there is no space, unexpired ones in any order.
-func (c *Counts) evict(now time.Time) {
-	if len(c.requests) < maxRequests {
-		return
+// set sets the count of an incarnation. Beyond maxTargets an incarnation of which nothing counts is
+// forgotten for it, or the oldest one.
+func (r *requestCounts) set(target string, t targetCount, changedAt time.Time) {
+	if _, known := r.byTarget[target]; !known && len(r.byTarget) >= maxTargets {
+		delete(r.byTarget, r.leastUseful())
 	}
-	for fingerprint, r := range c.requests {
-		if r.expired(now) || len(c.requests) >= maxRequests {
-			delete(c.requests, fingerprint)
+	if len(r.byTarget) == 0 || changedAt.After(r.changedAt) {
+		r.changedAt = changedAt
+	}
+	r.byTarget[target] = t
+}
+
+// leastUseful returns the incarnation to forget first.
+func (r *requestCounts) leastUseful() string {
+	first, least := "", targetCount{}
+	for target, t := range r.byTarget {
+		counts, leastCounts := t.crashes > t.cleared, least.crashes > least.cleared
+		if first == "" || (counts == leastCounts && t.at.Before(least.at)) || (!counts && leastCounts) {
+			first, least = target, t
 		}
 	}
+	return first
 }
 
-func (r *requestCounts) expired(now time.Time) bool { return now.Sub(r.changedAt) >= retention }
+func (r *requestCounts) expired(now time.Time) bool {
+	age := suspicionAge
+	if r.total() >= MaxCrashes {
+		age = limitAge
+	}
+	return now.Sub(r.changedAt) >= age
+}
 
 func (r *requestCounts) total() int {
 	total := 0
-	for _, n := range r.byHost {
-		total += n
+	for _, t := range r.byTarget {
+		total += max(0, t.crashes-t.cleared)
 	}
 	return total
 }
--- a/process/crash/crash_test.go
+++ b/process/crash/crash_test.go
@@ -8,18 +8,29 @@
 
 var start = time.Unix(1000, 0)
 
+// incarnation returns the name of an incarnation of a target.
+func incarnation(n int) string { return fmt.Sprintf("i-%d/1", n) }
+
+// reachLimit records crashes of a request until it is at the limit.
+func reachLimit(c *Counts, fingerprint uint64, now time.Time) {
+	for i := range MaxCrashes {
+		c.RecordCrash(fingerprint, incarnation(i), now)
+	}
+}
+
 // TestCrashesOfSeveralHostsAddUp: crashes observed by three hosts must add up, and
 // repeated reports must not be counted twice.
 func TestCrashesOfSeveralHostsAddUp(t *testing.T) {
-	hosts := []*Counts{New("a"), New("b"), New("c")}
+	hosts := []*Counts{New(), New(), New()}
 	for i, h := range hosts {
 		if h.LimitReached(7, start) {
 			t.Errorf("limit reached after %d crashes", i)
 		}
-		h.RecordCrash(7, start)
+		h.RecordCrash(7, incarnation(i), start)
 		for _, other := range hosts {
 			for range 2 { // a repeated report must not be counted twice
 				other.Merge(h.Recent(time.Minute, start), start)
+				other.Merge(h.All(start), start)
 			}
 		}
 	}
@@ -33,40 +44,101 @@
 	}
 }
 
+// TestOneCrashCountsOnce: one crash of a target counted once for each copy of a request that it ran and each
+// host, so that it reached the limit alone (incident 0015). A later crash of the same incarnation is another one.
+func TestOneCrashCountsOnce(t *testing.T) {
+	a, b := New(), New()
+	for range 5 {
+		a.RecordCrash(7, incarnation(1), start)
+		b.RecordCrash(7, incarnation(1), start.Add(sameCrash/2))
+		a.Merge(b.All(start), start)
+		b.Merge(a.Recent(time.Minute, start), start)
+	}
+	for _, c := range []*Counts{a, b} {
+		if n := c.RecordCrash(7, incarnation(1), start.Add(sameCrash)); n < 1 || n > 2 {
+			t.Errorf("total %d after one crash or two", n)
+		}
+	}
+	if n := a.RecordCrash(7, incarnation(1), start.Add(2*sameCrash)); n != 3 {
+		t.Errorf("total %d after three crashes", n)
+	}
+}
+
 // TestSuccessClearsCounts: a request that only ran on the same targets as one that crashes
-// them must be cleared by a success.
+// them must be cleared by a success, at all hosts, and reports of before must not bring its counts back.
 func TestSuccessClearsCounts(t *testing.T) {
-	c := New("a")
-	c.RecordCrash(7, start)
-	c.RecordCrash(7, start)
-	c.RecordSuccess(7)
-	if c.RecordCrash(7, start) != 1 || c.LimitReached(7, start) {
-		t.Error("crashes before a success still count")
+	a, b := New(), New()
+	a.RecordCrash(7, incarnation(1), start)
+	a.RecordCrash(7, incarnation(2), start)
+	old := a.All(start)
+	b.Merge(old, start)
+	a.RecordSuccess(7, start)
+	b.Merge(a.Recent(time.Minute, start), start)
+	a.Merge(old, start)
+	b.Merge(old, start)
+	for _, c := range []*Counts{a, b} {
+		if c.RecordCrash(7, incarnation(3), start) != 1 || c.LimitReached(7, start) {
+			t.Error("crashes before a success still count")
+		}
 	}
 }
 
-// TestCountsAreBounded: the number of requests with counts must stay bounded, and counts
-// must expire.
-func TestCountsAreBounded(t *testing.T) {
-	c := New("a")
-	for i := range 3 * maxRequests {
-		c.RecordCrash(uint64(i), start)
+// TestSuccessClearsRequestAtLimit: a success of a request at the limit shows that it was only beside the one at
+// fault; it must be served again.
+func TestSuccessClearsRequestAtLimit(t *testing.T) {
+	c := New()
+	reachLimit(c, 7, start)
+	c.RecordSuccess(7, start)
+	if c.LimitReached(7, start) || !c.Admit(7, start) {
+		t.Error("the request is still refused")
 	}
-	if n := len(c.requests); n > maxRequests {
-		t.Errorf("counts of %d requests are kept", n)
+}
+
+// TestCountsExpire: counts must stay for as long as requests come again that crash targets every few
+// minutes, and must not stay for ever.
+func TestCountsExpire(t *testing.T) {
+	c := New()
+	now := start
+	for i := range MaxCrashes {
+		if c.LimitReached(7, now) {
+			t.Errorf("limit reached after %d crashes", i)
+		}
+		c.RecordCrash(7, incarnation(i), now)
+		now = now.Add(suspicionAge - time.Second)
+	}
+	if !c.LimitReached(7, now) {
+		t.Error("three crashes half an hour apart do not reach the limit")
 	}
-	for range MaxCrashes {
-		c.RecordCrash(1, start)
+	if last := now.Add(limitAge); c.LimitReached(7, last) || len(c.All(last)) > 0 {
+		t.Error("the limit still counts as reached after limitAge")
 	}
-	if c.LimitReached(1, start.Add(retention)) {
-		t.Error("the limit still counts as reached after the retention")
+	c.RecordCrash(8, incarnation(1), now)
+	c.RecordCrash(8, incarnation(2), now)
+	if n := c.RecordCrash(8, incarnation(3), now.Add(suspicionAge)); n != 1 {
+		t.Errorf("total %d: counts below the limit still add up after suspicionAge", n)
+	}
+}
+
+// TestMergedCountsKeepTheirAge: counts that pass from host to host, as hosts start one after the other, must
+// expire as if they had stayed.
+func TestMergedCountsKeepTheirAge(t *testing.T) {
+	c, now := New(), start
+	reachLimit(c, 7, now)
+	for range 25 {
+		now = now.Add(time.Hour)
+		next := New()
+		next.Merge(c.All(now), now)
+		c = next
+	}
+	if c.LimitReached(7, now) {
+		t.Error("the limit still counts as reached after limitAge")
 	}
 }
 
 // TestOnLimitReachedIsCalledOnce: the callback must be called once when a request reaches
 // the limit, and not again for later crashes.
 func TestOnLimitReachedIsCalledOnce(t *testing.T) {
-	c := New("a")
+	c := New()
 	calls := 0
 	c.OnLimitReached = func(fingerprint uint64, crashes int) {
 		calls++
@@ -74,9 +146,9 @@
 			t.Errorf("callback called for request %d with %d crashes", fingerprint, crashes)
 		}
 	}
-	c.Merge([]Count{{Fingerprint: 7, Host: "b", Crashes: MaxCrashes - 1}}, start)
-	for range 3 {
-		c.RecordCrash(7, start)
+	c.Merge([]Count{{Fingerprint: 7, Target: "b", Crashes: MaxCrashes - 1}}, start)
+	for i := range 3 {
+		c.RecordCrash(7, incarnation(i), start)
 	}
 	if calls != 1 {
 		t.Errorf("callback called %d times", calls)
@@ -86,41 +158,57 @@
 // TestExpiredCountsDoNotAddUp: crashes from before the retention must not add to later ones,
 // neither on the host that saw them nor on others, and the limit must be reported anew.
 func TestExpiredCountsDoNotAddUp(t *testing.T) {
-	a, b := New("a"), New("b")
+	a, b := New(), New()
 	calls := 0
 	a.OnLimitReached = func(uint64, int) { calls++ }
-	for range MaxCrashes {
-		a.RecordCrash(7, start)
-	}
+	reachLimit(a, 7, start)
 	b.Merge(a.Recent(time.Minute, start), start)
-	later := start.Add(retention)
-	if n := a.RecordCrash(7, later); n != 1 {
+	later := start.Add(limitAge)
+	if n := a.RecordCrash(7, incarnation(10), later); n != 1 {
 		t.Errorf("first crash after the retention: total %d", n)
 	}
 	b.Merge(a.Recent(time.Minute, later), later)
 	if a.LimitReached(7, later) || b.LimitReached(7, later) {
 		t.Error("the limit is reached again by one crash")
 	}
-	if n := b.RecordCrash(7, later); n != 2 {
+	if n := b.RecordCrash(7, incarnation(11), later); n != 2 {
 		t.Errorf("crash on the other host: total %d, want 2", n)
 	}
-	for range MaxCrashes - 1 {
-		a.RecordCrash(7, later)
+	for i := range MaxCrashes - 1 {
+		a.RecordCrash(7, incarnation(20+i), later)
 	}
 	if !a.LimitReached(7, later) || calls != 2 {
 		t.Errorf("limit reached: %v, reported %d times, want true and 2", a.LimitReached(7, later), calls)
 	}
 }
 
-// TestCountsOfEarlierIncarnationsExpire: the counts of a host that starts again and again must
-// not pile up beyond the retention.
-func TestCountsOfEarlierIncarnationsExpire(t *testing.T) {
-	c, now := New("a"), start
-	for i := range 100 {
-		c.Merge([]Count{{Fingerprint: 7, Host: fmt.Sprint("b/", i), Crashes: MaxCrashes}}, now)
-		if n := len(c.requests[7].byHost); n != 1 {
-			t.Fatalf("after %d starts the counts of %d incarnations are kept", i+1, n)
+// TestCountsOfARequestAreBounded: the counts of one request must not pile up, whether its crashes count or are cleared, and
+// also with the reports of an earlier release, which name hosts that start again and again.
+func TestCountsOfARequestAreBounded(t *testing.T) {
+	c := New()
+	for i := range 10 * maxTargets {
+		c.Merge([]Count{{Fingerprint: 7, Target: fmt.Sprint("b/", i), Crashes: MaxCrashes}}, start)
+		c.RecordCrash(8, incarnation(i), start)
+		c.RecordSuccess(8, start)
+		if i%2 == 0 {
+			c.RecordSuccess(7, start)
+		}
+		for _, fingerprint := range []uint64{7, 8} {
+			if n := len(c.requests[fingerprint].byTarget); n > maxTargets {
+				t.Fatalf("after %d rounds %d counts of request %d are kept", i+1, n, fingerprint)
+			}
 		}
-		now = now.Add(retention)
+	}
+}
+
+// TestStatedCountsOutOfRange: numbers that no host counts must change nothing.
+func TestStatedCountsOutOfRange(t *testing.T) {
+	c := New()
+	const most = int(^uint(0) >> 1)
+	for _, n := range []int{most, -most, -most - 1, maxStated + 1} {
+		c.Merge([]Count{{Fingerprint: 7, Target: "a", Crashes: n, Age: -time.Hour}}, start)
+	}
+	if n := c.RecordCrash(7, "a", start); n != 1 {
+		t.Errorf("total %d after one crash", n)
 	}
 }
--- a/process/partner/brief.go
+++ b/process/partner/brief.go
@@ -50,7 +50,7 @@
 type briefCrash struct {
 	_           struct{} `cbor:",toarray"`
 	Fingerprint uint64
-	Host        string
+	Target      string
 	Crashes     int
 }
 
@@ -91,7 +91,7 @@
 		b.Positions = append(b.Positions, briefPosition{Revision: h.Positions[name], Era: h.Eras[name], Changed: h.Changed[name]})
 	}
 	for _, c := range h.Crashes {
-		b.Crashes = append(b.Crashes, briefCrash{Fingerprint: c.Fingerprint, Host: c.Host, Crashes: c.Crashes})
+		b.Crashes = append(b.Crashes, briefCrash{Fingerprint: c.Fingerprint, Target: c.Target, Crashes: c.Crashes})
 	}
 	return b
 }
@@ -115,7 +115,7 @@
 		h.Positions[name], h.Eras[name], h.Changed[name] = p.Revision, p.Era, p.Changed
 	}
 	for _, c := range b.Crashes {
-		h.Crashes = append(h.Crashes, crash.Count{Fingerprint: c.Fingerprint, Host: c.Host, Crashes: c.Crashes})
+		h.Crashes = append(h.Crashes, crash.Count{Fingerprint: c.Fingerprint, Target: c.Target, Crashes: c.Crashes})
 	}
 	return h
 }
--- a/process/partner/control_bytes_test.go
+++ b/process/partner/control_bytes_test.go
@@ -138,7 +138,7 @@
 		self.Capacity = 100
 	}
 	g := New(Options{
-		Self: self, Tables: []string{otherTable, table}, Mirror: m, Apply: func(d mirror.Delta) { m.Apply(d) }, Crashes: crash.New(self.Name),
+		Self: self, Tables: []string{otherTable, table}, Mirror: m, Apply: func(d mirror.Delta) { m.Apply(d) }, Crashes: crash.New(),
 		RequestRate: func() float64 { return 31.5 }, Client: client, Metrics: metrics.NewSet(), Log: zerolog.Nop(), Now: time.Now,
 	})
 	reads := new(atomic.Bool)
--- a/process/partner/fuzz_test.go
+++ b/process/partner/fuzz_test.go
@@ -20,7 +20,7 @@
 	for _, message := range []any{
 		Heartbeat{
 			From: Member{Name: "front-1", Incarnation: 2, Region: "nordur", Peer: "b", Capacity: 5}, Positions: map[string]uint64{table: 7}, Eras: map[string]uint64{table: 1},
-			Crashes: []crash.Count{{Fingerprint: 1, Host: "front-1", Crashes: 2}}, Rate: 3, Fresh: true, Age: time.Second,
+			Crashes: []crash.Count{{Fingerprint: 1, Target: "i-1/1", Crashes: 2}}, Rate: 3, Fresh: true, Age: time.Second,
 		},
 		Heartbeat{From: Member{Name: "front-1"}, Leaving: true, Troubled: true, Fresh: true, Age: -time.Hour},
 		PullRequest{Table: table, After: 3, Era: 1},
--- a/process/partner/message.go
+++ b/process/partner/message.go
@@ -16,7 +16,8 @@
 	// complete, and Eras the store's era of that revision. Earlier releases send no Eras.
 	Positions map[string]uint64
 	Eras      map[string]uint64
-	Crashes   []crash.Count
+	// Crashes are all counts that apply; in short heartbeats those that changed recently.
+	Crashes []crash.Count
 	// Rate is the sender's recent rate of incoming requests per second.
 	Rate float64
 	// Fresh says that the sender itself reads the store and gets responses; Troubled says
--- a/process/partner/partner.go
+++ b/process/partner/partner.go
@@ -59,7 +59,7 @@
 	// smallRegion is the number of hosts up to which smallRegionPartners of another region are
 	// partners.
 	smallRegion, smallRegionPartners = 6, 3
-	// crashCountMaxAge is the age up to which crash counts are sent in heartbeats.
+	// crashCountMaxAge is the age up to which crash counts are sent in short heartbeats.
 	crashCountMaxAge = 20 * time.Second
 	// forgetAfter is how long a host that is not alive stays in the group and is still
 	// sent heartbeats.
--- a/process/partner/partner_test.go
+++ b/process/partner/partner_test.go
@@ -62,7 +62,7 @@
 	g := New(Options{
 		Self:   Member{Name: name, Incarnation: incarnation, Region: region, Peer: name, Entry: "entry-" + name},
 		Tables: []string{table}, Mirror: m, Apply: func(d mirror.Delta) { m.Apply(d) },
-		Crashes: crash.New(name), RequestRate: func() float64 { return 0 }, StoreStatus: func() StoreStatus { return StoreStatus{} }, Client: networkClient{n, name}, Metrics: metrics.NewSet(), Log: zerolog.Nop(), Now: time.Now,
+		Crashes: crash.New(), RequestRate: func() float64 { return 0 }, StoreStatus: func() StoreStatus { return StoreStatus{} }, Client: networkClient{n, name}, Metrics: metrics.NewSet(), Log: zerolog.Nop(), Now: time.Now,
 	})
 	n.mu.Lock()
 	n.groups[name] = g
@@ -231,10 +231,10 @@
 func TestHeartbeatsCarryCrashCounts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		_, groups := newNetwork(t, 3)
-		for range crash.MaxCrashes - 1 {
-			groups[0].opts.Crashes.RecordCrash(42, time.Now())
+		for i := range crash.MaxCrashes - 1 {
+			groups[0].opts.Crashes.RecordCrash(42, fmt.Sprint("i-0/", i), time.Now())
 		}
-		groups[1].opts.Crashes.RecordCrash(42, time.Now())
+		groups[1].opts.Crashes.RecordCrash(42, "i-1/1", time.Now())
 		time.Sleep(2 * heartbeatInterval)
 		if !groups[2].opts.Crashes.LimitReached(42, time.Now()) {
 			t.Error("the third host does not report the limit as reached")
@@ -242,6 +242,30 @@
 	})
 }
 
+// TestStartingHostLearnsOldCrashes: hosts that were started in turn forgot a request that crashes targets
+// (incident 0013). A host that starts must learn the counts of its partners, however old.
+func TestStartingHostLearnsOldCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, groups := newNetwork(t, 2)
+		for i := range crash.MaxCrashes {
+			groups[0].opts.Crashes.RecordCrash(42, fmt.Sprint("i-0/", i), time.Now())
+		}
+		time.Sleep(10 * crashCountMaxAge)
+		for incarnation := range int64(4) { // each host is started again twice
+			name := fmt.Sprintf("h%02d", incarnation%2)
+			g := n.add(name, "r", 2+incarnation)
+			g.AddMembers([]Member{groups[0].opts.Self, groups[1].opts.Self})
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			go g.Run(ctx)
+			time.Sleep(2 * heartbeatInterval)
+			if !g.opts.Crashes.LimitReached(42, time.Now()) {
+				t.Fatalf("start %d of %s does not know that the limit is reached", incarnation/2+1, name)
+			}
+		}
+	})
+}
+
 // TestOnePartnerOfAPairCalls: only one host of each pair of partners may call the other.
 // The hosts start at different times, and all calls are counted.
 func TestOnePartnerOfAPairCalls(t *testing.T) {
--- a/process/partner/service.go
+++ b/process/partner/service.go
@@ -24,7 +24,7 @@
 func (g *Group) fullHeartbeat(to Member) Heartbeat {
 	number, acknowledged := g.currentChange(), uint64(0)
 	h := g.heartbeat()
-	h.Number = number
+	h.Number, h.Crashes = number, g.opts.Crashes.All(g.opts.Now())
 	g.mu.Lock()
 	if s := g.members[to.Name]; s != nil && s.Incarnation == to.Incarnation {
 		acknowledged, h.Received, h.To = s.acknowledged, s.received, s.Incarnation
--- a/request/place/place.go
+++ b/request/place/place.go
@@ -117,6 +117,8 @@
 	Target *fleet.Target
 	ID     string
 	Addr   string
+	// Incarnation identifies the start of the target.
+	Incarnation string
 	// Expected is the expected time until the response.
 	Expected time.Duration
 	Wait     time.Duration
@@ -196,6 +198,7 @@
 		}
 		best = s.fastest
 	}
+	best.Incarnation = best.Target.Incarnation()
 	best.rtt, best.bytes = best.Target.RTT, req.BodyBytes
 	best.number = c.fleet.Begin(best.Target, fleet.Work{Object: req.Object, RunTime: best.baseRunTime, Expected: best.Expected}, now)
 	info.recordSent(best.Target)
--- a/request/serve/attempt.go
+++ b/request/serve/attempt.go
@@ -142,7 +142,7 @@
 		return res, out
 	}
 	outcome.Failed = resp.StatusCode >= http.StatusInternalServerError
-	q.h.Crashes.RecordSuccess(q.fingerprint)
+	q.h.Crashes.RecordSuccess(q.fingerprint, time.Now())
 	if len(body) > maxBufferedResponse {
 		return result{verdict: verdict.Ran, resp: resp, body: body, remaining: resp.Body}, outcome
 	}
@@ -178,9 +178,9 @@
 		return
 	}
 	now := time.Now()
-	total := q.h.Crashes.RecordCrash(q.fingerprint, now)
 	q.h.Fleet.MarkDown(choice.Target, now)
-	evCrash.Log(q.h.Log).Str("request", q.callerHeaders.ID).Str("target", choice.ID).Int("crashes", total).Send()
+	total := q.h.Crashes.RecordCrash(q.fingerprint, choice.Incarnation, now)
+	evCrash.Log(q.h.Log).Str("request", q.callerHeaders.ID).Str("target", choice.Incarnation).Uint64("fingerprint", q.fingerprint).Int("crashes", total).Send()
 }
 
 // newCall returns the call that sends the request to the selected target.
--- a/request/serve/fixture_test.go
+++ b/request/serve/fixture_test.go
@@ -54,7 +54,7 @@
 	dialer := &net.Dialer{}
 	pool := target.NewPool(dialer.DialContext)
 	f.handler = serve.New(serve.Options{
-		Config: f.config.Load, Fleet: f.fleet, Pool: pool, Budget: f.budget, Crashes: crash.New("front-0"),
+		Config: f.config.Load, Fleet: f.fleet, Pool: pool, Budget: f.budget, Crashes: crash.New(),
 		Chooser: place.New(f.fleet, place.Options{Region: region, FailureDomain: domain}),
 		Headers: adapter.HeaderCodec{}, UpToDate: f.upToDate, Metrics: metrics.NewSet(), Log: zerolog.Nop(),
 	})
--- a/request/serve/misdirected_test.go
+++ b/request/serve/misdirected_test.go
@@ -76,7 +76,7 @@
 	pool := target.NewPool(nil)
 	t.Cleanup(pool.Close)
 	return serve.New(serve.Options{
-		Config: func() *routes.Config { return config }, Fleet: targetFleet, Pool: pool, Crashes: crash.New("h"),
+		Config: func() *routes.Config { return config }, Fleet: targetFleet, Pool: pool, Crashes: crash.New(),
 		Chooser: place.New(targetFleet, place.Options{Region: "nordur", FailureDomain: "no-gler"}),
 		Budget:  budget.NewSlidingWindows(10*time.Second, 0, 100), Headers: adapter.HeaderCodec{},
 		UpToDate: func() bool { return true }, Metrics: metrics.NewSet(), Log: zerolog.Nop(),
--- a/request/serve/serve.go
+++ b/request/serve/serve.go
@@ -134,8 +134,8 @@
 func (q *request) run(ctx context.Context) {
 	h := q.h
 	h.Budget.AddRequest(q.service, q.started)
-	if h.Crashes.LimitReached(q.fingerprint, q.started) {
-		q.refuse(http.StatusServiceUnavailable, errCrashLoop)
+	if !h.Crashes.Admit(q.fingerprint, q.started) {
+		q.refuse(http.StatusServiceUnavailable, errors.Wrap(errCrashLoop, h.Crashes.Crashes(q.fingerprint, q.started)))
 		return
 	}
 	var last result
