Crashes: the request of one caller no longer takes its page from others

Causes: the identity of a request lacked the caller; one crash counted for each copy in flight; planned ends counted as crashes. Now the caller's network address is part of the identity, and a target that leaves, was removed or replaced, or whose machine does not refuse connections, has not crashed.

Shown: TestCrashingRequestLeavesPageToOthers, TestOneCrashRefusesNoRequest and TestPlannedEndsAreNoCrashes failed on the code of before, one for each hypothesis.

--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -188,6 +188,13 @@
 	}
 }
 
+// IsLeaving reports whether a target is leaving, may have left or has been replaced.
+func (f *Fleet) IsLeaving(t *Target) bool {
+	f.Lock()
+	defer f.Unlock()
+	return f.targets[t.ID] != t || !t.removeAt.IsZero() || t.Leaving || t.notices.leaving
+}
+
 // MarkDown marks a target as down. It is called when the target no longer listens.
 func (f *Fleet) MarkDown(t *Target, now time.Time) {
 	f.Lock()
--- a/request/serve/attempt.go
+++ b/request/serve/attempt.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -170,15 +171,21 @@
 // listens.
 const crashCheckTimeout = 500 * time.Millisecond
 
-// checkCrash records a crash if a target that broke the connection no longer listens.
+// checkCrash records a crash if a target that broke the connection no longer listens. A target that is
+// leaving was going to end, and one whose machine does not refuse the connection has lost the machine.
 func (q *request) checkCrash(choice place.Choice) {
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 	defer cancel()
-	if q.h.Pool.Probe(ctx, choice.Addr) == nil {
+	err := q.h.Pool.Probe(ctx, choice.Addr)
+	if err == nil {
 		return
 	}
 	now := time.Now()
+	leaving := q.h.Fleet.IsLeaving(choice.Target)
 	q.h.Fleet.MarkDown(choice.Target, now)
+	if leaving || !errors.Is(err, syscall.ECONNREFUSED) {
+		return
+	}
 	total := q.h.Crashes.RecordCrash(q.fingerprint, choice.Incarnation, now)
 	evCrash.Log(q.h.Log).Str("request", q.callerHeaders.ID).Str("target", choice.Incarnation).Uint64("fingerprint", q.fingerprint).Int("crashes", total).Send()
 }
--- /dev/null
+++ b/request/serve/crash_test.go
@@ -0,0 +1,129 @@
+package serve_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"quetzalknot/platform/adapter"
+	"quetzalknot/platform/standin"
+)
+
+// exchangeFrom is exchange by a caller at an address of the loopback network.
+func (f *fixture) exchangeFrom(ip, text string) response {
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(ip)}}
+	conn, err := dialer.Dial("tcp", f.addr)
+	if err != nil {
+		return response{err: err}
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(waitTimeout))
+	_, _ = io.WriteString(conn, text) // the response shows whether it arrived
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return response{err: err}
+	}
+	return response{status: resp.StatusCode, header: resp.Header}
+}
+
+// crashTargets lets the request of a caller crash its targets until it is refused, and returns how many crashed.
+func (f *fixture) crashTargets(ip, text string, most int) int {
+	crashed := 0
+	for i := range most {
+		backend := f.addTarget(fmt.Sprintf("%s-%d", ip, i), standin.Crash, 0)
+		f.exchangeFrom(ip, text)
+		time.Sleep(50 * time.Millisecond) // the crash is detected
+		if backend.Crashed() {
+			crashed++
+		}
+	}
+	return crashed
+}
+
+// TestCrashingRequestLeavesPageToOthers: the request of one caller that crashes targets took its page from all
+// callers (incident 0015). Only that caller is refused, and the answers that others get do not clear it.
+func TestCrashingRequestLeavesPageToOthers(t *testing.T) {
+	f := newFixture(t)
+	f.apply(nil)
+	const bad, good = "127.0.0.2", "127.0.0.3"
+	if n := f.crashTargets(bad, head("POST", "/book/1"), 6); n != 3 {
+		t.Errorf("%d targets crashed, want 3", n)
+	}
+	f.fleet.Remove(fmt.Sprintf("%s-%d", bad, 3), time.Now(), 0) // those that are left
+	f.fleet.Remove(fmt.Sprintf("%s-%d", bad, 4), time.Now(), 0)
+	f.fleet.Remove(fmt.Sprintf("%s-%d", bad, 5), time.Now(), 0)
+	f.addTarget("i-good", standin.Good, 0)
+	for range 3 {
+		if got := f.exchangeFrom(good, head("POST", "/book/1")); got.status != http.StatusOK {
+			t.Errorf("another caller: %+v", got)
+		}
+		if got := f.exchangeFrom(bad, head("POST", "/book/1")); got.status != http.StatusServiceUnavailable {
+			t.Errorf("the caller whose request crashes targets: %+v", got)
+		}
+	}
+}
+
+// TestOneCrashRefusesNoRequest: a target that crashes once with several equal requests in flight must not bring
+// these to the limit (incident 0015).
+func TestOneCrashRefusesNoRequest(t *testing.T) {
+	f := newFixture(t)
+	f.apply(nil)
+	backend := f.addTarget("i-1", standin.Good, 300*time.Millisecond)
+	var callers sync.WaitGroup
+	for range 5 {
+		callers.Go(func() { f.exchange(head("POST", "/book/1")) })
+	}
+	for end := time.Now().Add(waitTimeout); backend.RunsOf("r1") < 5 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+	}
+	backend.Close()
+	callers.Wait()
+	time.Sleep(100 * time.Millisecond) // the crash is detected
+	f.addTarget("i-2", standin.Good, 0)
+	if got := f.exchange(head("POST", "/book/1")); got.status != http.StatusOK {
+		t.Errorf("%+v", got)
+	}
+}
+
+// TestPlannedEndsAreNoCrashes: targets that end with requests in flight after they said, or were reported, to leave
+// must not bring these requests to the limit (incident 0015).
+func TestPlannedEndsAreNoCrashes(t *testing.T) {
+	for name, leave := range map[string]func(*fixture, *standin.Target){
+		"reported": func(f *fixture, target *standin.Target) {
+			report := target.Report("bokun", domain, "draining", 2)
+			entry, err := adapter.ParseTarget(target.ID, []byte(report), map[string]string{domain: region})
+			if err != nil {
+				f.t.Fatal(err)
+			}
+			f.fleet.Upsert(entry, time.Now())
+		},
+		"removed": func(f *fixture, target *standin.Target) { f.fleet.Remove(target.ID, time.Now(), 0) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.apply(nil)
+			for i := range 4 {
+				id := fmt.Sprint("i-", i)
+				backend := f.addTarget(id, standin.Good, time.Second)
+				done := make(chan response, 1)
+				go func() { done <- f.exchange(head("POST", "/book/1")) }()
+				for end := time.Now().Add(waitTimeout); backend.Runs() == 0 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+				}
+				leave(f, backend)
+				backend.Close()
+				if got := <-done; got.status != http.StatusBadGateway {
+					t.Fatalf("request %d: %+v", i, got)
+				}
+				time.Sleep(50 * time.Millisecond) // a crash would be detected
+			}
+			f.addTarget("i-good", standin.Good, 0)
+			if got := f.exchange(head("POST", "/book/1")); got.status != http.StatusOK {
+				t.Errorf("%+v", got)
+			}
+		})
+	}
+}
--- a/request/serve/fingerprint_test.go
+++ b/request/serve/fingerprint_test.go
@@ -70,6 +70,9 @@
 		func(q *request) { q.r.RequestURI = "/book/2" },
 		func(q *request) { q.callerHeaders.Object = "17" },
 		func(q *request) { q.body = []byte("other body") },
+		func(q *request) { q.r.RemoteAddr = "192.0.2.7:1234" },
+		func(q *request) { q.r.RemoteAddr = "[2001:db8:1:2::7]:1234" },
+		func(q *request) { q.r.RemoteAddr = "[2001:db8:1:3::7]:1234" },
 	} {
 		q := newUpload(t, []byte("a booking"), false)
 		change(q)
@@ -79,3 +82,21 @@
 		}
 	}
 }
+
+// TestFingerprintOfOneCaller: what one caller can choose, its port and the host part of an IPv6 address, must not make
+// another request of it.
+func TestFingerprintOfOneCaller(t *testing.T) {
+	for _, pair := range [][2]string{
+		{"192.0.2.7:1234", "192.0.2.7:1235"}, {"[::ffff:192.0.2.7]:1234", "192.0.2.7:1235"}, {"[2001:db8:1:2::7]:1234", "[2001:db8:1:2::8]:1235"},
+	} {
+		var fingerprints []uint64
+		for _, remote := range pair {
+			q := newUpload(t, []byte("a booking"), false)
+			q.r.RemoteAddr = remote
+			fingerprints = append(fingerprints, q.computeFingerprint())
+		}
+		if fingerprints[0] != fingerprints[1] {
+			t.Errorf("%v have different fingerprints", pair)
+		}
+	}
+}
--- a/request/serve/read.go
+++ b/request/serve/read.go
@@ -4,12 +4,14 @@
 	"context"
 	"io"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
+	"quetzalknot/process/crash"
 	"quetzalknot/request/place"
 	"quetzalknot/version/routes"
 )
@@ -139,8 +141,8 @@
 	}
 }
 
-// computeFingerprint returns a hash that is equal for repetitions of the same request. Of a
-// streamed body it contains the length, if that is known, and the start.
+// computeFingerprint returns a hash that is equal for repetitions of the same request by the same
+// caller. Of a streamed body it contains the length, if that is known, and the start.
 func (q *request) computeFingerprint() uint64 {
 	d := xxhash.New()
 	for _, part := range []string{q.r.Method, q.r.Host, q.r.RequestURI, q.callerHeaders.Object} {
@@ -151,5 +153,23 @@
 		_, _ = d.WriteString(strconv.FormatInt(q.r.ContentLength, 10))
 	}
 	_, _ = d.Write(q.body)
-	return d.Sum64()
+	return crash.Fingerprint(xxhash.Sum64String(callerNetwork(q.r.RemoteAddr)), d.Sum64())
+}
+
+// ipv6Network is the length in bits of the prefix of IPv6 addresses that one caller has.
+const ipv6Network = 64
+
+// callerNetwork returns what identifies the caller at a remote address: its IP address, or the network of an
+// IPv6 address.
+func callerNetwork(remote string) string {
+	ap, err := netip.ParseAddrPort(remote)
+	if err != nil {
+		return remote
+	}
+	ip := ap.Addr().Unmap()
+	if ip.Is4() {
+		return ip.String()
+	}
+	network, _ := ip.WithZone("").Prefix(ipv6Network) // the length is valid
+	return network.String()
 }
