Callers: a request that has arrived on an idle connection is not discarded

Cause: after the idle time of 50 ms the connection was read on for up to 500 ms and what came was discarded. Now bytes that have arrived are read as a request, and an idle connection is closed at once.

--- a/connection/caller/conn.go
+++ b/connection/caller/conn.go
@@ -93,8 +93,7 @@
 // serveNext reads one request and starts it. It returns false when no further request is
 // to be read.
 func (c *conn) serveNext() bool {
-	c.setState(readIdle)
-	if err := c.head.awaitFirstByte(); err != nil {
+	if err := c.awaitRequest(); err != nil {
 		return c.readFailed(err)
 	}
 	if !c.head.isComplete() {
@@ -109,6 +108,18 @@
 	return c.awaitStart(x) && c.awaitBody(x)
 }
 
+// awaitRequest waits for the first byte of a request. One that has arrived is read although the time has passed, as this
+// process may have had none to read it earlier.
+func (c *conn) awaitRequest() error {
+	c.setState(readIdle)
+	err := c.head.awaitFirstByte()
+	if isTimeout(err) && bytesWaiting(c.net) {
+		c.setState(readHead)
+		err = c.head.awaitFirstByte()
+	}
+	return err
+}
+
 // readFailed handles a failed read of a request. It always returns false.
 func (c *conn) readFailed(err error) bool {
 	status := 0
@@ -235,7 +246,8 @@
 }
 
 // end waits for the requests in flight, meanwhile discards what the caller sends, and
-// closes the connection.
+// closes the connection. After a response that closes it, what comes meanwhile is read, so that the response
+// arrives; at the end of an idle time nothing is, as a request may be on its way.
 func (c *conn) end() {
 	c.setState(readEnding)
 	for c.requestsInFlight() && c.ctx.Err() == nil {
@@ -244,7 +256,7 @@
 		}
 	}
 	c.handlers.Wait()
-	if c.ctx.Err() == nil || c.isFinished() {
+	if c.isFinished() {
 		c.linger()
 	}
 	c.abort()
