--- a/entry/unanswered_test.go
+++ b/entry/unanswered_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -72,16 +73,37 @@
 	c.silence()
 	c.store.PutTarget("i-1", c.targets[1].Report("bokun", "no-gler", "draining", 3))
 	c.store.RemoveTarget("i-2")
+	c.expectUsed(1)
+}
+
+// expectUsed checks that in time all hosts use this many targets, since the others have left.
+func (c *cluster) expectUsed(targets int64) {
+	c.t.Helper()
 	acknowledged := time.Now()
-	c.eventually("only one target is used", func() bool {
+	c.eventually("the targets that are left are used", func() bool {
 		for _, h := range c.hosts {
-			if h.fleet.Count("ready", time.Now()) != 1 {
+			if h.fleet.Count("ready", time.Now()) != targets {
 				return false
 			}
 		}
 		return true
 	})
 	if took := time.Since(acknowledged); took > changeBound {
-		t.Errorf("targets that had left were used for %v; at most %v are allowed", took, changeBound)
+		c.t.Errorf("targets that had left were used for %v; at most %v are allowed", took, changeBound)
+	}
+}
+
+// TestRemovalInForceBetweenChangesAfterSilence guards against changes of the state that arrive after a silence of the
+// store, and that hide that calls for the targets still wait: the small form of deploy/days/darkened.toml.
+func TestRemovalInForceBetweenChangesAfterSilence(t *testing.T) {
+	c := newCluster(t, 4, 3)
+	c.awaitUnansweredCalls(2, adapter.OperatorTable, adapter.TargetTable)
+	c.silence()
+	for version := 3; version <= 4; version++ {
+		c.store.PutState(standin.DesiredState(version, coldPerSecond))
+		c.eventually("all have the version", func() bool { return c.allHaveVersion(version) })
+		c.store.PutTarget(fmt.Sprint("i-", version-2), c.targets[version-2].Report("bokun", "no-gler", "draining", version))
+		c.store.RemoveTarget(fmt.Sprint("i-", version-1))
+		c.expectUsed(int64(5 - version))
 	}
 }
