--- a/process/crash/crash.go
+++ b/process/crash/crash.go
@@ -10,6 +10,7 @@
 package crash
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"sync"
@@ -34,6 +35,8 @@
 	maxTargets = 32
 	// maxReported bounds the counts in one report.
 	maxReported = 512
+	// maxID is the longest id, in bytes, that is accepted from another host.
+	maxID = 64
 	// maxStated is the largest count that is accepted from another host.
 	maxStated = 1 << 20
 )
@@ -45,6 +48,9 @@
 	// Target is the incarnation. Earlier releases state that of the host that observed the crashes.
 	Target  string `cbor:"Host"`
 	Crashes int
+	// Request is the id of a request that crashed the incarnation. Earlier releases and short heartbeats state
+	// none.
+	Request string `cbor:",omitempty"`
 	// Age is the time since the counts of the request last changed. Earlier releases and short
 	// heartbeats state none.
 	Age time.Duration `cbor:",omitempty"`
@@ -73,19 +79,20 @@
 	triedAt time.Time
 }
 
-// targetCount is how often an incarnation crashed, how many of these crashes were cleared, and when the
-// first number last rose on this host.
+// targetCount is how often an incarnation crashed, how many of these crashes were cleared, when the
+// first number last rose on this host, and the id of the request that crashed it last, if that is known.
 type targetCount struct {
 	crashes, cleared int
 	at               time.Time
+	request          string
 }
 
 // New returns empty counts.
 func New() *Counts { return &Counts{requests: make(map[uint64]*requestCounts)} }
 
-// RecordCrash records that an incarnation of a target crashed while it ran a request, and returns the
-// total of the request.
-func (c *Counts) RecordCrash(fingerprint uint64, target string, now time.Time) int {
+// RecordCrash records that an incarnation of a target crashed while it ran a request, which had an id of its
+// caller, and returns the total of the request.
+func (c *Counts) RecordCrash(fingerprint uint64, target, id string, now time.Time) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := c.requestCountsFor(fingerprint, now)
@@ -93,7 +100,7 @@
 	if before >= maxCounted || (t.crashes > 0 && now.Sub(t.at) < sameCrash) {
 		return before
 	}
-	t.crashes, t.at = t.crashes+1, now
+	t.crashes, t.at, t.request = t.crashes+1, now, id[:min(len(id), maxID)]
 	r.set(target, t, now)
 	c.notifyIfLimitReached(fingerprint, before, r)
 	return r.total()
@@ -138,7 +145,8 @@
 	return r
 }
 
-// Crashes returns the incarnations whose crashes count for a request, each with the time since then.
+// Crashes returns the incarnations whose crashes count for a request, each with the id of the request that
+// crashed it and the time since then.
 func (c *Counts) Crashes(fingerprint uint64, now time.Time) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -149,7 +157,7 @@
 	var crashes []string
 	for target, t := range r.byTarget {
 		if t.crashes > t.cleared {
-			crashes = append(crashes, target+" "+now.Sub(t.at).Round(time.Second).String()+" ago")
+			crashes = append(crashes, fmt.Sprintf("%s by %q %v ago", target, t.request, now.Sub(t.at).Round(time.Second)))
 		}
 	}
 	slices.Sort(crashes)
@@ -172,9 +180,13 @@
 	}
 	r := c.requestCountsFor(other.Fingerprint, now)
 	before, t := r.total(), r.byTarget[other.Target]
+	if t.crashes > 0 && t.request == "" && len(other.Request) <= maxID {
+		t.request = other.Request
+		r.byTarget[other.Target] = t
+	}
 	switch {
 	case other.Crashes > t.crashes:
-		t.crashes, t.at = other.Crashes, now.Add(-age)
+		t.crashes, t.at, t.request = other.Crashes, now.Add(-age), other.Request[:min(len(other.Request), maxID)]
 	case -other.Crashes > t.cleared:
 		t.cleared = -other.Crashes
 	default:
@@ -220,7 +232,7 @@
 	for target, t := range r.byTarget {
 		for _, n := range []int{t.crashes, -t.cleared} {
 			if n != 0 {
-				counts = append(counts, Count{Fingerprint: fingerprint, Target: target, Crashes: n, Age: now.Sub(r.changedAt)})
+				counts = append(counts, Count{Fingerprint: fingerprint, Target: target, Crashes: n, Request: t.request, Age: now.Sub(r.changedAt)})
 			}
 		}
 	}
--- a/process/crash/model_test.go
+++ b/process/crash/model_test.go
@@ -33,7 +33,7 @@
 	m.started++
 	m.crashes[request]++
 	for range rapid.IntRange(1, 4).Draw(m.t, "seen") {
-		m.host("host").RecordCrash(request, incarnation(m.started), m.now)
+		m.host("host").RecordCrash(request, incarnation(m.started), "r1", m.now)
 		m.now = m.now.Add(sameCrash / 10)
 	}
 }
--- a/request/serve/attempt.go
+++ b/request/serve/attempt.go
@@ -186,7 +186,7 @@
 	if leaving || !errors.Is(err, syscall.ECONNREFUSED) {
 		return
 	}
-	total := q.h.Crashes.RecordCrash(q.fingerprint, choice.Incarnation, now)
+	total := q.h.Crashes.RecordCrash(q.fingerprint, choice.Incarnation, q.callerHeaders.ID, now)
 	evCrash.Log(q.h.Log).Str("request", q.callerHeaders.ID).Str("target", choice.Incarnation).Uint64("fingerprint", q.fingerprint).Int("crashes", total).Send()
 }
 
