--- a/process/drain/drain.go
+++ b/process/drain/drain.go
@@ -27,6 +27,13 @@
 	ErrAborted = errors.New("requests in flight were aborted")
 )
 
+const (
+	// endTime is how long requests have to end after End, before they are aborted.
+	endTime = 150 * time.Millisecond
+	// endPoll is the time between two checks whether they have.
+	endPoll = 5 * time.Millisecond
+)
+
 // progressLogDelay is how long a shutdown waits for requests before it logs, once, how many
 // are still in flight.
 const progressLogDelay = 5 * time.Second
@@ -41,6 +48,8 @@
 	LookupWait time.Duration
 	// Close stops accepting requests and returns when all have ended, or with ctx's error.
 	Close func(ctx context.Context) error
+	// End makes every request in flight end with a final response.
+	End func()
 	// Abort aborts every request in flight.
 	Abort func()
 	// InFlight returns the number of requests in flight.
@@ -49,12 +58,12 @@
 	Limit time.Duration
 }
 
-// Run carries out a planned shutdown. When ctx ends or the limit is reached, it stops
-// waiting and aborts the requests in flight. If requests were aborted, it returns an error
-// that matches both ErrAborted and the cause; otherwise it returns nil.
+// Run carries out a planned shutdown. When ctx ends, or shortly before the limit, it stops
+// waiting, ends the requests in flight and aborts those that have not ended at once. If there
+// were any, it returns an error that matches both ErrAborted and the cause; otherwise it returns nil.
 func Run(ctx context.Context, log zerolog.Logger, s Steps) error {
 	started := time.Now()
-	ctx, cancel := context.WithTimeoutCause(ctx, s.Limit, ErrTimeLimit)
+	ctx, cancel := context.WithTimeoutCause(ctx, s.Limit-min(endTime, s.Limit/2), ErrTimeLimit)
 	defer cancel()
 	evLeaving.Log(log).Int64("in_flight", s.InFlight()).Dur("wait_ms", s.LookupWait).Send()
 	s.Leave(ctx)
@@ -73,6 +82,10 @@
 	if ctx.Err() != nil {
 		err = context.Cause(ctx)
 	}
+	s.End()
+	for end := time.Now().Add(endTime); s.InFlight() > 0 && time.Now().Before(end); {
+		time.Sleep(endPoll)
+	}
 	s.Abort()
 	evAborted.Log(log).Int64("requests", remaining).Err(err).Send()
 	if remaining == 0 {
--- a/process/drain/drain_test.go
+++ b/process/drain/drain_test.go
@@ -33,6 +33,7 @@
 				return ctx.Err()
 			}
 		},
+		End:   func() { h.calls = append(h.calls, "end") },
 		Abort: func() { h.calls = append(h.calls, "cut") },
 		InFlight: func() int64 {
 			if time.Since(h.started) < h.ends {
@@ -58,9 +59,9 @@
 	}{
 		{name: "idle", limit: time.Minute, calls: []string{"leave", "close"}, closed: 2 * time.Second},
 		{name: "upload of 40 s", ends: 40 * time.Second, limit: time.Minute, calls: []string{"leave", "close"}, closed: 2 * time.Second},
-		{name: "limit", ends: time.Hour, limit: time.Minute, calls: []string{"leave", "close", "cut"}, closed: 2 * time.Second, cause: ErrTimeLimit},
-		{name: "second signal while waiting", ends: time.Hour, secondSignal: time.Second, limit: time.Minute, calls: []string{"leave", "close", "cut"}, closed: time.Second, cause: context.Canceled},
-		{name: "second signal while finishing", ends: time.Hour, secondSignal: 9 * time.Second, limit: time.Minute, calls: []string{"leave", "close", "cut"}, closed: 2 * time.Second, cause: context.Canceled},
+		{name: "limit", ends: time.Hour, limit: time.Minute, calls: []string{"leave", "close", "end", "cut"}, closed: 2 * time.Second, cause: ErrTimeLimit},
+		{name: "second signal while waiting", ends: time.Hour, secondSignal: time.Second, limit: time.Minute, calls: []string{"leave", "close", "end", "cut"}, closed: time.Second, cause: context.Canceled},
+		{name: "second signal while finishing", ends: time.Hour, secondSignal: 9 * time.Second, limit: time.Minute, calls: []string{"leave", "close", "end", "cut"}, closed: 2 * time.Second, cause: context.Canceled},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -75,6 +76,9 @@
 				if !slices.Equal(h.calls, tc.calls) || h.closed != tc.closed {
 					t.Errorf("got %v, closed after %v; want %v after %v", h.calls, h.closed, tc.calls, tc.closed)
 				}
+				if took := time.Since(h.started); took > tc.limit {
+					t.Errorf("the shutdown took %v, more than its limit", took)
+				}
 				if tc.cause == nil && err != nil {
 					t.Error(err)
 				}
--- a/request/forward/forward.go
+++ b/request/forward/forward.go
@@ -106,6 +106,9 @@
 
 	inFlight atomic.Int64
 	suspects suspectGate
+	// ending ends with endRequests, at the end of a planned stop.
+	ending      context.Context
+	endRequests context.CancelFunc
 }
 
 // New returns a handler that routes requests by the current configuration in holder. It
@@ -113,6 +116,7 @@
 func New(holder *state.Holder, admitter *admit.Admitter, pool *target.Pool, set *metrics.Set, log zerolog.Logger, opts Options) *Handler {
 	opts.applyDefaults()
 	h := &Handler{config: holder, admit: admitter, pool: pool, log: log, opts: opts, metrics: newForwardMetrics(set), extra: newExtraAttempts(admitter.RunTimes(), set, log)}
+	h.ending, h.endRequests = context.WithCancel(context.Background())
 	set.Gauge("forward.in_flight_requests", h.InFlight)
 	return h
 }
@@ -139,7 +143,7 @@
 	}
 	w.Header().Set(request.HeaderRequestID, info.ID)
 	limits.BodyBytes = info.BodyLimit(h.opts.Limits.BodyBytes)
-	body, refusal := bufferBody(r, control, limits)
+	body, refusal := h.bufferBody(r, control, limits)
 	if refusal != nil {
 		h.refuse(w, info, refusal)
 		return
@@ -168,7 +172,9 @@
 	if h.opts.Claims != nil && info.AtMostOnce() {
 		return h.serveKeyed(w, r, info, snap)
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), info.Deadline)
+	ctx, release := h.untilStop(r.Context())
+	defer release()
+	ctx, cancel := context.WithDeadline(ctx, info.Deadline)
 	defer cancel()
 	return h.attempt(ctx, w, r, info, snap)
 }
@@ -234,8 +240,9 @@
 	return n
 }
 
-// bufferBody applies limits to the request body, and buffers a short one in memory.
-func bufferBody(r *http.Request, control *http.ResponseController, limits caller.Limits) (*caller.Body, *refusal) {
+// bufferBody applies limits to the request body, and buffers a short one in memory. Reading stops at the end of a
+// planned stop.
+func (h *Handler) bufferBody(r *http.Request, control *http.ResponseController, limits caller.Limits) (*caller.Body, *refusal) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, nil
 	}
@@ -246,11 +253,16 @@
 	_ = control.EnableFullDuplex() // the response may begin while the request body is still being read
 	body := caller.NewBody(r.Body, control, limits)
 	r.Body = body
+	context.AfterFunc(h.ending, body.Stop)
 	if r.ContentLength < 0 || r.ContentLength > bodyBufferLimit {
 		return body, nil
 	}
 	if err := body.Buffer(r.ContentLength); err != nil {
-		return nil, &refusal{statusOf(err, http.StatusBadRequest), err}
+		status := http.StatusBadRequest
+		if h.ending.Err() != nil {
+			status = http.StatusServiceUnavailable
+		}
+		return nil, &refusal{statusOf(err, status), err}
 	}
 	return body, nil
 }
--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -189,7 +189,7 @@
 	stop := g.opts.Settings.Stop
 	return drain.Run(ctx, g.opts.Log, drain.Steps{
 		Leave: func(context.Context) { g.opts.Members.SetLeaving() }, LookupWait: stop.LookupWait(), Limit: stop.TimeLimit(),
-		Close: g.closeCallers, Abort: g.CloseConnections, InFlight: g.forward.InFlight,
+		Close: g.closeCallers, End: g.forward.EndRequests, Abort: g.CloseConnections, InFlight: g.forward.InFlight,
 	})
 }
 
--- a/streams_test.go
+++ b/streams_test.go
@@ -30,13 +30,20 @@
 
 // startHost runs one host in front of one target and returns its forward address.
 func startHost(t testing.TB, target http.Handler, limits settings.Limits) string {
+	t.Helper()
+	_, addr := startStoppable(t, target, limits, settings.Stop{})
+	return addr
+}
+
+// startStoppable is startHost with the settings of a stop. It returns the host, too.
+func startStoppable(t testing.TB, target http.Handler, limits settings.Limits, stop settings.Stop) (*quetzalknot.Host, string) {
 	t.Helper()
 	server := httptest.NewServer(target)
 	t.Cleanup(server.Close)
 	s := &settings.Settings{
 		Host:   settings.Host{Name: "h1", Region: "mtl", FailureDomain: "mtl-1"},
 		Listen: settings.Listen{API: "127.0.0.1:0", Forward: "127.0.0.1:0", Peer: "127.0.0.1:0"},
-		Limits: limits,
+		Limits: limits, Stop: stop,
 	}
 	if err := s.ApplyDefaultsAndCheck(); err != nil {
 		t.Fatal(err)
@@ -59,7 +66,7 @@
 			t.Fatal("the ticket did not come into force")
 		}
 	}
-	return host.Addrs().Forward
+	return host, host.Addrs().Forward
 }
 
 func newRequest(method, addr, path string, body io.Reader) *http.Request {
