Peers: accepting goes on after an error

A host that once had no descriptor for a connection took no more connections of other hosts (found by the review, read). Shown: TestAcceptGoesOnAfterErrors failed before.

--- a/process/peer/server.go
+++ b/process/peer/server.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -17,6 +18,8 @@
 	maxConnections = 1024
 	// serverInFlight bounds the calls that run concurrently for one connection.
 	serverInFlight = 32
+	// acceptBackoff is the pause after a failed accept.
+	acceptBackoff = 20 * time.Millisecond
 )
 
 // Server serves RPC calls of other hosts.
@@ -68,9 +71,13 @@
 func (s *Server) accept(l net.Listener) {
 	for {
 		conn, err := l.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil { // the process is out of descriptors
+			time.Sleep(acceptBackoff)
+			continue
+		}
 		if !s.track(conn) {
 			_ = conn.Close()
 			continue
