--- a/connection/target/pool.go
+++ b/connection/target/pool.go
@@ -98,6 +98,27 @@
 	p.idle[c.addr] = append(list, c)
 }
 
+// CloseExpired closes the connections that have been idle for too long, also those to targets that are no longer used.
+func (p *Pool) CloseExpired() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for addr, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if c.idleFor() > c.capIdle(maxIdleTime) {
+				_ = c.Close()
+				continue
+			}
+			kept = append(kept, c)
+		}
+		clear(list[len(kept):])
+		p.idle[addr] = kept
+		if len(kept) == 0 {
+			delete(p.idle, addr)
+		}
+	}
+}
+
 // Close closes the idle connections. Exchanges in flight continue.
 func (p *Pool) Close() {
 	p.mu.Lock()
