--- a/process/fleet/target.go
+++ b/process/fleet/target.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -153,9 +152,6 @@
 	return t
 }
 
-// Incarnation identifies the present start of the target.
-func (t *Target) Incarnation() string { return t.ID + "/" + strconv.FormatInt(t.Born, 10) }
-
 // IsCold reports whether the target is or may be cold.
 func (t *Target) IsCold(now time.Time) bool { return t.maybeCold || now.Before(t.coldUntil) }
 
--- a/request/place/place.go
+++ b/request/place/place.go
@@ -15,6 +15,7 @@
 import (
 	"math"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -117,8 +118,8 @@
 	Target *fleet.Target
 	ID     string
 	Addr   string
-	// Incarnation identifies the start of the target.
-	Incarnation string
+	// born is the start time of the target in its report.
+	born int64
 	// Expected is the expected time until the response.
 	Expected time.Duration
 	Wait     time.Duration
@@ -134,6 +135,9 @@
 	baseRunTime time.Duration
 }
 
+// Incarnation identifies the start of the target that was selected.
+func (c Choice) Incarnation() string { return c.ID + "/" + strconv.FormatInt(c.born, 10) }
+
 // Chooser selects targets. It is safe for concurrent use.
 type Chooser struct {
 	opts  Options
@@ -198,7 +202,7 @@
 		}
 		best = s.fastest
 	}
-	best.Incarnation = best.Target.Incarnation()
+	best.born = best.Target.Born
 	best.rtt, best.bytes = best.Target.RTT, req.BodyBytes
 	best.number = c.fleet.Begin(best.Target, fleet.Work{Object: req.Object, RunTime: best.baseRunTime, Expected: best.Expected}, now)
 	info.recordSent(best.Target)
--- a/request/serve/attempt.go
+++ b/request/serve/attempt.go
@@ -186,8 +186,9 @@
 	if leaving || !errors.Is(err, syscall.ECONNREFUSED) {
 		return
 	}
-	total := q.h.Crashes.RecordCrash(q.fingerprint, choice.Incarnation, q.callerHeaders.ID, now)
-	evCrash.Log(q.h.Log).Str("request", q.callerHeaders.ID).Str("target", choice.Incarnation).Uint64("fingerprint", q.fingerprint).Int("crashes", total).Send()
+	incarnation := choice.Incarnation()
+	total := q.h.Crashes.RecordCrash(q.fingerprint, incarnation, q.callerHeaders.ID, now)
+	evCrash.Log(q.h.Log).Str("request", q.callerHeaders.ID).Str("target", incarnation).Uint64("fingerprint", q.fingerprint).Int("crashes", total).Send()
 }
 
 // newCall returns the call that sends the request to the selected target.
