--- a/request/serve/body_test.go
+++ b/request/serve/body_test.go
@@ -85,7 +85,7 @@
 					t.Errorf("%+v", got)
 				}
 			} else {
-				f.sendAndLeave(tc.text)
+				f.sendAndLeave(tc.text, nil)
 			}
 			if got := log.first(t); got.Status != tc.status || !strings.Contains(got.Error, tc.err) {
 				t.Errorf("logged as %+v", got)
@@ -94,16 +94,25 @@
 	}
 }
 
-// sendAndLeave sends a part of a request and closes the connection.
-func (f *fixture) sendAndLeave(text string) {
+// sendAndLeave sends a request, or a part of it, and closes the connection once the target has started; without such a
+// channel, when the handler has had time to run.
+func (f *fixture) sendAndLeave(text string, started <-chan struct{}) {
 	f.t.Helper()
 	conn, err := net.Dial("tcp", f.addr)
 	if err != nil {
 		f.t.Fatal(err)
 	}
 	_, _ = io.WriteString(conn, text)
-	time.Sleep(20 * time.Millisecond) // the handler runs
-	_ = conn.Close()
+	defer func() { _ = conn.Close() }()
+	if started == nil {
+		time.Sleep(20 * time.Millisecond)
+		return
+	}
+	select {
+	case <-started:
+	case <-time.After(waitTimeout):
+		f.t.Error("the target has not started")
+	}
 }
 
 // TestBodyLimit: a body up to the operator's limit is served, a longer one is refused with
--- a/request/serve/handler_test.go
+++ b/request/serve/handler_test.go
@@ -271,15 +271,16 @@
 func TestCallerGoneInFlight(t *testing.T) {
 	f := newFixture(t)
 	f.apply(nil)
-	cancelled := make(chan struct{})
+	started, cancelled := make(chan struct{}), make(chan struct{})
 	var once sync.Once
 	f.addHandler("i-1", func(_ http.ResponseWriter, r *http.Request) {
+		close(started)
 		<-r.Context().Done()
 		once.Do(func() { close(cancelled) })
 	})
 	log := &lines{}
 	f.handler.Log = zerolog.New(log)
-	f.sendAndLeave(head("GET", "/search/1"))
+	f.sendAndLeave(head("GET", "/search/1"), started)
 	if got := log.first(t); got.Status != 0 || !strings.Contains(got.Error, "disconnected") {
 		t.Errorf("logged as %+v", got)
 	}
