--- a/request/forward/forward.go
+++ b/request/forward/forward.go
@@ -20,6 +20,7 @@
 
 	"quetzalknot/connection/caller"
 	"quetzalknot/connection/target"
+	"quetzalknot/process/drain"
 	"quetzalknot/process/eventlog"
 	"quetzalknot/process/metrics"
 	"quetzalknot/process/quarantine"
@@ -106,17 +107,15 @@
 
 	inFlight atomic.Int64
 	suspects suspectGate
-	// ending ends with endRequests, at the end of a planned stop.
-	ending      context.Context
-	endRequests context.CancelFunc
+	// ending comes at the end of a planned stop.
+	ending *drain.Ending
 }
 
 // New returns a handler that routes requests by the current configuration in holder. It
 // registers its metrics with set.
 func New(holder *state.Holder, admitter *admit.Admitter, pool *target.Pool, set *metrics.Set, log zerolog.Logger, opts Options) *Handler {
 	opts.applyDefaults()
-	h := &Handler{config: holder, admit: admitter, pool: pool, log: log, opts: opts, metrics: newForwardMetrics(set), extra: newExtraAttempts(admitter.RunTimes(), set, log)}
-	h.ending, h.endRequests = context.WithCancel(context.Background())
+	h := &Handler{config: holder, admit: admitter, pool: pool, log: log, opts: opts, metrics: newForwardMetrics(set), extra: newExtraAttempts(admitter.RunTimes(), set, log), ending: drain.NewEnding()}
 	set.Gauge("forward.in_flight_requests", h.InFlight)
 	return h
 }
@@ -124,6 +123,10 @@
 // InFlight returns the number of callers' requests in flight.
 func (h *Handler) InFlight() int64 { return h.inFlight.Load() }
 
+// EndRequests gives each request in flight, and each that comes later, its final response at once: that no target ran it, or
+// that one may have. It is called at the end of a planned stop.
+func (h *Handler) EndRequests() { h.ending.End() }
+
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(underlying http.ResponseWriter, r *http.Request) {
 	h.inFlight.Add(1)
@@ -172,7 +175,7 @@
 	if h.opts.Claims != nil && info.AtMostOnce() {
 		return h.serveKeyed(w, r, info, snap)
 	}
-	ctx, release := h.untilStop(r.Context())
+	ctx, release := h.ending.Context(r.Context())
 	defer release()
 	ctx, cancel := context.WithDeadline(ctx, info.Deadline)
 	defer cancel()
@@ -253,13 +256,13 @@
 	_ = control.EnableFullDuplex() // the response may begin while the request body is still being read
 	body := caller.NewBody(r.Body, control, limits)
 	r.Body = body
-	context.AfterFunc(h.ending, body.Stop)
+	h.ending.AfterFunc(body.Stop)
 	if r.ContentLength < 0 || r.ContentLength > bodyBufferLimit {
 		return body, nil
 	}
 	if err := body.Buffer(r.ContentLength); err != nil {
 		status := http.StatusBadRequest
-		if h.ending.Err() != nil {
+		if h.ending.Ended() {
 			status = http.StatusServiceUnavailable
 		}
 		return nil, &refusal{statusOf(err, status), err}
--- a/request/forward/keyed.go
+++ b/request/forward/keyed.go
@@ -33,7 +33,7 @@
 // serveKeyed runs a request with an idempotency key at most once. The run continues
 // when its caller disconnects, so that a duplicate can get the response.
 func (h *Handler) serveKeyed(w http.ResponseWriter, r *http.Request, info *request.Info, snap *state.Snapshot) verdict.Verdict {
-	ctx, release := h.untilStop(context.WithoutCancel(r.Context()))
+	ctx, release := h.ending.Context(context.WithoutCancel(r.Context()))
 	defer release()
 	ctx, cancel := context.WithDeadline(ctx, info.Deadline)
 	defer cancel()
--- a/request/serve/finish.go
+++ b/request/serve/finish.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"quetzalknot/process/drain"
 	"quetzalknot/process/eventlog"
 	"quetzalknot/request/place"
 	"quetzalknot/verdict"
@@ -160,7 +161,7 @@
 		name string
 	}{
 		{place.ErrOverloaded, "busy"}, {place.ErrNoTarget, "no_target"}, {errCrashLoop, "crashes"}, {errNoConfig, "no_config"},
-		{errNoRoute, "no_route"}, {errStopping, "stopping"}, {errDeadline, "out_of_time"}, {errCallerGone, "caller_gone"}, {errNoBudget, "no_budget"},
+		{errNoRoute, "no_route"}, {drain.ErrStopping, "stopping"}, {errDeadline, "out_of_time"}, {errCallerGone, "caller_gone"}, {errNoBudget, "no_budget"},
 	} {
 		if errors.Is(err, known.err) {
 			return known.name
--- a/request/serve/read.go
+++ b/request/serve/read.go
@@ -1,7 +1,6 @@
 package serve
 
 import (
-	"context"
 	"io"
 	"net/http"
 	"net/netip"
@@ -12,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"quetzalknot/process/crash"
+	"quetzalknot/process/drain"
 	"quetzalknot/request/place"
 	"quetzalknot/version/routes"
 )
@@ -104,7 +104,7 @@
 	}
 	stop := time.AfterFunc(time.Until(q.deadline), func() { _ = q.r.Body.Close() })
 	defer stop.Stop()
-	release := context.AfterFunc(q.h.ending, func() { _ = q.r.Body.Close() })
+	release := q.h.ending.AfterFunc(func() { _ = q.r.Body.Close() })
 	defer release()
 	body, err := io.ReadAll(io.LimitReader(q.r.Body, buffered))
 	if err != nil {
@@ -134,8 +134,8 @@
 		return false
 	case !time.Now().Before(q.deadline):
 		return q.refuse(http.StatusRequestTimeout, errDeadline)
-	case q.h.ending.Err() != nil:
-		return q.refuse(http.StatusServiceUnavailable, errStopping)
+	case q.h.ending.Ended():
+		return q.refuse(http.StatusServiceUnavailable, drain.ErrStopping)
 	default:
 		return q.refuse(http.StatusBadRequest, errors.Wrap(err, "request body"))
 	}
--- a/request/serve/serve.go
+++ b/request/serve/serve.go
@@ -19,6 +19,7 @@
 
 	"quetzalknot/connection/target"
 	"quetzalknot/process/crash"
+	"quetzalknot/process/drain"
 	"quetzalknot/process/fleet"
 	"quetzalknot/process/metrics"
 	"quetzalknot/request/budget"
@@ -52,18 +53,13 @@
 	received atomic.Int64
 	// shareCounter distributes the requests of weighted routes over their services.
 	shareCounter atomic.Uint64
-	// stop is nil until a planned stop begins. ending ends with endRequests, at the end of its window.
-	stop        atomic.Pointer[stopWindow]
-	ending      context.Context
-	endRequests context.CancelFunc
+	// stop is nil until a planned stop begins. ending comes at the end of its window.
+	stop   atomic.Pointer[stopWindow]
+	ending *drain.Ending
 }
 
 // New returns a handler.
-func New(opts Options) *Handler {
-	h := &Handler{Options: opts}
-	h.ending, h.endRequests = context.WithCancel(context.Background())
-	return h
-}
+func New(opts Options) *Handler { return &Handler{Options: opts, ending: drain.NewEnding()} }
 
 // Received returns the number of requests received since the start.
 func (h *Handler) Received() int64 { return h.received.Load() }
@@ -80,7 +76,7 @@
 	if !q.read() {
 		return
 	}
-	ctx, release := h.untilStop(r.Context())
+	ctx, release := h.ending.Context(r.Context())
 	defer release()
 	ctx, cancel := context.WithDeadlineCause(ctx, q.deadline, errDeadline)
 	defer cancel()
--- a/request/serve/stop.go
+++ b/request/serve/stop.go
@@ -1,14 +1,6 @@
 package serve
 
-import (
-	"context"
-	"time"
-
-	"github.com/cockroachdb/errors"
-)
-
-// errStopping reports a request that this host ended or refused because it stops.
-var errStopping = errors.New("the host stops")
+import "time"
 
 // lateFactor is how many times its expected time a request must have left that is sent to a target in
 // the second half of a stop, since its target may be slower than expected.
@@ -25,18 +17,7 @@
 	if !h.stop.CompareAndSwap(nil, &stopWindow{start: now, end: end}) {
 		return
 	}
-	time.AfterFunc(end.Sub(now), h.endRequests)
-}
-
-// untilStop returns a context that ends with ctx, or with the cause errStopping when this host ends its
-// requests.
-func (h *Handler) untilStop(ctx context.Context) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	release := context.AfterFunc(h.ending, func() { cancel(errStopping) })
-	return ctx, func() {
-		release()
-		cancel(nil)
-	}
+	time.AfterFunc(end.Sub(now), h.ending.End)
 }
 
 // timeLeft returns how long a request that is sent to a target now may take, and whether it must be
