Hosts: the limit for targets that may be cold lasts until reports are back

Cause: the hosts lifted their limit with the store's first answer, though reports come up to two seconds later. Now it lasts until they must be back.

TestSendLimitLastsUntilReportsAreBack failed before.

--- a/entry/follow.go
+++ b/entry/follow.go
@@ -332,12 +332,12 @@
 	}
 }
 
-// limitSendRate limits the requests to each target while this host is not up to date, and
-// lifts the limit when it is.
+// limitSendRate limits the requests to each target while this host is not up to date, or the reports of
+// targets that became cold meanwhile may still be missing, and lifts the limit then.
 func (h *Host) limitSendRate() {
 	h.sendRateMu.Lock()
 	defer h.sendRateMu.Unlock()
-	if h.upToDate() {
+	if h.upToDate() && h.reportHold(time.Now()) == 0 {
 		h.fleet.LiftSendRateLimit()
 		return
 	}
