--- a/process/drain/drain.go
+++ b/process/drain/drain.go
@@ -58,8 +58,8 @@
 	Limit time.Duration
 }
 
-// Run carries out a planned shutdown. When ctx ends, or shortly before the limit, it stops
-// waiting, ends the requests in flight and aborts those that have not ended at once. If there
+// Run carries out a planned shutdown. Shortly before the limit it stops waiting, ends the requests in
+// flight and aborts those that have not ended at once. When ctx ends, it aborts all of them. If there
 // were any, it returns an error that matches both ErrAborted and the cause; otherwise it returns nil.
 func Run(ctx context.Context, log zerolog.Logger, s Steps) error {
 	started := time.Now()
@@ -82,9 +82,8 @@
 	if ctx.Err() != nil {
 		err = context.Cause(ctx)
 	}
-	s.End()
-	for end := time.Now().Add(endTime); s.InFlight() > 0 && time.Now().Before(end); {
-		time.Sleep(endPoll)
+	if errors.Is(err, ErrTimeLimit) {
+		s.endRequests()
 	}
 	s.Abort()
 	evAborted.Log(log).Int64("requests", remaining).Err(err).Send()
@@ -94,6 +93,14 @@
 	return errors.Mark(errors.Wrapf(err, "%d requests in flight were aborted", remaining), ErrAborted)
 }
 
+// endRequests ends the requests in flight and waits until they have, for endTime at most.
+func (s Steps) endRequests() {
+	s.End()
+	for end := time.Now().Add(endTime); s.InFlight() > 0 && time.Now().Before(end); {
+		time.Sleep(endPoll)
+	}
+}
+
 // waitFor waits for d or the end of ctx.
 func waitFor(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
