Crashes: callback without the lock, small short reports, a lost host and the log line tested

What is a crash, and how long a request may take in a stop, are functions without input or output now.

--- a/entry/host.go
+++ b/entry/host.go
@@ -151,7 +151,7 @@
 	h.crashes.MayTry = func(fingerprint uint64) bool { return h.group.Owns(strconv.FormatUint(fingerprint, 16), 1) }
 	h.crashes.OnLimitReached = func(fingerprint uint64, crashes int) {
 		evRequestQuarantined.Log(h.log).Uint64("fingerprint", fingerprint).Int("crashes", crashes).Send()
-		go h.group.ResendFull() // full heartbeats name the requests of the crashes; the callback must not call back
+		h.group.ResendFull() // only full heartbeats name the requests that crashed the targets
 	}
 	h.clients = peer.NewClientPool(nil, h.dial)
 	h.peers = peer.NewServer(nil)
--- a/entry/host_test.go
+++ b/entry/host_test.go
@@ -297,7 +297,7 @@
 		}
 		h := c.addHost(name)
 		c.eventually("the host that starts knows the crashes", func() bool { return h.crashes.LimitReached(fingerprint, time.Now()) })
-		if got := h.crashes.Crashes(fingerprint, time.Now()); strings.Count(got, `by "r1" 3m`) != crash.MaxCrashes {
+		if got := h.crashes.Describe(fingerprint, time.Now()); strings.Count(got, `by "r1" 3m`) != crash.MaxCrashes {
 			t.Errorf("the crashes are told as %q", got)
 		}
 	}
--- a/process/crash/crash.go
+++ b/process/crash/crash.go
@@ -1,8 +1,8 @@
 // Package crash counts how many targets crashed while they ran a request, summed over all
 // hosts, so that no host sends a request again that has reached the limit.
 //
-// crash.go counts and merges, trial.go allows few trials of a request at the limit, space.go bounds
-// the memory.
+// crash.go counts, report.go exchanges the counts with other hosts, trial.go allows few trials of a
+// request at the limit, space.go bounds the memory.
 //
 // An incarnation of a target counts once for a request, whichever hosts saw its crash: of two reports
 // the larger count is kept. A response to the request shows that it does not crash targets, and clears
@@ -28,38 +28,17 @@
 	// space is needed.
 	suspicionAge = 30 * time.Minute
 	limitAge     = 24 * time.Hour
-	// sameCrash is how long after its crash an incarnation that is reported again has not crashed
-	// again: it is back after some seconds.
+	// sameCrash is how long after a crash further reports of the same incarnation are taken for that crash,
+	// since several requests and hosts see it.
 	sameCrash = 2 * time.Second
 	// maxTargets bounds the incarnations of targets that are kept for a request.
 	maxTargets = 32
-	// maxReported bounds the counts in one report.
-	maxReported = 512
-	// maxID is the longest id, in bytes, that is accepted from another host.
-	maxID = 64
-	// maxStated is the largest count that is accepted from another host.
-	maxStated = 1 << 20
 )
 
-// Count is how often an incarnation of a target crashed while it ran a request, or, negative, how many
-// of these crashes were cleared.
-type Count struct {
-	Fingerprint uint64
-	// Target is the incarnation. Earlier releases state that of the host that observed the crashes.
-	Target  string `cbor:"Host"`
-	Crashes int
-	// Request is the id of a request that crashed the incarnation. Earlier releases and short heartbeats state
-	// none.
-	Request string `cbor:",omitempty"`
-	// Age is the time since the counts of the request last changed. Earlier releases and short
-	// heartbeats state none.
-	Age time.Duration `cbor:",omitempty"`
-}
-
 // Counts holds the crash counts of requests. It is safe for concurrent use.
 type Counts struct {
-	// OnLimitReached is called for each request that reaches the limit. It is set before
-	// the first use of Counts and may be nil.
+	// OnLimitReached is called for each request that reaches the limit. It may call Counts. It is set
+	// before the first use of Counts and may be nil.
 	OnLimitReached func(fingerprint uint64, crashes int)
 	// MayTry reports whether this host is the one that tries a request at the limit. It is set before the
 	// first use of Counts; nil means that it always is.
@@ -93,23 +72,30 @@
 // RecordCrash records that an incarnation of a target crashed while it ran a request, which had an id of its
 // caller, and returns the total of the request.
 func (c *Counts) RecordCrash(fingerprint uint64, target, id string, now time.Time) int {
+	before, after := c.recordCrash(fingerprint, target, id, now)
+	c.notifyIfLimitReached(fingerprint, before, after)
+	return after
+}
+
+// recordCrash is RecordCrash without the notification. It returns the total before and after.
+func (c *Counts) recordCrash(fingerprint uint64, target, id string, now time.Time) (before, after int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := c.requestCountsFor(fingerprint, now)
-	before, t := r.total(), r.byTarget[target]
+	t := r.byTarget[target]
+	before = r.total()
 	if before >= maxCounted || (t.crashes > 0 && now.Sub(t.at) < sameCrash) {
-		return before
+		return before, before
 	}
 	t.crashes, t.at, t.request = t.crashes+1, now, id[:min(len(id), maxID)]
 	r.set(target, t, now)
-	c.notifyIfLimitReached(fingerprint, before, r)
-	return r.total()
+	return before, r.total()
 }
 
-// notifyIfLimitReached calls the callback if a request's total has just reached the limit.
-func (c *Counts) notifyIfLimitReached(fingerprint uint64, before int, r *requestCounts) {
-	if total := r.total(); before < MaxCrashes && total >= MaxCrashes && c.OnLimitReached != nil {
-		c.OnLimitReached(fingerprint, total)
+// notifyIfLimitReached calls the callback if a request's total has just reached the limit. mu must not be held.
+func (c *Counts) notifyIfLimitReached(fingerprint uint64, before, after int) {
+	if before < MaxCrashes && after >= MaxCrashes && c.OnLimitReached != nil {
+		c.OnLimitReached(fingerprint, after)
 	}
 }
 
@@ -126,7 +112,6 @@
 		t.cleared = t.crashes
 		r.set(target, t, now)
 	}
-	r.trials = 0
 }
 
 // LimitReached reports whether a request has reached the limit of crashes.
@@ -145,9 +130,9 @@
 	return r
 }
 
-// Crashes returns the incarnations whose crashes count for a request, each with the id of the request that
+// Describe returns the incarnations whose crashes count for a request, each with the id of the request that
 // crashed it and the time since then.
-func (c *Counts) Crashes(fingerprint uint64, now time.Time) string {
+func (c *Counts) Describe(fingerprint uint64, now time.Time) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := c.requests[fingerprint]
@@ -164,81 +149,6 @@
 	return strings.Join(crashes, ", ")
 }
 
-// Merge merges the counts of other hosts.
-func (c *Counts) Merge(counts []Count, now time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, other := range counts {
-		c.merge(other, now)
-	}
-}
-
-func (c *Counts) merge(other Count, now time.Time) {
-	age := max(0, other.Age)
-	if other.Crashes == 0 || max(other.Crashes, -other.Crashes) > maxStated || age >= limitAge {
-		return
-	}
-	r := c.requestCountsFor(other.Fingerprint, now)
-	before, t := r.total(), r.byTarget[other.Target]
-	if t.crashes > 0 && t.request == "" && len(other.Request) <= maxID {
-		t.request = other.Request
-		r.byTarget[other.Target] = t
-	}
-	switch {
-	case other.Crashes > t.crashes:
-		t.crashes, t.at, t.request = other.Crashes, now.Add(-age), other.Request[:min(len(other.Request), maxID)]
-	case -other.Crashes > t.cleared:
-		t.cleared = -other.Crashes
-	default:
-		return
-	}
-	r.set(other.Target, t, now.Add(-age))
-	c.notifyIfLimitReached(other.Fingerprint, before, r)
-}
-
-// Recent returns counts that changed within a duration, at most maxReported.
-func (c *Counts) Recent(within time.Duration, now time.Time) []Count {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var counts []Count
-	for fingerprint, r := range c.requests {
-		if now.Sub(r.changedAt) <= within && len(counts) < maxReported {
-			counts = append(counts, r.report(fingerprint, now)...)
-		}
-	}
-	return counts
-}
-
-// All returns the counts that apply, about maxReported at most, those of requests at the limit first.
-func (c *Counts) All(now time.Time) []Count {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var counts, below []Count
-	for fingerprint, r := range c.requests {
-		switch {
-		case r.expired(now):
-		case r.total() >= MaxCrashes && len(counts) < maxReported:
-			counts = append(counts, r.report(fingerprint, now)...)
-		case len(below) < maxReported:
-			below = append(below, r.report(fingerprint, now)...)
-		}
-	}
-	return append(counts, below[:min(len(below), max(0, maxReported-len(counts)))]...)
-}
-
-// report returns the counts of a request.
-func (r *requestCounts) report(fingerprint uint64, now time.Time) []Count {
-	var counts []Count
-	for target, t := range r.byTarget {
-		for _, n := range []int{t.crashes, -t.cleared} {
-			if n != 0 {
-				counts = append(counts, Count{Fingerprint: fingerprint, Target: target, Crashes: n, Request: t.request, Age: now.Sub(r.changedAt)})
-			}
-		}
-	}
-	return counts
-}
-
 // requestCountsFor returns the counts of a request. Counts that are new or have expired
 // start empty.
 func (c *Counts) requestCountsFor(fingerprint uint64, now time.Time) *requestCounts {
@@ -253,7 +163,7 @@
 }
 
 // set sets the count of an incarnation. Beyond maxTargets an incarnation of which nothing counts is
-// forgotten for it, or the oldest one.
+// forgotten for it, or the oldest one. Below the limit no trials have been made.
 func (r *requestCounts) set(target string, t targetCount, changedAt time.Time) {
 	if _, known := r.byTarget[target]; !known && len(r.byTarget) >= maxTargets {
 		delete(r.byTarget, r.leastUseful())
@@ -262,6 +172,9 @@
 		r.changedAt = changedAt
 	}
 	r.byTarget[target] = t
+	if r.total() < MaxCrashes {
+		r.trials = 0
+	}
 }
 
 // leastUseful returns the incarnation to forget first.
--- a/process/crash/crash_test.go
+++ b/process/crash/crash_test.go
@@ -223,12 +223,38 @@
 	b.Merge(a.All(start), start)
 	const want = `i-1/5 by "q1" 1m0s ago, i-2/6 by "q2" 1m0s ago`
 	for _, c := range []*Counts{a, b} {
-		if got := c.Crashes(7, start.Add(time.Minute)); got != want {
+		if got := c.Describe(7, start.Add(time.Minute)); got != want {
 			t.Errorf("%s, want %s", got, want)
 		}
 	}
 	a.RecordSuccess(7, start)
-	if got := a.Crashes(7, start); got != "" {
+	if got := a.Describe(7, start); got != "" {
 		t.Errorf("after a success: %s", got)
 	}
 }
+
+// TestCallbackMayCallCounts: the callback must not be called with the lock held.
+func TestCallbackMayCallCounts(t *testing.T) {
+	c := New()
+	known := false
+	c.OnLimitReached = func(fingerprint uint64, _ int) { known = c.LimitReached(fingerprint, start) }
+	reachLimit(c, 7, start)
+	if !known {
+		t.Error("the limit is not reached when the callback runs")
+	}
+}
+
+// TestReportsAreBounded: reports must stay small, and name requests at the limit before others.
+func TestReportsAreBounded(t *testing.T) {
+	c := New()
+	for i := range uint64(maxRequests - 1) {
+		c.RecordCrash(Fingerprint(i, i<<20), incarnation(1), "r1", start)
+	}
+	last := Fingerprint(maxRequests, 1<<20)
+	reachLimit(c, last, start)
+	for most, counts := range map[int][]Count{maxShortReport: c.Recent(time.Minute, start), maxReport: c.All(start)} {
+		if len(counts) < most || len(counts) > most+2*maxTargets || counts[0].Fingerprint != last {
+			t.Errorf("%d counts, want about %d, the first one of the request at the limit", len(counts), most)
+		}
+	}
+}
--- a/process/crash/trial.go
+++ b/process/crash/trial.go
@@ -3,7 +3,7 @@
 import "time"
 
 // maxTrials is how often all hosts together send a request that has reached the limit again, to see
-// whether it still crashes its target: as often as the platform tolerates.
+// whether it still crashes its target.
 const maxTrials = 3
 
 // trialDelays are the times from the last crash of a request at the limit to each trial.
@@ -12,10 +12,7 @@
 // Admit reports whether a request may be sent: it is below the limit, or it is sent as a trial. Its response
 // then clears it, for it and for all that were only beside the one at fault; without one it stays at the limit.
 func (c *Counts) Admit(fingerprint uint64, now time.Time) bool {
-	c.mu.Lock()
-	r := c.atLimit(fingerprint, now)
-	c.mu.Unlock()
-	if r == nil {
+	if !c.LimitReached(fingerprint, now) {
 		return true
 	}
 	if c.MayTry != nil && !c.MayTry(fingerprint) {
@@ -23,7 +20,8 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return r.startTrial(now)
+	r := c.atLimit(fingerprint, now)
+	return r == nil || r.startTrial(now)
 }
 
 // startTrial reports whether a trial is due, and counts it.
--- a/process/crash/trial_test.go
+++ b/process/crash/trial_test.go
@@ -55,3 +55,23 @@
 		t.Error("a trial after as many crashes as are tolerated")
 	}
 }
+
+// TestTrialsBeginAnewAfterSuccess: a success at another host must leave a request all its trials for the next time
+// that it reaches the limit.
+func TestTrialsBeginAnewAfterSuccess(t *testing.T) {
+	c, other := New(), New()
+	reachLimit(c, 7, start)
+	now := start.Add(trialDelays[0])
+	if !c.Admit(7, now) {
+		t.Fatal("no trial")
+	}
+	other.Merge(c.All(now), now)
+	other.RecordSuccess(7, now)
+	c.Merge(other.Recent(time.Minute, now), now)
+	for i := range MaxCrashes {
+		c.RecordCrash(7, incarnation(10+i), "r1", now)
+	}
+	if !c.Admit(7, now.Add(trialDelays[0])) {
+		t.Error("the trial of before counts")
+	}
+}
--- a/request/serve/attempt.go
+++ b/request/serve/attempt.go
@@ -171,8 +171,7 @@
 // listens.
 const crashCheckTimeout = 500 * time.Millisecond
 
-// checkCrash records a crash if a target that broke the connection no longer listens. A target that is
-// leaving was going to end, and one whose machine does not refuse the connection has lost the machine.
+// checkCrash records a crash if a target that broke the connection has crashed.
 func (q *request) checkCrash(choice place.Choice) {
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 	defer cancel()
@@ -181,9 +180,9 @@
 		return
 	}
 	now := time.Now()
-	leaving := q.h.Fleet.IsLeaving(choice.Target)
+	crashed := hasCrashed(err, q.h.Fleet.IsLeaving(choice.Target))
 	q.h.Fleet.MarkDown(choice.Target, now)
-	if leaving || !errors.Is(err, syscall.ECONNREFUSED) {
+	if !crashed {
 		return
 	}
 	incarnation := choice.Incarnation()
@@ -191,6 +190,12 @@
 	evCrash.Log(q.h.Log).Str("request", q.callerHeaders.ID).Str("target", incarnation).Uint64("fingerprint", q.fingerprint).Int("crashes", total).Send()
 }
 
+// hasCrashed reports whether a target has crashed that broke a connection and then did not accept one, which failed
+// with an error. A target that is leaving was going to end, and where nothing refuses the connection its host is lost.
+func hasCrashed(dialed error, leaving bool) bool {
+	return !leaving && errors.Is(dialed, syscall.ECONNREFUSED)
+}
+
 // newCall returns the call that sends the request to the selected target.
 func (q *request) newCall(choice place.Choice) *target.Call {
 	header := make(http.Header, len(q.r.Header)+4)
--- a/request/serve/body_test.go
+++ b/request/serve/body_test.go
@@ -36,6 +36,7 @@
 	Status  int    `json:"status"`
 	Verdict string `json:"verdict"`
 	Error   string `json:"error"`
+	Crashes string `json:"crashes"`
 	// StateAge is the age of the host's state in milliseconds.
 	StateAge int64 `json:"state_age_ms"`
 }
--- a/request/serve/crash_test.go
+++ b/request/serve/crash_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -103,27 +104,53 @@
 		},
 		"removed": func(f *fixture, target *standin.Target) { f.fleet.Remove(target.ID, time.Now(), 0) },
 	} {
-		t.Run(name, func(t *testing.T) {
-			f := newFixture(t)
-			f.apply(nil)
-			for i := range 4 {
-				id := fmt.Sprint("i-", i)
-				backend := f.addTarget(id, standin.Good, time.Second)
-				done := make(chan response, 1)
-				go func() { done <- f.exchange(head("POST", "/book/1")) }()
-				for end := time.Now().Add(waitTimeout); backend.Runs() == 0 && time.Now().Before(end); time.Sleep(time.Millisecond) {
-				}
-				leave(f, backend)
-				backend.Close()
-				if got := <-done; got.status != http.StatusBadGateway {
-					t.Fatalf("request %d: %+v", i, got)
-				}
-				time.Sleep(50 * time.Millisecond) // a crash would be detected
-			}
-			f.addTarget("i-good", standin.Good, 0)
-			if got := f.exchange(head("POST", "/book/1")); got.status != http.StatusOK {
-				t.Errorf("%+v", got)
-			}
-		})
+		t.Run(name, func(t *testing.T) { checkNoCrashes(t, leave) })
+	}
+}
+
+// TestLostHostsAreNoCrashes: targets whose hosts are lost with requests in flight, so that nothing refuses a connection,
+// must not bring these requests to the limit (incident 0015).
+func TestLostHostsAreNoCrashes(t *testing.T) {
+	checkNoCrashes(t, func(f *fixture, _ *standin.Target) { f.lost.Store(true) })
+}
+
+// checkNoCrashes ends targets while they run a request, each after end was called, and checks that the request is then
+// still sent to another one.
+func checkNoCrashes(t *testing.T, end func(*fixture, *standin.Target)) {
+	t.Helper()
+	f := newFixture(t)
+	f.apply(nil)
+	for i := range 4 {
+		f.lost.Store(false)
+		backend := f.addTarget(fmt.Sprint("i-", i), standin.Good, time.Second)
+		done := make(chan response, 1)
+		go func() { done <- f.exchange(head("POST", "/book/1")) }()
+		for until := time.Now().Add(waitTimeout); backend.Runs() == 0 && time.Now().Before(until); time.Sleep(time.Millisecond) {
+		}
+		end(f, backend)
+		backend.Close()
+		if got := <-done; got.status != http.StatusBadGateway {
+			t.Fatalf("request %d: %+v", i, got)
+		}
+		time.Sleep(50 * time.Millisecond) // a crash would be detected
+	}
+	f.lost.Store(false)
+	f.addTarget("i-good", standin.Good, 0)
+	if got := f.exchange(head("POST", "/book/1")); got.status != http.StatusOK {
+		t.Errorf("%+v", got)
+	}
+}
+
+// TestLogNamesCrashes: the log line of a refusal must name the crashes that led to it, or an operator can't tell the caller
+// why.
+func TestLogNamesCrashes(t *testing.T) {
+	const bad = "127.0.0.2"
+	f, log := newLoggedFixture(t)
+	f.apply(nil)
+	f.crashTargets(bad, head("POST", "/book/1"), 3)
+	f.exchangeFrom(bad, standin.Head("POST", "/book/1", "refused", "3000"))
+	got := log.of(t, "refused")
+	if got.Error != "request has crashed too many targets" || strings.Count(got.Crashes, `by "r1"`) != 3 || !strings.Contains(got.Crashes, bad+"-2/1") {
+		t.Errorf("logged as %+v", got)
 	}
 }
--- a/request/serve/finish.go
+++ b/request/serve/finish.go
@@ -137,6 +137,9 @@
 	if c := q.refusedChoice; c != nil && c.ID != "" {
 		line = line.Str("best", c.ID).Int64("expected_ms", c.Expected.Milliseconds()).Int64("wait_ms", c.Wait.Milliseconds()).Int("considered", c.Considered)
 	}
+	if q.crashes != "" {
+		line = line.Str("crashes", q.crashes)
+	}
 	if err != nil {
 		line = line.Str("error", err.Error())
 	}
--- a/request/serve/fixture_test.go
+++ b/request/serve/fixture_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -45,14 +47,15 @@
 	stale atomic.Bool
 	// confirming is called when the handler asks whether the configuration is the newest; may be nil.
 	confirming func()
+	// lost makes connections to targets fail as if nothing answered.
+	lost atomic.Bool
 }
 
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
 	f := &fixture{t: t, budget: budget.NewSlidingWindows(10*time.Second, 0.2, 60)}
 	f.fleet = fleet.New(zerolog.Nop(), fleet.SingleHost{})
-	dialer := &net.Dialer{}
-	pool := target.NewPool(dialer.DialContext)
+	pool := target.NewPool(f.dial)
 	f.handler = serve.New(serve.Options{
 		Config: f.config.Load, Fleet: f.fleet, Pool: pool, Budget: f.budget, Crashes: crash.New(),
 		Chooser: place.New(f.fleet, place.Options{Region: region, FailureDomain: domain}),
@@ -63,6 +66,13 @@
 	return f
 }
 
+func (f *fixture) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	if f.lost.Load() {
+		return nil, os.ErrDeadlineExceeded
+	}
+	return new(net.Dialer).DialContext(ctx, network, addr)
+}
+
 func (f *fixture) upToDate() bool {
 	if f.confirming != nil {
 		f.confirming()
--- a/request/serve/serve.go
+++ b/request/serve/serve.go
@@ -53,7 +53,7 @@
 	received atomic.Int64
 	// shareCounter distributes the requests of weighted routes over their services.
 	shareCounter atomic.Uint64
-	// stop is nil until a planned stop begins. ending comes at the end of its window.
+	// stop is nil until a planned stop begins. ending comes at its end.
 	stop   atomic.Pointer[stopWindow]
 	ending *drain.Ending
 }
@@ -122,6 +122,8 @@
 	attempts      []attemptLog
 	// refusedChoice is the best target found when the choice was refused.
 	refusedChoice *place.Choice
+	// crashes describes the crashes because of which the request is refused.
+	crashes string
 	// mayHaveRun is true once a target may have run the request.
 	mayHaveRun bool
 }
@@ -131,7 +133,8 @@
 	h := q.h
 	h.Budget.AddRequest(q.service, q.started)
 	if !h.Crashes.Admit(q.fingerprint, q.started) {
-		q.refuse(http.StatusServiceUnavailable, errors.Wrap(errCrashLoop, h.Crashes.Crashes(q.fingerprint, q.started)))
+		q.crashes = h.Crashes.Describe(q.fingerprint, q.started)
+		q.refuse(http.StatusServiceUnavailable, errCrashLoop)
 		return
 	}
 	var last result
@@ -155,7 +158,7 @@
 	if ctx.Err() != nil {
 		return place.Choice{}, context.Cause(ctx)
 	}
-	left, mustFit := q.timeLeft(now)
+	left, mustFit := q.h.stop.Load().timeLeft(q.deadline, now)
 	choice, err := q.h.Chooser.Choose(place.Request{
 		Route: q.route, Service: q.service, Object: q.object, BodyBytes: max(int64(len(q.body)), q.r.ContentLength), Tried: q.tried,
 		TimeLeft: left, MustFit: mustFit,
--- a/request/serve/stop.go
+++ b/request/serve/stop.go
@@ -20,16 +20,15 @@
 	time.AfterFunc(end.Sub(now), h.ending.End)
 }
 
-// timeLeft returns how long a request that is sent to a target now may take, and whether it must be
-// refused if it is expected to take longer.
-func (q *request) timeLeft(now time.Time) (left time.Duration, mustFit bool) {
-	left = q.deadline.Sub(now)
-	s := q.h.stop.Load()
-	if s == nil {
+// timeLeft returns how long a request with a deadline that is sent to a target now may take, and whether it must
+// be refused if it is expected to take longer. w is nil while the host does not stop.
+func (w *stopWindow) timeLeft(deadline, now time.Time) (left time.Duration, mustFit bool) {
+	left = deadline.Sub(now)
+	if w == nil {
 		return left, false
 	}
-	untilEnd := s.end.Sub(now)
-	if now.Sub(s.start) > untilEnd {
+	untilEnd := w.end.Sub(now)
+	if now.Sub(w.start) > untilEnd {
 		untilEnd /= lateFactor
 	}
 	return min(left, untilEnd), true
