--- a/request/forward/forward.go
+++ b/request/forward/forward.go
@@ -146,11 +146,19 @@
 	}
 	w.Header().Set(request.HeaderRequestID, info.ID)
 	limits.BodyBytes = info.BodyLimit(h.opts.Limits.BodyBytes)
-	body, refusal := h.bufferBody(r, control, limits)
+	body, refusal := limitBody(r, control, limits)
 	if refusal != nil {
 		h.refuse(w, info, refusal)
 		return
 	}
+	if body != nil {
+		release := h.ending.AfterFunc(body.Stop)
+		defer release()
+	}
+	if refusal := h.bufferBody(r, body); refusal != nil {
+		h.refuse(w, info, refusal)
+		return
+	}
 	info.Fingerprint = fingerprint(r, info, body)
 	h.run(w, r, info, snap, started)
 }
@@ -243,9 +251,8 @@
 	return n
 }
 
-// bufferBody applies limits to the request body, and buffers a short one in memory. Reading stops at the end of a
-// planned stop.
-func (h *Handler) bufferBody(r *http.Request, control *http.ResponseController, limits caller.Limits) (*caller.Body, *refusal) {
+// limitBody applies limits to the request body. It returns nil for a request without one.
+func limitBody(r *http.Request, control *http.ResponseController, limits caller.Limits) (*caller.Body, *refusal) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, nil
 	}
@@ -256,18 +263,23 @@
 	_ = control.EnableFullDuplex() // the response may begin while the request body is still being read
 	body := caller.NewBody(r.Body, control, limits)
 	r.Body = body
-	h.ending.AfterFunc(body.Stop)
-	if r.ContentLength < 0 || r.ContentLength > bodyBufferLimit {
-		return body, nil
+	return body, nil
+}
+
+// bufferBody buffers a short body in memory.
+func (h *Handler) bufferBody(r *http.Request, body *caller.Body) *refusal {
+	if body == nil || r.ContentLength < 0 || r.ContentLength > bodyBufferLimit {
+		return nil
 	}
-	if err := body.Buffer(r.ContentLength); err != nil {
-		status := http.StatusBadRequest
-		if h.ending.Ended() {
-			status = http.StatusServiceUnavailable
-		}
-		return nil, &refusal{statusOf(err, status), err}
+	err := body.Buffer(r.ContentLength)
+	switch {
+	case err == nil:
+		return nil
+	case h.ending.Ended():
+		return &refusal{http.StatusServiceUnavailable, drain.ErrStopping}
+	default:
+		return &refusal{statusOf(err, http.StatusBadRequest), err}
 	}
-	return body, nil
 }
 
 // refuse logs and counts a request that no target ran, and responds to it.
