--- a/connection/caller/idle_test.go
+++ b/connection/caller/idle_test.go
@@ -67,7 +67,7 @@
 }
 
 // TestIdleConnectionIsClosedAtOnce: a connection that was idle for too long was read on for half a second, so that a
-// request which crossed the close was read and got no answer (incident 0012). Both directions must be closed at once.
+// request which was sent meanwhile was read and got no answer (incident 0012). Both directions must be closed at once.
 func TestIdleConnectionIsClosedAtOnce(t *testing.T) {
 	l := &halfCloseListener{Listener: listen(t)}
 	s, addr := startServerOn(t, l, newTestHandler(), drainIdleTimeout)
--- a/connection/target/pool.go
+++ b/connection/target/pool.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -23,6 +24,8 @@
 	// shortIdleTime replaces maxIdleTime for requests that must not fail because the target
 	// closes an idle connection while they are sent.
 	shortIdleTime = time.Second
+	// sweepInterval is the time between two checks of all idle connections.
+	sweepInterval = 5 * time.Second
 )
 
 // DialFunc opens a connection. It has the signature of net.Dialer.DialContext.
@@ -35,6 +38,8 @@
 	mu     sync.Mutex
 	idle   map[string][]*conn
 	closed bool
+	// sweptAt is when sweep last looked at all idle connections.
+	sweptAt time.Time
 	// cancelling counts the cancelled exchanges whose end at the target is awaited.
 	cancelling sync.WaitGroup
 }
@@ -86,8 +91,9 @@
 	c.idleSince = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.sweep()
 	list := p.idle[c.addr]
-	for len(list) > 0 && (list[0].idleFor() > list[0].capIdle(maxIdleTime) || len(list) >= maxIdleConns) {
+	for len(list) > 0 && (list[0].expired() || len(list) >= maxIdleConns) {
 		_ = list[0].Close()
 		list = list[1:]
 	}
@@ -98,22 +104,22 @@
 	p.idle[c.addr] = append(list, c)
 }
 
-// CloseExpired closes the connections that have been idle for too long, also those to targets that are no longer used.
-func (p *Pool) CloseExpired() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+// sweep closes the connections to all targets that have been idle for too long, at most once in sweepInterval, since
+// those to a target that has left are never asked for again. The lock must be held.
+func (p *Pool) sweep() {
+	if time.Since(p.sweptAt) < sweepInterval {
+		return
+	}
+	p.sweptAt = time.Now()
 	for addr, list := range p.idle {
-		kept := list[:0]
-		for _, c := range list {
-			if c.idleFor() > c.capIdle(maxIdleTime) {
+		list = slices.DeleteFunc(list, func(c *conn) bool {
+			expired := c.expired()
+			if expired {
 				_ = c.Close()
-				continue
 			}
-			kept = append(kept, c)
-		}
-		clear(list[len(kept):])
-		p.idle[addr] = kept
-		if len(kept) == 0 {
+			return expired
+		})
+		if p.idle[addr] = list; len(list) == 0 {
 			delete(p.idle, addr)
 		}
 	}
@@ -153,6 +159,9 @@
 
 func (c *conn) idleFor() time.Duration { return time.Since(c.idleSince) }
 
+// expired reports whether an idle connection has been idle for too long.
+func (c *conn) expired() bool { return c.idleFor() > c.capIdle(maxIdleTime) }
+
 // capIdle returns the smaller of a limit and the idle timeout of the target.
 func (c *conn) capIdle(limit time.Duration) time.Duration {
 	if c.idleTimeout > 0 {
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -51,8 +51,6 @@
 	lackLimit = time.Second
 	// tickInterval is the period of the periodic tasks in tick.
 	tickInterval = 100 * time.Millisecond
-	// poolCheckInterval is the time between two checks for connections to targets that have been idle for too long.
-	poolCheckInterval = 5 * time.Second
 )
 
 // followTable keeps the mirror of a table up to date until ctx ends. It reads the full table
@@ -305,18 +303,13 @@
 	}
 }
 
-// tick runs the periodic tasks until ctx ends: it closes expired connections, asks whether the store has returned, drops
-// targets whose hold has expired, starts due liveness checks, and updates the request rate, the retry budgets and the logged
+// tick runs the periodic tasks until ctx ends: it asks whether the store has returned, drops targets whose hold has expired,
+// starts due liveness checks, and updates the request rate, the retry budgets and the logged
 // readiness. While the host is not up to date it limits the requests to each target, since
 // any of them may have become cold.
 func (h *Host) tick(ctx context.Context) {
-	poolCheckedAt := time.Now()
 	for pause(ctx, tickInterval) {
 		now := time.Now()
-		if now.Sub(poolCheckedAt) >= poolCheckInterval {
-			poolCheckedAt = now
-			h.pool.CloseExpired()
-		}
 		h.checkReturn(ctx, now)
 		h.removeExpired(now)
 		h.endHeldEvacuations(now)
--- a/entry/host.go
+++ b/entry/host.go
@@ -329,12 +329,12 @@
 	// stopMargin is how long before the end of the grace period a host stops waiting for
 	// requests in flight.
 	stopMargin = 250 * time.Millisecond
-	// logMargin is how long before the end of the grace period a host stops waiting for its
-	// log output.
-	logMargin = stopMargin / 2
 	// answerMargin is how long before that the requests in flight get their final responses, so that
 	// these are written.
 	answerMargin = 150 * time.Millisecond
+	// logMargin is how long before the end of the grace period a host stops waiting for its
+	// log output.
+	logMargin = stopMargin / 2
 	// stopPoll is the time between two checks for requests in flight.
 	stopPoll = 20 * time.Millisecond
 	// withdrawTimeout limits how long the removal of this host's row may take.
--- a/process/drain/drain.go
+++ b/process/drain/drain.go
@@ -1,6 +1,8 @@
 // Package drain shuts a host down without aborting requests: the host is removed from
 // look-up answers, goes on serving callers that still have an older look-up answer, waits
 // for the requests in flight, and only then closes.
+//
+// drain.go runs the steps of a shutdown, ending.go makes requests end at its end.
 package drain
 
 import (
--- a/stop_test.go
+++ b/stop_test.go
@@ -18,13 +18,13 @@
 const stopLimit = 1500 * time.Millisecond
 
 // TestStopAnswersRequestsInFlight: at the end of a planned stop, requests in flight were cut without an answer (incident
-// 0012). Each must get one that is true: with a target at work, waiting for a slot, or with half of its body sent.
+// 0012). Each must get one that is true: with a target that runs it, waiting for a slot, or with half of its body sent.
 func TestStopAnswersRequestsInFlight(t *testing.T) {
-	atWork := make(chan struct{}, 10)
+	running := make(chan struct{}, 10)
 	release := make(chan struct{})
 	defer close(release)
 	host, addr := startStoppable(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
-		atWork <- struct{}{}
+		running <- struct{}{}
 		<-release
 	}), settings.Limits{}, settings.Stop{LookupWaitMS: 100, LimitMS: int(stopLimit.Milliseconds())})
 	answers := make(map[string]chan *http.Response)
@@ -37,9 +37,9 @@
 		}
 	}
 	select {
-	case <-atWork:
+	case <-running:
 	case <-time.After(waitTimeout):
-		t.Fatal("the target is not at work")
+		t.Fatal("the target runs no request")
 	}
 	time.Sleep(100 * time.Millisecond) // the other requests arrive
 	start := time.Now()
