--- a/tools/cli/api.go
+++ b/tools/cli/api.go
@@ -43,10 +43,13 @@
 // reports.
 func decodeResponse(resp *http.Response, v any) error {
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err != nil {
 		return err
 	}
+	if len(data) > maxResponseBytes {
+		return errors.Newf("the response has more than %d bytes", maxResponseBytes)
+	}
 	if resp.StatusCode != http.StatusOK {
 		var failure httpapi.ErrorResponse
 		if json.Unmarshal(data, &failure) == nil && failure.Error != "" {
