A reset answer without a length is broken, also while the request is still being written

What callers saw: a target answered a long upload at once, without a length, sent a part of the body and reset the connection. The caller got that part as a complete answer with status 200.

Cause: the system reports a broken connection once. The goroutine that writes the request was blocked in a write and took the report (ECONNRESET); the read of the answer then saw an ordinary end of the stream, which is the end of an answer without a length.

Why this works: connections to targets are httpwire.Conns. Where a read sees the end, it first ends the write in progress and waits for it; a write that found the connection broken (ECONNRESET, ETIMEDOUT, ...) makes that error the error of the read. After an end in order a later reset shows to the write as EPIPE, so such answers stay whole: TestEarlyResponseWithoutLengthIsServed (the target reads on, reads nothing, or resets after the end), which the untouched code passes too. Ending the write at that point loses nothing: the connection of an answer without a length is not used again, and the upload was stopped just after its end before.

go test -race ./httpwire ./connection/target and go test ./request/serve pass.

--- a/connection/target/conn.go
+++ b/connection/target/conn.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"quetzalknot/httpwire"
 )
 
 const (
@@ -40,9 +42,10 @@
 
 func newConn(raw net.Conn, addr string) *conn {
 	c := &conn{Conn: raw, addr: addr}
-	c.headerLimit = headerLimiter{r: raw, remaining: unlimited}
+	wire := httpwire.NewConn(raw)
+	c.headerLimit = headerLimiter{r: wire, remaining: unlimited}
 	c.in = bufio.NewReader(&c.headerLimit)
-	c.written.w = raw
+	c.written.w = wire
 	c.out = bufio.NewWriter(&c.written)
 	return c
 }
