Responses with an invalid status line are refused

What callers saw: a target's answer with status 000 was passed over as if it were an interim one, and the bytes behind it were taken as the answer; statuses of 600 to 999 reached callers as they were. Where nothing followed status 000, the caller waited until its deadline for a connection that had only that answer.

Cause: http.ReadResponse takes any three digits as a status, and any version, and connection/target took each status below 200 as an interim one. Status lines were checked nowhere else.

Evidence: TestBrokenStatusLines on the untouched code, among others: --- FAIL: TestBrokenStatusLines/status_000_before_a_response/platform=true taken as a response: status 200, header map["Content-Length":["4"] "Quetzal-Request-Id":["r1"]], trailer map[], body "fine" --- FAIL: TestBrokenStatusLines/"HTTP/1.1_999_High"/platform=true taken as a response: status 999, header map["Content-Length":["4"] "Quetzal-Request-Id":["r1"]], trailer map[], body "fine" 1 connections for two requests The same for HTTP/0.9 and HTTP/2.0, two blanks, a missing blank, control bytes in the reason phrase, and interim responses of status 099, of HTTP/2 or with a control byte. Status 000 alone failed before too, after the deadline.

Why this works: httpwire.Checker follows the bytes of the responses of a connection, below net/http, and knows where each status line stands, also behind interim responses. A line that is not "HTTP/1.x", a status of 100 to 599 (RFC 9110, 15) and a phrase without control bytes, each after one blank (RFC 9112, 4), fails the read before net/http gets it. The exchange then may have run, and its connection is closed, since nothing is read behind the error.

go test -race ./httpwire ./connection/target ./request/serve passes.

--- a/connection/target/broken_test.go
+++ b/connection/target/broken_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -97,3 +98,146 @@
 		})
 	}
 }
+
+// held returns a script that reads one request, writes raw bytes, and leaves the connection open.
+func held(raw string) func(*net.TCPConn, *bufio.Reader) {
+	return func(c *net.TCPConn, in *bufio.Reader) {
+		reply(raw)(c, in)
+		_, _ = io.Copy(io.Discard, in)
+	}
+}
+
+// brokenWait is how long a request waits that gets a broken response.
+const brokenWait = 2 * time.Second
+
+// checkBroken sends a request that gets raw bytes. They must not be taken as a response, the connection must not be used
+// again, and the target must not be taken for one that closed it.
+func checkBroken(t *testing.T, method, raw string) {
+	t.Helper()
+	for _, platform := range []bool{true, false} {
+		t.Run(fmt.Sprintf("platform=%v", platform), func(t *testing.T) {
+			t.Parallel()
+			s := listen(t, held(raw), held(okResponse))
+			pool := NewPool(nil)
+			defer pool.Close()
+			call := func() *Call {
+				return &Call{Addr: s.Addr().String(), Request: newRequest(method, ""), AllowUnframed: platform, CloseOnCancel: platform}
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), brokenWait)
+			defer cancel()
+			resp, err := pool.Exchange(ctx, call())
+			if err == nil {
+				var body []byte
+				body, err = io.ReadAll(resp.Body)
+				_ = resp.Body.Close()
+				if err == nil {
+					t.Errorf("taken as a response: status %d, header %q, trailer %q, body %q", resp.StatusCode, resp.Header, resp.Trailer, body)
+				}
+			}
+			if err != nil && (verdict.Of(err) != verdict.MayHaveRun || ClosedByTarget(err)) {
+				t.Errorf("verdict %v, closed by target: %v (%v)", verdict.Of(err), ClosedByTarget(err), err)
+			}
+			next, cancelNext := context.WithTimeout(t.Context(), brokenWait)
+			defer cancelNext()
+			if err := exchangeAndRead(next, pool, call()); err != nil {
+				t.Errorf("the next request: %v", err)
+			}
+			if n := s.accepted.Load(); n != 2 {
+				t.Errorf("%d connections for two requests", n)
+			}
+		})
+	}
+}
+
+// rest is a header and a body that are valid behind any valid start of a response.
+const rest = "Quetzal-Request-Id: r1\r\nContent-Length: 4\r\n\r\nfine"
+
+// TestBrokenStatusLines: a response whose status line is not valid, or an interim one, is none, also if a valid response
+// follows.
+func TestBrokenStatusLines(t *testing.T) {
+	for _, line := range []string{
+		"HTTP/1.1 000 Nothing", "HTTP/1.1 000 ", "HTTP/1.1 020 OK", "HTTP/1.1 099 Low", "HTTP/1.1 600 High", "HTTP/1.1 999 High",
+		"HTTP/1.1 +20 OK", "HTTP/1.1 -20 OK", "HTTP/1.1 2x0 OK", "HTTP/1.1 20 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 200", "HTTP/1.1 200OK",
+		"HTTP/1.1  200 OK", "HTTP/1.1\t200 OK", "HTTP/1.1 200\tOK", "HTTP/1.1 200 O\x00K", "HTTP/1.1 200 O\rK", "HTTP/1.1 200 O\x7fK",
+		"HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "HTTP/1 200 OK", "HTTP/1.11 200 OK", "http/1.1 200 OK", " HTTP/1.1 200 OK", "\r\nHTTP/1.1 200 OK",
+	} {
+		t.Run(fmt.Sprintf("%q", line), func(t *testing.T) { checkBroken(t, "GET", line+"\r\n"+rest) })
+	}
+	for name, first := range map[string]string{
+		"status 000 before a response": "HTTP/1.1 000 Nothing\r\n\r\n",
+		"status 000 after interim":     "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 Nothing\r\n\r\n",
+		"interim status 099":           "HTTP/1.1 099 Early Hints\r\n\r\n",
+		"interim of HTTP/2":            "HTTP/2.0 103 Early Hints\r\n\r\n",
+		"interim phrase":               "HTTP/1.1 103 Early\x00Hints\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) { checkBroken(t, "GET", first+okResponse) })
+	}
+}
+
+// TestUnusualResponsesAreServed: responses that are valid, if seldom, are passed on, byte by byte too, and their connection
+// stays in use if the target lets it.
+func TestUnusualResponsesAreServed(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\n"
+	for _, tc := range []struct {
+		name, method, raw, body string
+		closes                  bool
+	}{
+		{"several lines of a field", "GET", ok + "Set-Cookie: a=1\r\nSet-Cookie: b=2\r\n" + rest, "fine", false},
+		{"equal lengths", "GET", ok + "Content-Length: 4\r\n" + rest, "fine", false},
+		{"no reason phrase", "GET", "HTTP/1.1 200 \r\n" + rest, "fine", false},
+		{"unknown status", "GET", "HTTP/1.1 299 Fine, caf\xe9\tetc.\r\n" + rest, "fine", false},
+		{"names and values of all kinds", "GET", ok + "!#$%&'*+-.^_`|~09azAZ: \t \xff \"(),/:;<=>?@[\\]{}\t\r\nEmpty:\r\n" + rest, "fine", false},
+		{"fields in other cases", "GET", ok + "content-LENGTH:4 \r\n\r\nfine", "fine", false},
+		{"interim responses", "GET", "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + okResponse, "fine", false},
+		{"chunks", "GET", ok + "Transfer-Encoding: Chunked\r\n\r\n3\r\nfin\r\n01;a=\"b c\"\r\ne\r\n000\r\n\r\n", "fine", false},
+		{"a trailer", "GET", ok + "Trailer: Sum\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\nSum: 1\r\nSum: 2\r\n\r\n", "fine", false},
+		{"no content", "GET", "HTTP/1.1 204 No Content\r\n\r\n", "", false},
+		{"no content, length 0", "GET", "HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n", "", false},
+		{"not modified", "GET", "HTTP/1.1 304 Not Modified\r\nContent-Length: 4\r\n\r\n", "", false},
+		{"HEAD with length", "HEAD", ok + "Content-Length: 4\r\n\r\n", "", false},
+		{"HEAD with chunks", "HEAD", ok + "Transfer-Encoding: chunked\r\n\r\n", "", false},
+		{"close", "GET", ok + "Connection: close\r\n" + rest, "fine", true},
+		{"HTTP/1.0", "GET", "HTTP/1.0 200 OK\r\n" + rest, "fine", true},
+	} {
+		for _, byteWise := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/byteWise=%v", tc.name, byteWise), func(t *testing.T) {
+				t.Parallel()
+				s := listen(t, func(c *net.TCPConn, in *bufio.Reader) {
+					for _, err := in.Peek(1); err == nil; _, err = in.Peek(1) {
+						readRequest(in)
+						writePieces(c, tc.raw, byteWise)
+					}
+				})
+				pool := NewPool(nil)
+				defer pool.Close()
+				ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+				defer cancel()
+				for range 3 {
+					resp, err := pool.Exchange(ctx, &Call{Addr: s.Addr().String(), Request: newRequest(tc.method, ""), AllowUnframed: true})
+					if err != nil {
+						t.Fatal(err)
+					}
+					body, err := io.ReadAll(resp.Body)
+					_ = resp.Body.Close()
+					if err != nil || string(body) != tc.body {
+						t.Errorf("body %q, %v", body, err)
+					}
+				}
+				if n := s.accepted.Load(); (n == 3) != tc.closes || (n == 1) == tc.closes {
+					t.Errorf("%d connections for three requests", n)
+				}
+			})
+		}
+	}
+}
+
+// writePieces writes text at once or, with byteWise, one byte at a time.
+func writePieces(w io.Writer, text string, byteWise bool) {
+	if !byteWise {
+		_, _ = io.WriteString(w, text)
+		return
+	}
+	for i := range len(text) {
+		_, _ = io.WriteString(w, text[i:i+1])
+	}
+}
--- a/connection/target/conn.go
+++ b/connection/target/conn.go
@@ -28,7 +28,9 @@
 // conn is a connection to a target. It carries one exchange at a time.
 type conn struct {
 	net.Conn
-	addr        string
+	addr string
+	// wire is used for requests and responses, so that only valid responses are read.
+	wire        *httpwire.Conn
 	in          *bufio.Reader
 	headerLimit headerLimiter
 	out         *bufio.Writer
@@ -41,19 +43,21 @@
 }
 
 func newConn(raw net.Conn, addr string) *conn {
-	c := &conn{Conn: raw, addr: addr}
-	wire := httpwire.NewConn(raw)
-	c.headerLimit = headerLimiter{r: wire, remaining: unlimited}
+	c := &conn{Conn: raw, addr: addr, wire: httpwire.NewConn(raw)}
+	c.headerLimit = headerLimiter{r: c.wire, remaining: unlimited}
 	c.in = bufio.NewReader(&c.headerLimit)
-	c.written.w = wire
+	c.written.w = c.wire
 	c.out = bufio.NewWriter(&c.written)
 	return c
 }
 
+// hasUnread reports whether bytes were received that have not been read, valid or not.
+func (c *conn) hasUnread() bool { return c.in.Buffered() > 0 || c.wire.Invalid() != nil }
+
 // reusable reports whether an idle connection is open and has no unread bytes. Bytes that
 // arrive before a request is sent cannot belong to its response.
 func (c *conn) reusable() bool {
-	if c.in.Buffered() > 0 {
+	if c.hasUnread() {
 		return false
 	}
 	sys, ok := c.Conn.(syscall.Conn)
--- a/connection/target/end.go
+++ b/connection/target/end.go
@@ -39,7 +39,8 @@
 	closed   bool
 }
 
-// Read implements io.Reader. Any error but io.EOF is a verdict.Error.
+// Read implements io.Reader. Any error but io.EOF is a verdict.Error; that of an invalid response is marked
+// httpwire.ErrInvalid.
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	switch {
@@ -49,6 +50,9 @@
 	case err == io.EOF:
 		b.complete = true
 	case err != nil:
+		if invalid := b.x.conn.wire.Invalid(); invalid != nil {
+			err = invalid // net/http hides it in a trailer
+		}
 		b.err = err
 		err = verdict.Wrap(verdict.MayHaveRun, "read response body", b.x.cause(err))
 	}
@@ -72,7 +76,7 @@
 	}
 	bodySent := x.bodySent()
 	x.stopSending()
-	if x.detachContext() && bodySent && !x.resp.Close && x.conn.in.Buffered() == 0 {
+	if x.detachContext() && bodySent && !x.resp.Close && !x.conn.hasUnread() {
 		x.pool.putIdle(x.conn)
 	} else {
 		_ = x.conn.Close()
@@ -151,6 +155,9 @@
 		_ = x.conn.Close()
 	}
 	n, err := io.CopyN(io.Discard, x.unreadResponse(), maxDiscard)
+	if x.conn.wire.Invalid() != nil { // the end of the response cannot be known
+		n, err = io.CopyN(io.Discard, x.conn.Conn, maxDiscard)
+	}
 	_ = x.conn.Close()
 	if n == maxDiscard && err == nil {
 		time.AfterFunc(closedGrace, x.call.end)
--- a/connection/target/exchange.go
+++ b/connection/target/exchange.go
@@ -147,6 +147,7 @@
 
 func newExchange(ctx context.Context, p *Pool, c *conn, call *Call) *exchange {
 	x := &exchange{pool: p, conn: c, call: call, ctx: ctx, writtenBefore: c.written.n}
+	c.wire.Expect(call.Request.Method)
 	x.interrupted = make(chan struct{})
 	x.stopWatch = context.AfterFunc(ctx, func() {
 		_ = c.SetDeadline(pastDeadline)
--- /dev/null
+++ b/httpwire/checker.go
@@ -0,0 +1,267 @@
+package httpwire
+
+import (
+	"bytes"
+	"math"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrInvalid marks the errors of bytes that a strict reader of RFC 9110 and RFC 9112 refuses as an HTTP/1.1 response.
+var ErrInvalid = errors.New("invalid HTTP/1.1 response")
+
+const (
+	// maxLineBytes is the longest line of a response.
+	maxLineBytes = 256 << 10
+	// keptBytes is the largest buffer for partial lines that is kept.
+	keptBytes = 1 << 10
+)
+
+// part is the part of a response to which the next bytes belong.
+type part uint8
+
+const (
+	statusLine part = iota
+	fieldLine       // or the empty line that ends the header
+	body            // of a known length
+	untilEnd        // a body that ends with the connection
+	chunkLine
+	chunk
+	chunkEnd    // the empty line behind a chunk
+	trailerLine // or the empty line that ends the body
+)
+
+// Checker checks the bytes of the successive responses of a connection. The zero value expects responses to requests
+// whose method is not HEAD.
+type Checker struct {
+	headRequest bool
+	// partial is the start of a line whose end has not come yet.
+	partial []byte
+	head
+}
+
+// head is the state of the current response.
+type head struct {
+	part part
+	// left is the number of bytes that are missing of a body or chunk.
+	left     uint64
+	isHTTP10 bool
+	status   int
+	// hasLength and isChunked say how the header frames the body, and length is its number of bytes.
+	hasLength, isChunked bool
+	length               uint64
+}
+
+// Expect prepares for the response to a request with a method. What is missing of an earlier response is not expected
+// any more.
+func (c *Checker) Expect(method string) {
+	c.headRequest = method == http.MethodHead
+	c.dropPartial()
+	c.head = head{}
+}
+
+// Check checks the next bytes that a connection delivered. It returns how many of them may be read: all, or with an
+// error marked ErrInvalid those before the line that is invalid.
+func (c *Checker) Check(p []byte) (int, error) {
+	for checked := 0; checked < len(p); {
+		n, err := c.checkPart(p[checked:])
+		if err != nil {
+			return checked, err
+		}
+		checked += n
+	}
+	return len(p), nil
+}
+
+// checkPart checks bytes of one part of the response. It returns how many of them belong to it.
+func (c *Checker) checkPart(p []byte) (int, error) {
+	switch c.part {
+	case untilEnd:
+		return len(p), nil
+	case body, chunk:
+		return c.skip(len(p)), nil
+	}
+	end := bytes.IndexByte(p, '\n')
+	if end < 0 {
+		return len(p), c.keepPartial(p)
+	}
+	line := p[:end]
+	if len(c.partial) > 0 {
+		c.partial = append(c.partial, line...)
+		line = c.partial
+	}
+	err := c.checkLine(line)
+	c.dropPartial()
+	return end + 1, err
+}
+
+func (c *Checker) keepPartial(p []byte) error {
+	if len(c.partial)+len(p) > maxLineBytes {
+		return errors.Wrapf(ErrInvalid, "a line has more than %d bytes", maxLineBytes)
+	}
+	c.partial = append(c.partial, p...)
+	return nil
+}
+
+func (c *Checker) dropPartial() {
+	if cap(c.partial) > keptBytes {
+		c.partial = nil
+	}
+	c.partial = c.partial[:0]
+}
+
+// skip passes over at most n bytes of a body or chunk and returns how many.
+func (c *Checker) skip(n int) int {
+	skipped := min(c.left, uint64(n))
+	c.left -= skipped
+	switch {
+	case c.left > 0:
+	case c.part == chunk:
+		c.part = chunkEnd
+	default:
+		c.head = head{}
+	}
+	return int(skipped)
+}
+
+// checkLine checks a line, without its LF, and finds the next part.
+func (c *Checker) checkLine(line []byte) error {
+	text := bytes.TrimSuffix(line, []byte("\r"))
+	switch c.part {
+	case statusLine:
+		return c.checkStatusLine(text)
+	case chunkLine:
+		return c.checkChunkLine(text)
+	case chunkEnd:
+		c.part = chunkLine
+		return nil
+	case trailerLine:
+		if len(text) == 0 {
+			c.head = head{}
+			return nil
+		}
+		return nil
+	default:
+		if len(text) == 0 {
+			c.endHeader()
+			return nil
+		}
+		c.readField(text)
+		return nil
+	}
+}
+
+const (
+	// statusLineForm has a 0 for each digit; a reason phrase, which may be empty, follows.
+	statusLineForm = "HTTP/1.0 000 "
+	// minorVersionAt and statusAt are where the digits of the minor version and of the status are.
+	minorVersionAt = len("HTTP/1.")
+	statusAt       = len("HTTP/1.0 ")
+
+	lowestStatus, highestStatus = 100, 599
+)
+
+func (c *Checker) checkStatusLine(text []byte) error {
+	if len(text) < len(statusLineForm) || !IsText(text) {
+		return errors.Wrapf(ErrInvalid, "status line %.40q", text)
+	}
+	for i, want := range []byte(statusLineForm) {
+		if b := text[i]; b != want && (want != '0' || !isDigit(b)) {
+			return errors.Wrapf(ErrInvalid, "status line %.40q", text)
+		}
+	}
+	c.isHTTP10 = text[minorVersionAt] == '0'
+	for _, digit := range text[statusAt : statusAt+3] {
+		c.status = 10*c.status + int(digit-'0')
+	}
+	if c.status < lowestStatus || c.status > highestStatus {
+		return errors.Wrapf(ErrInvalid, "status %03d", c.status)
+	}
+	c.part = fieldLine
+	return nil
+}
+
+func isDigit(b byte) bool { return b >= '0' && b <= '9' }
+
+const (
+	lengthField   = "Content-Length"
+	encodingField = "Transfer-Encoding"
+	// chunkedEncoding is the only transfer encoding that is accepted.
+	chunkedEncoding = "chunked"
+)
+
+// readField reads the fields that frame the body.
+func (c *Checker) readField(text []byte) {
+	name, value, _ := bytes.Cut(text, []byte(":"))
+	value = bytes.TrimSpace(value)
+	switch {
+	case bytes.EqualFold(name, []byte(lengthField)):
+		c.length, c.hasLength = parseLength(value)
+	case bytes.EqualFold(name, []byte(encodingField)):
+		c.isChunked = !c.isHTTP10 && bytes.EqualFold(value, []byte(chunkedEncoding))
+	}
+}
+
+// parseLength parses a decimal number of at most math.MaxInt64.
+func parseLength(digits []byte) (n uint64, ok bool) {
+	for _, b := range digits {
+		if !isDigit(b) || n > (math.MaxInt64-9)/10 {
+			return 0, false
+		}
+		n = 10*n + uint64(b-'0')
+	}
+	return n, len(digits) > 0
+}
+
+// endHeader finds how the body is framed.
+func (c *Checker) endHeader() {
+	interim := c.status < http.StatusOK
+	bodyless := interim || c.status == http.StatusNoContent
+	switch {
+	case bodyless, c.status == http.StatusNotModified, c.headRequest:
+		c.head = head{}
+	case c.isChunked:
+		c.part = chunkLine
+	case c.hasLength && c.length == 0:
+		c.head = head{}
+	case c.hasLength:
+		c.part, c.left = body, c.length
+	default:
+		c.part = untilEnd
+	}
+}
+
+// checkChunkLine reads the size of a chunk, behind which extensions may stand.
+func (c *Checker) checkChunkLine(text []byte) error {
+	digits, _, _ := bytes.Cut(text, []byte(";"))
+	size, ok := parseChunkSize(bytes.TrimRight(digits, " \t"))
+	if !ok {
+		return errors.Wrapf(ErrInvalid, "chunk size %.40q", text)
+	}
+	c.part, c.left = chunk, size
+	if size == 0 {
+		c.part = trailerLine
+	}
+	return nil
+}
+
+// maxChunkDigits is the number of hexadecimal digits of the largest chunk size.
+const maxChunkDigits = 15
+
+func parseChunkSize(digits []byte) (n uint64, ok bool) {
+	for _, b := range digits {
+		switch {
+		case isDigit(b):
+			b -= '0'
+		case b >= 'a' && b <= 'f':
+			b -= 'a' - 10
+		case b >= 'A' && b <= 'F':
+			b -= 'A' - 10
+		default:
+			return 0, false
+		}
+		n = n<<4 | uint64(b)
+	}
+	return n, len(digits) > 0 && len(digits) <= maxChunkDigits
+}
--- a/httpwire/conn.go
+++ b/httpwire/conn.go
@@ -1,4 +1,7 @@
-// Package httpwire reads HTTP/1.1 responses from connections, below net/http.
+// Package httpwire reads HTTP/1.1 responses from connections as a strict reader of RFC 9110 and RFC 9112 does, below
+// net/http, which is lenient in places.
+//
+// conn.go implements the connection that does so, checker.go checks the bytes of responses.
 package httpwire
 
 import (
@@ -21,6 +24,10 @@
 type Conn struct {
 	net.Conn
 
+	checker Checker
+	// invalid is the error of the first bytes that are not a response; nothing is read after them.
+	invalid error
+
 	// writing is held during a write.
 	writing sync.Mutex
 	// writeErr is the error of a write that found the connection broken.
@@ -30,6 +37,13 @@
 // NewConn returns a Conn on an open connection.
 func NewConn(raw net.Conn) *Conn { return &Conn{Conn: raw} }
 
+// Expect prepares for the response to a request with a method. It need not be called before requests of methods other
+// than HEAD.
+func (c *Conn) Expect(method string) { c.checker.Expect(method) }
+
+// Invalid returns the error of the first bytes that were read and are not a response, or nil.
+func (c *Conn) Invalid() error { return c.invalid }
+
 // Write implements io.Writer.
 func (c *Conn) Write(p []byte) (int, error) {
 	c.writing.Lock()
@@ -47,12 +61,21 @@
 	return err != nil && !errors.Is(err, syscall.EPIPE) && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed)
 }
 
-// Read implements io.Reader. Its error is io.EOF only if the other end has ended the connection in order.
+// Read implements io.Reader. Its error is io.EOF only if the other end has ended the connection in order, and marked
+// ErrInvalid if the next bytes are not a response.
 func (c *Conn) Read(p []byte) (int, error) {
+	if c.invalid != nil {
+		return 0, c.invalid
+	}
 	n, err := c.Conn.Read(p)
 	if err == io.EOF {
 		err = c.endOfStream()
 	}
+	valid, invalid := c.checker.Check(p[:n])
+	if invalid != nil {
+		c.invalid = invalid
+		return valid, invalid
+	}
 	return n, err
 }
 
