Responses with a line that is no header field are refused

What callers saw: an answer in whose header or trailer a field name held a blank was passed on with that line, or, where the line was the one that frames the body ("Content-Length : 4"), with a body that was not the target's. A line that begins with a blank was joined to the value of the line before it.

Cause: net/textproto accepts blanks within and behind field names, joins folded lines, and takes LF for CRLF. Control bytes in names and values it refused before; their tests are kept.

Evidence: TestBrokenFields on the untouched code; 50 of its cases failed with the platform's settings, such as --- FAIL: TestBrokenFields/"Server_Load:_1"/first/platform=true taken as a response: status 200, header map["Content-Length":["4"] "Quetzal-Request-Id":["r1"] "Server Load":["1"]], trailer map[], body "fine" 1 connections for two requests --- FAIL: TestBrokenFields/"Content-Length_:_2"/first/platform=true taken as a response: status 200, header map["Content-Length":["4"] "Content-Length ":["2"] "Quetzal-Request-Id":["r1"]], trailer map[], body "fine" --- FAIL: TestBrokenFields/"Server_Load:_1"/trailer/platform=true taken as a response: status 200, header map[], trailer map["Server Load":["1"] "Sum":["1"]], body "fine"

Why this works: the checker takes a line only if it ends with CRLF and is a token, a colon and a value without control bytes (RFC 9110, 5.1 and 5.5; RFC 9112, 2.2 and 5), in final and interim headers and in trailers. A folded line is refused, as RFC 9112, 5.2 allows. Several lines of one field, empty values and obs-text are still served (TestUnusualResponsesAreServed). connection/caller uses the same two functions for the headers of requests.

go test -race ./httpwire ./connection/... ./request/serve passes.

--- a/connection/caller/head.go
+++ b/connection/caller/head.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"quetzalknot/httpwire"
 	"quetzalknot/process/memory"
 )
 
@@ -174,7 +175,7 @@
 			return count.check(bytes.Contains(first, []byte(" HTTP/1.0")))
 		}
 		name, _, found := bytes.Cut(text, []byte(":"))
-		if !found || !isToken(name) {
+		if !found || !httpwire.IsToken(name) {
 			return errors.Wrapf(errMalformed, "%d bytes are no header field", len(text))
 		}
 		count.add(name)
@@ -184,7 +185,7 @@
 // lineText returns a line without the CR that must end it.
 func lineText(line []byte) ([]byte, error) {
 	text, ok := bytes.CutSuffix(line, []byte("\r"))
-	if !ok || !isText(text) {
+	if !ok || !httpwire.IsText(text) {
 		return nil, errors.Wrapf(errMalformed, "a line of %d bytes has a control character or no CRLF", len(line))
 	}
 	return text, nil
@@ -217,23 +218,3 @@
 	}
 	return nil
 }
-
-// isText reports whether a line has no control character but tabs.
-func isText(line []byte) bool {
-	for _, b := range line {
-		if (b < ' ' && b != '\t') || b == 0x7f {
-			return false
-		}
-	}
-	return true
-}
-
-// isToken reports whether a field name has only the characters that RFC 9110 allows.
-func isToken(name []byte) bool {
-	for _, b := range name {
-		if b <= ' ' || b >= 0x7f || bytes.IndexByte([]byte(`"(),/:;<=>?@[\]{}`), b) >= 0 {
-			return false
-		}
-	}
-	return len(name) > 0
-}
--- a/connection/target/broken_test.go
+++ b/connection/target/broken_test.go
@@ -174,6 +174,40 @@
 	}
 }
 
+// brokenFields are lines that are no field.
+var brokenFields = []string{
+	"Server Load: 1", "Server-Load : 1", " Server-Load: 1", "\tServer-Load: 1", "Server-Load\t: 1", "Server\x00Load: 1", "Server\x01Load: 1",
+	"Server\x7fLoad: 1", "Server\rLoad: 1", "Server\x0bLoad: 1", "Server\x80Load: 1", "Server(Load): 1", "Server/Load: 1", ": 1", "Server-Load",
+	"Content-Length : 2", "Transfer-Encoding : chunked", " Content-Length: 2", "Content-Length\x00: 2", "Connection : close",
+	"Server-Load: 1\x00", "Server-Load: \x01", "Server-Load: 1\r2", "Server-Load: 1\x7f", "Server-Load: 1\x0b", " ", "\t",
+	"Server-Load: 1\r\n 2", "Server-Load: 1\r\n\t2", "Server-Load: 1\r\n ",
+}
+
+// TestBrokenFields: a response with a line that is no field, at any place of its header, is none.
+func TestBrokenFields(t *testing.T) {
+	for _, field := range brokenFields {
+		t.Run(fmt.Sprintf("%q", field), func(t *testing.T) {
+			for name, raw := range map[string]string{
+				"first":   "HTTP/1.1 200 OK\r\n" + field + "\r\n" + rest,
+				"last":    "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nQuetzal-Request-Id: r1\r\n" + field + "\r\n\r\nfine",
+				"interim": "HTTP/1.1 103 Early Hints\r\nLink: a\r\n" + field + "\r\n\r\n" + okResponse,
+				"trailer": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\nSum: 1\r\n" + field + "\r\n\r\n",
+			} {
+				t.Run(name, func(t *testing.T) { checkBroken(t, "GET", raw) })
+			}
+		})
+	}
+	for name, raw := range map[string]string{
+		"status line without CR": "HTTP/1.1 200 OK\n" + rest,
+		"field without CR":       "HTTP/1.1 200 OK\r\nServer-Load: 1\n" + rest,
+		"header end without CR":  "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\nfine",
+		"two CR":                 "HTTP/1.1 200 OK\r\nServer-Load: 1\r\r\n" + rest,
+		"trailer without CR":     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\nSum: 1\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) { checkBroken(t, "GET", raw) })
+	}
+}
+
 // TestUnusualResponsesAreServed: responses that are valid, if seldom, are passed on, byte by byte too, and their connection
 // stays in use if the target lets it.
 func TestUnusualResponsesAreServed(t *testing.T) {
--- a/httpwire/checker.go
+++ b/httpwire/checker.go
@@ -127,7 +127,10 @@
 
 // checkLine checks a line, without its LF, and finds the next part.
 func (c *Checker) checkLine(line []byte) error {
-	text := bytes.TrimSuffix(line, []byte("\r"))
+	text, ok := bytes.CutSuffix(line, []byte("\r"))
+	if !ok {
+		return errors.Wrap(ErrInvalid, "a line ends without CR")
+	}
 	switch c.part {
 	case statusLine:
 		return c.checkStatusLine(text)
@@ -135,20 +138,22 @@
 		return c.checkChunkLine(text)
 	case chunkEnd:
 		c.part = chunkLine
+		if len(text) > 0 {
+			return errors.Wrap(ErrInvalid, "a chunk is longer than its size")
+		}
 		return nil
 	case trailerLine:
 		if len(text) == 0 {
 			c.head = head{}
 			return nil
 		}
-		return nil
+		return c.checkField(text)
 	default:
 		if len(text) == 0 {
 			c.endHeader()
 			return nil
 		}
-		c.readField(text)
-		return nil
+		return c.checkField(text)
 	}
 }
 
@@ -191,18 +196,29 @@
 	chunkedEncoding = "chunked"
 )
 
-// readField reads the fields that frame the body.
-func (c *Checker) readField(text []byte) {
-	name, value, _ := bytes.Cut(text, []byte(":"))
-	value = bytes.TrimSpace(value)
+// checkField checks a line of a header or trailer and reads the fields that frame the body. A line that continues the one
+// before is refused, since readers differ on it.
+func (c *Checker) checkField(text []byte) error {
+	n := tokenLength(text)
+	if n == 0 || n == len(text) || text[n] != ':' {
+		return errors.Wrapf(ErrInvalid, "field name in %.40q", text)
+	}
+	name, value := text[:n], text[n+1:]
+	if !IsText(value) {
+		return errors.Wrapf(ErrInvalid, "value of field %.40s", name)
+	}
 	switch {
-	case bytes.EqualFold(name, []byte(lengthField)):
-		c.length, c.hasLength = parseLength(value)
-	case bytes.EqualFold(name, []byte(encodingField)):
-		c.isChunked = !c.isHTTP10 && bytes.EqualFold(value, []byte(chunkedEncoding))
+	case n == len(lengthField) && bytes.EqualFold(name, []byte(lengthField)):
+		c.readLength(bytes.Trim(value, " \t"))
+	case n == len(encodingField) && bytes.EqualFold(name, []byte(encodingField)):
+		c.readEncoding(bytes.Trim(value, " \t"))
 	}
+	return nil
 }
 
+// readLength reads a Content-Length.
+func (c *Checker) readLength(value []byte) { c.length, c.hasLength = parseLength(value) }
+
 // parseLength parses a decimal number of at most math.MaxInt64.
 func parseLength(digits []byte) (n uint64, ok bool) {
 	for _, b := range digits {
@@ -214,6 +230,10 @@
 	return n, len(digits) > 0
 }
 
+func (c *Checker) readEncoding(value []byte) {
+	c.isChunked = !c.isHTTP10 && bytes.EqualFold(value, []byte(chunkedEncoding))
+}
+
 // endHeader finds how the body is framed.
 func (c *Checker) endHeader() {
 	interim := c.status < http.StatusOK
