Responses whose body is framed in more than one way are refused

What callers saw: the body that one reading of the header and the chunks gives, where another reader sees another one: an answer with a length and chunks, chunks of HTTP/1.0 passed on as the body, a response that began inside the body of an interim one, a 204 with a body, lengths and encodings in a trailer, control bytes in chunk lines.

Cause: net/http chooses one reading and drops the other fields, so that the code above never sees them.

Why this works: the checker reads Content-Length, Transfer-Encoding and chunk lines itself (RFC 9112, 6 and 7.1; RFC 9110, 6.5.1 and 8.6) and refuses a header that gives two readings, at the header, before anything is passed on. Equal lengths, a 204 of length 0, and lengths and encodings of answers to HEAD and of 304 are still served.

go test -race ./httpwire ./connection/... ./request/serve passes.

--- a/connection/target/broken_test.go
+++ b/connection/target/broken_test.go
@@ -208,6 +208,58 @@
 	}
 }
 
+// TestBrokenFraming: a response whose fields or chunks frame its body in more than one way, or in none, is none.
+func TestBrokenFraming(t *testing.T) {
+	const ok, chunked = "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, raw := range map[string]string{
+		"length and chunks":            ok + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n",
+		"chunks and length":            ok + "Transfer-Encoding: chunked\r\nContent-Length: 14\r\n\r\n4\r\nfine\r\n0\r\n\r\n",
+		"chunks of HTTP/1.0":           "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 14\r\n\r\n4\r\nfine\r\n0\r\n\r\n",
+		"chunks without length of 1.0": "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n",
+		"two lengths":                  ok + "Content-Length: 4\r\nContent-Length: 3\r\n\r\nfine",
+		"list of lengths":              ok + "Content-Length: 4, 3\r\n\r\nfine",
+		"signed length":                ok + "Content-Length: +4\r\n\r\nfine",
+		"empty length":                 ok + "Content-Length:\r\n\r\nfine",
+		"hexadecimal length":           ok + "Content-Length: 0x4\r\n\r\nfine",
+		"huge length":                  ok + "Content-Length: 99999999999999999999\r\n\r\nfine",
+		"two encodings":                ok + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"list of encodings":            ok + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+		"unknown encoding":             ok + "Transfer-Encoding: gzip\r\n\r\nfine",
+		"empty encoding":               ok + "Transfer-Encoding:\r\n\r\nfine",
+		"interim with chunks":          "HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + okResponse,
+		"interim that skips chunks":    "HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n" + okResponse,
+		"interim with length":          "HTTP/1.1 103 Early Hints\r\nContent-Length: 9\r\n\r\n" + okResponse,
+		"204 with chunks":              "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"204 with length":              "HTTP/1.1 204 No Content\r\nContent-Length: 4\r\n\r\n",
+		"304 with two lengths":         "HTTP/1.1 304 Not Modified\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\n",
+		"304 with both":                "HTTP/1.1 304 Not Modified\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"chunk size with a sign":       chunked + "+4\r\nfine\r\n0\r\n\r\n",
+		"chunk size with a prefix":     chunked + "0x4\r\nfine\r\n0\r\n\r\n",
+		"chunk size before a blank":    chunked + "4 \r\nfine\r\n0\r\n\r\n",
+		"chunk size behind a blank":    chunked + " 4\r\nfine\r\n0\r\n\r\n",
+		"chunk size before a tab":      chunked + "4\t\r\nfine\r\n0\r\n\r\n",
+		"empty chunk size":             chunked + "\r\nfine\r\n0\r\n\r\n",
+		"huge chunk size":              chunked + "10000000000000004\r\nfine\r\n0\r\n\r\n",
+		"chunk size without CR":        chunked + "4\nfine\r\n0\r\n\r\n",
+		"chunk extension with NUL":     chunked + "4;a=\x00\r\nfine\r\n0\r\n\r\n",
+		"chunk extension with CR":      chunked + "4;a=\rb\r\nfine\r\n0\r\n\r\n",
+		"chunk longer than its size":   chunked + "3\r\nfine\r\n0\r\n\r\n",
+		"chunk end without CR":         chunked + "4\r\nfine\n0\r\n\r\n",
+		"last chunk without CR":        chunked + "4\r\nfine\r\n0\n\r\n",
+		"length in a trailer":          chunked + "4\r\nfine\r\n0\r\nContent-Length: 4\r\n\r\n",
+		"encoding in a trailer":        chunked + "4\r\nfine\r\n0\r\nTransfer-Encoding: chunked\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) { checkBroken(t, "GET", raw) })
+	}
+	for name, fields := range map[string]string{
+		"length that is none": "Content-Length: four\r\n",
+		"two lengths":         "Content-Length: 4\r\nContent-Length: 5\r\n",
+		"length and chunks":   "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+	} {
+		t.Run("HEAD/"+name, func(t *testing.T) { checkBroken(t, "HEAD", ok+fields+"\r\n") })
+	}
+}
+
 // TestUnusualResponsesAreServed: responses that are valid, if seldom, are passed on, byte by byte too, and their connection
 // stays in use if the target lets it.
 func TestUnusualResponsesAreServed(t *testing.T) {
--- a/httpwire/checker.go
+++ b/httpwire/checker.go
@@ -150,8 +150,7 @@
 		return c.checkField(text)
 	default:
 		if len(text) == 0 {
-			c.endHeader()
-			return nil
+			return c.endHeader()
 		}
 		return c.checkField(text)
 	}
@@ -209,15 +208,22 @@
 	}
 	switch {
 	case n == len(lengthField) && bytes.EqualFold(name, []byte(lengthField)):
-		c.readLength(bytes.Trim(value, " \t"))
+		return c.readLength(bytes.Trim(value, " \t"))
 	case n == len(encodingField) && bytes.EqualFold(name, []byte(encodingField)):
-		c.readEncoding(bytes.Trim(value, " \t"))
+		return c.readEncoding(bytes.Trim(value, " \t"))
 	}
 	return nil
 }
 
-// readLength reads a Content-Length.
-func (c *Checker) readLength(value []byte) { c.length, c.hasLength = parseLength(value) }
+// readLength reads a Content-Length. It may be repeated.
+func (c *Checker) readLength(value []byte) error {
+	n, ok := parseLength(value)
+	if !ok || c.part == trailerLine || (c.hasLength && n != c.length) {
+		return errors.Wrapf(ErrInvalid, "%s %.40q", lengthField, value)
+	}
+	c.hasLength, c.length = true, n
+	return nil
+}
 
 // parseLength parses a decimal number of at most math.MaxInt64.
 func parseLength(digits []byte) (n uint64, ok bool) {
@@ -230,33 +236,42 @@
 	return n, len(digits) > 0
 }
 
-func (c *Checker) readEncoding(value []byte) {
-	c.isChunked = !c.isHTTP10 && bytes.EqualFold(value, []byte(chunkedEncoding))
+func (c *Checker) readEncoding(value []byte) error {
+	if c.isChunked || c.part == trailerLine || !bytes.EqualFold(value, []byte(chunkedEncoding)) {
+		return errors.Wrapf(ErrInvalid, "%s %.40q", encodingField, value)
+	}
+	c.isChunked = true
+	return nil
 }
 
 // endHeader finds how the body is framed.
-func (c *Checker) endHeader() {
+func (c *Checker) endHeader() error {
 	interim := c.status < http.StatusOK
 	bodyless := interim || c.status == http.StatusNoContent
 	switch {
-	case bodyless, c.status == http.StatusNotModified, c.headRequest:
+	case c.isChunked && (c.hasLength || c.isHTTP10 || bodyless), c.length > 0 && bodyless:
+		return errors.Wrapf(ErrInvalid, "framing of the body: status %d, %s: %v, %s: %v, HTTP/1.0: %v",
+			c.status, encodingField, c.isChunked, lengthField, c.hasLength, c.isHTTP10)
+	case bodyless, c.status == http.StatusNotModified, c.headRequest, c.hasLength && c.length == 0:
 		c.head = head{}
 	case c.isChunked:
 		c.part = chunkLine
-	case c.hasLength && c.length == 0:
-		c.head = head{}
 	case c.hasLength:
 		c.part, c.left = body, c.length
 	default:
 		c.part = untilEnd
 	}
+	return nil
 }
 
 // checkChunkLine reads the size of a chunk, behind which extensions may stand.
 func (c *Checker) checkChunkLine(text []byte) error {
-	digits, _, _ := bytes.Cut(text, []byte(";"))
-	size, ok := parseChunkSize(bytes.TrimRight(digits, " \t"))
-	if !ok {
+	digits, extensions, extended := bytes.Cut(text, []byte(";"))
+	if extended {
+		digits = bytes.TrimRight(digits, " \t")
+	}
+	size, ok := parseChunkSize(digits)
+	if !ok || !IsText(extensions) {
 		return errors.Wrapf(ErrInvalid, "chunk size %.40q", text)
 	}
 	c.part, c.left = chunk, size
