Responses are checked in one pass over their lines; the look at an idle connection allocates nothing

Now each line is searched once, eight bytes at a time, for the control character that ends it, and only the name of a field is looked at byte by byte. For that, the look at an idle connection before its reuse keeps its socket and function with the connection, and Keep-Alive is split without a slice.

--- a/connection/target/conn.go
+++ b/connection/target/conn.go
@@ -37,6 +37,10 @@
 	written     countingWriter
 	reused      bool
 	idleSince   time.Time
+	// socket is looked at by lookQuiet, which is isQuiet, before each reuse; nil if there is none.
+	socket    syscall.RawConn
+	lookQuiet func(fd uintptr) bool
+	quiet     bool
 	// idleTimeout limits how long the connection may be idle, according to the target; 0
 	// means that only the limits of the pool apply.
 	idleTimeout time.Duration
@@ -48,6 +52,7 @@
 	c.in = bufio.NewReader(&c.headerLimit)
 	c.written.w = c.wire
 	c.out = bufio.NewWriter(&c.written)
+	c.socket, c.lookQuiet = newSocket(raw), c.isQuiet
 	return c
 }
 
@@ -60,22 +65,32 @@
 	if c.hasUnread() {
 		return false
 	}
-	sys, ok := c.Conn.(syscall.Conn)
-	if !ok {
+	if c.socket == nil {
 		return true
 	}
-	raw, err := sys.SyscallConn()
+	c.quiet = false
+	return c.socket.Read(c.lookQuiet) == nil && c.quiet
+}
+
+// newSocket returns the socket of a connection, or nil if it has none.
+func newSocket(raw net.Conn) syscall.RawConn {
+	sys, ok := raw.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	socket, err := sys.SyscallConn()
 	if err != nil {
-		return false
+		return nil
 	}
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
-		var one [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = err == syscall.EAGAIN
-		return true
-	})
-	return err == nil && quiet
+	return socket
+}
+
+// isQuiet sets quiet to whether the socket is open and has no bytes to read.
+func (c *conn) isQuiet(fd uintptr) bool {
+	var one [1]byte
+	_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	c.quiet = err == syscall.EAGAIN
+	return true
 }
 
 // closeWrite closes the sending direction, which cancels the request at the target, and
--- a/connection/target/exchange.go
+++ b/connection/target/exchange.go
@@ -282,7 +282,7 @@
 // keepAliveTimeout returns the idle timeout in the target's Keep-Alive header less
 // keepAliveSlack, or 0 when there is none.
 func keepAliveTimeout(header http.Header) time.Duration {
-	for _, field := range strings.Split(header.Get("Keep-Alive"), ",") {
+	for field := range strings.SplitSeq(header.Get("Keep-Alive"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
 		seconds, err := strconv.Atoi(value)
 		if err == nil && strings.EqualFold(name, "timeout") && seconds >= 0 {
--- a/httpwire/checker.go
+++ b/httpwire/checker.go
@@ -36,8 +36,9 @@
 // whose method is not HEAD.
 type Checker struct {
 	headRequest bool
-	// partial is the start of a line whose end has not come yet.
+	// partial is the start of a line whose end has not come yet, without its CR. afterCR says that its LF is missing.
 	partial []byte
+	afterCR bool
 	head
 }
 
@@ -58,6 +59,7 @@
 func (c *Checker) Expect(method string) {
 	c.headRequest = method == http.MethodHead
 	c.dropPartial()
+	c.afterCR = false
 	c.head = head{}
 }
 
@@ -82,18 +84,33 @@
 	case body, chunk:
 		return c.skip(len(p)), nil
 	}
-	end := bytes.IndexByte(p, '\n')
-	if end < 0 {
-		return len(p), c.keepPartial(p)
+	if c.afterCR {
+		return 1, c.checkLF(p[0])
 	}
-	line := p[:end]
-	if len(c.partial) > 0 {
-		c.partial = append(c.partial, line...)
-		line = c.partial
+	n := textLength(p)
+	if n == len(p) {
+		return n, c.keepPartial(p)
 	}
-	err := c.checkLine(line)
-	c.dropPartial()
-	return end + 1, err
+	if p[n] != '\r' {
+		return 0, errors.Wrapf(ErrInvalid, "byte %#02x behind %.40q", p[n], p[:n])
+	}
+	if n+1 == len(p) {
+		c.afterCR = true
+		return n + 1, c.keepPartial(p[:n])
+	}
+	if p[n+1] != '\n' {
+		return 0, errors.Wrapf(ErrInvalid, "byte %#02x behind CR", p[n+1])
+	}
+	return n + 2, c.endLine(p[:n])
+}
+
+// checkLF checks the byte behind a CR that was the last byte before.
+func (c *Checker) checkLF(b byte) error {
+	c.afterCR = false
+	if b != '\n' {
+		return errors.Wrapf(ErrInvalid, "byte %#02x behind CR", b)
+	}
+	return c.endLine(nil)
 }
 
 func (c *Checker) keepPartial(p []byte) error {
@@ -104,6 +121,16 @@
 	return nil
 }
 
+// endLine checks the line that ends with text.
+func (c *Checker) endLine(text []byte) error {
+	if len(c.partial) == 0 {
+		return c.checkLine(text)
+	}
+	line := append(c.partial, text...)
+	c.dropPartial()
+	return c.checkLine(line)
+}
+
 func (c *Checker) dropPartial() {
 	if cap(c.partial) > keptBytes {
 		c.partial = nil
@@ -125,12 +152,8 @@
 	return int(skipped)
 }
 
-// checkLine checks a line, without its LF, and finds the next part.
-func (c *Checker) checkLine(line []byte) error {
-	text, ok := bytes.CutSuffix(line, []byte("\r"))
-	if !ok {
-		return errors.Wrap(ErrInvalid, "a line ends without CR")
-	}
+// checkLine checks a line, which has no control characters but tabs, and finds the next part.
+func (c *Checker) checkLine(text []byte) error {
 	switch c.part {
 	case statusLine:
 		return c.checkStatusLine(text)
@@ -167,7 +190,7 @@
 )
 
 func (c *Checker) checkStatusLine(text []byte) error {
-	if len(text) < len(statusLineForm) || !IsText(text) {
+	if len(text) < len(statusLineForm) {
 		return errors.Wrapf(ErrInvalid, "status line %.40q", text)
 	}
 	for i, want := range []byte(statusLineForm) {
@@ -203,9 +226,6 @@
 		return errors.Wrapf(ErrInvalid, "field name in %.40q", text)
 	}
 	name, value := text[:n], text[n+1:]
-	if !IsText(value) {
-		return errors.Wrapf(ErrInvalid, "value of field %.40s", name)
-	}
 	switch {
 	case n == len(lengthField) && bytes.EqualFold(name, []byte(lengthField)):
 		return c.readLength(bytes.Trim(value, " \t"))
@@ -266,12 +286,12 @@
 
 // checkChunkLine reads the size of a chunk, behind which extensions may stand.
 func (c *Checker) checkChunkLine(text []byte) error {
-	digits, extensions, extended := bytes.Cut(text, []byte(";"))
+	digits, _, extended := bytes.Cut(text, []byte(";"))
 	if extended {
 		digits = bytes.TrimRight(digits, " \t")
 	}
 	size, ok := parseChunkSize(digits)
-	if !ok || !IsText(extensions) {
+	if !ok {
 		return errors.Wrapf(ErrInvalid, "chunk size %.40q", text)
 	}
 	c.part, c.left = chunk, size
