A refusal, a load or a notice counts only if its whole response is valid

What callers saw: 503, which promises that the request was not run, after an answer with Not-Executed or a 421 whose body was broken; the same on the product's own surface for the declared form of a refusal, and for "not-run" of the host that owns a key. A target was taken as leaving, limited or overloaded because of an answer that was refused in the end.

Cause: these were believed as soon as the header had been read; the end of the body was not looked at.

Why this works: a refusal is read to its end (as before, up to a limit) before it is believed; if that finds an invalid response (httpwire.ErrInvalid), the request may have run and nothing that the response says counts. net/http hides that error in a trailer, so connection/target takes it from the connection. A response that only breaks off counts as before (TestNoticeCounts).

--- a/request/forward/buffer.go
+++ b/request/forward/buffer.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"quetzalknot/connection/target"
+	"quetzalknot/httpwire"
 )
 
 const (
@@ -43,6 +44,21 @@
 	return nil
 }
 
+// bufferRefusal reads a response which says that a request was not run completely, since that holds only if the whole
+// response is valid. Unless it returns an error, the caller of bufferRefusal must close resp.Body.
+func bufferRefusal(resp *http.Response) error {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, bufferLimit+1))
+	_ = resp.Body.Close()
+	if err != nil {
+		return err
+	}
+	if len(body) > bufferLimit {
+		return errors.Newf("refusal of more than %d bytes", bufferLimit)
+	}
+	resp.Body = io.NopCloser(bytes.NewReader(body))
+	return nil
+}
+
 // expectEOF reads the end of a body. Only that read makes the reader report a complete
 // response.
 func expectEOF(body io.Reader) error {
@@ -58,8 +74,12 @@
 }
 
 // discard drains and closes a small unused response so that its connection can be
-// reused.
-func discard(resp *http.Response) {
-	_, _ = target.Copy(io.Discard, io.LimitReader(resp.Body, drainLimit+1))
+// reused. It fails if the response turns out to be invalid.
+func discard(resp *http.Response) error {
+	_, err := target.Copy(io.Discard, io.LimitReader(resp.Body, drainLimit+1))
 	_ = resp.Body.Close()
+	if errors.Is(err, httpwire.ErrInvalid) {
+		return err
+	}
+	return nil
 }
--- a/request/forward/owner.go
+++ b/request/forward/owner.go
@@ -58,10 +58,16 @@
 	if err != nil && verdict.Of(err) == verdict.NotRun && ctx.Err() == nil {
 		return h.respondForGoneOwner(ctx, w, r, info, owner)
 	}
+	v := verdict.MayHaveRun
+	if err == nil {
+		v = verdict.Parse(resp.Header.Get(verdict.Header))
+	}
+	if v == verdict.NotRun {
+		err = bufferRefusal(resp)
+	}
 	if err != nil {
 		return fail(w, verdict.Wrap(verdict.MayHaveRun, "pass on to "+owner.Host, err))
 	}
-	v := verdict.Parse(resp.Header.Get(verdict.Header))
 	(&response{resp: resp}).writeWithVerdict(w, v)
 	return v
 }
--- a/request/forward/response.go
+++ b/request/forward/response.go
@@ -64,15 +64,19 @@
 	start := time.Now()
 	resp, err := h.pool.Exchange(attempt, h.targetCall(r, info, choice, done))
 	outcome := health.Outcome{RunTime: time.Since(start)}
-	if err == nil && info.Service.Shed.Matches(resp.StatusCode, resp.Header) {
-		discard(resp)
+	shed := err == nil && info.Service.Shed.Matches(resp.StatusCode, resp.Header)
+	switch {
+	case err != nil:
+	case shed:
+		err = discard(resp)
+	default:
+		err = bufferSmall(resp)
+	}
+	if shed && err == nil {
 		outcome.Shed = true
 		done.setOutcome(outcome)
 		return nil, verdict.Wrap(verdict.NotRun, "shed", errShed)
 	}
-	if err == nil {
-		err = bufferSmall(resp)
-	}
 	outcome.Verdict = verdict.Of(err)
 	if err != nil {
 		outcome.Failed = true
--- a/request/serve/attempt.go
+++ b/request/serve/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"quetzalknot/connection/target"
+	"quetzalknot/httpwire"
 	"quetzalknot/process/crash"
 	"quetzalknot/process/eventlog"
 	"quetzalknot/process/fleet"
@@ -118,18 +119,26 @@
 		outcome.Failed = true
 		return result{verdict: verdict.MayHaveRun, err: errMismatch}, outcome
 	case moved:
-		_ = resp.Body.Close()
 		outcome.Failed, outcome.Unreachable = true, true
-		return result{verdict: verdict.NotRun, err: errMoved}, outcome
+		return q.readRefusal(ctx, choice, resp, errMoved, outcome)
 	case notRun:
-		_, _ = io.CopyN(io.Discard, resp.Body, maxBufferedResponse) // drained so that the connection can be reused
-		_ = resp.Body.Close()
 		outcome.Shed = true
-		return result{verdict: verdict.NotRun, err: errShed}, outcome
+		return q.readRefusal(ctx, choice, resp, errShed, outcome)
 	}
 	return q.readResponse(ctx, choice, resp, headers, outcome)
 }
 
+// readRefusal reads the body of a response which says that the request was not run, so that the connection can be reused.
+// A response that turns out to be invalid says nothing.
+func (q *request) readRefusal(ctx context.Context, choice place.Choice, resp *http.Response, reason error, outcome fleet.Outcome) (result, fleet.Outcome) {
+	_, err := io.CopyN(io.Discard, resp.Body, maxBufferedResponse)
+	_ = resp.Body.Close()
+	if errors.Is(err, httpwire.ErrInvalid) {
+		return q.classifyFailure(ctx, choice, err)
+	}
+	return result{verdict: verdict.NotRun, err: reason}, outcome
+}
+
 // readResponse reads the body of a response that a target made to this request.
 func (q *request) readResponse(ctx context.Context, choice place.Choice, resp *http.Response, headers TargetHeaders, outcome fleet.Outcome) (result, fleet.Outcome) {
 	if !headers.Stamped {
@@ -141,7 +150,9 @@
 	if err != nil {
 		_ = resp.Body.Close()
 		res, out := q.classifyFailure(ctx, choice, err)
-		out.Load, out.Notice = outcome.Load, outcome.Notice
+		if !errors.Is(err, httpwire.ErrInvalid) {
+			out.Load, out.Notice = outcome.Load, outcome.Notice
+		}
 		return res, out
 	}
 	outcome.Failed = resp.StatusCode >= http.StatusInternalServerError
--- a/request/serve/misdirected_test.go
+++ b/request/serve/misdirected_test.go
@@ -1,10 +1,7 @@
 package serve_test
 
 import (
-	"bufio"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -14,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"quetzalknot/connection/target"
+	"quetzalknot/httpwire/wiretest"
 	"quetzalknot/platform/adapter"
 	"quetzalknot/platform/standin"
 	"quetzalknot/process/crash"
@@ -70,7 +68,7 @@
 	targetFleet := fleet.New(zerolog.Nop(), fleet.SingleHost{})
 	for i := range targets {
 		targetFleet.Upsert(fleet.Entry{
-			ID: fmt.Sprint("i-", i), Service: "bokun", Addr: serveRaw(t, respond), FailureDomain: "no-gler", Region: "nordur", Slots: 6, Born: 1, Sequence: 1,
+			ID: fmt.Sprint("i-", i), Service: "bokun", Addr: wiretest.Serve(t, respond), FailureDomain: "no-gler", Region: "nordur", Slots: 6, Born: 1, Sequence: 1,
 		}, time.Now())
 	}
 	pool := target.NewPool(nil)
@@ -82,38 +80,3 @@
 		UpToDate: func() bool { return true }, Metrics: metrics.NewSet(), Log: zerolog.Nop(),
 	})
 }
-
-// serveRaw accepts connections and responds to each request with the bytes that respond
-// returns. It returns its address.
-func serveRaw(t *testing.T, respond func(r *http.Request) string) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go respondAll(c, respond)
-		}
-	}()
-	return l.Addr().String()
-}
-
-func respondAll(c net.Conn, respond func(r *http.Request) string) {
-	defer func() { _ = c.Close() }()
-	in := bufio.NewReader(c)
-	for {
-		r, err := http.ReadRequest(in)
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, r.Body)
-		if _, err := io.WriteString(c, respond(r)); err != nil {
-			return
-		}
-	}
-}
