--- a/version/watch/sites.go
+++ b/version/watch/sites.go
@@ -18,6 +18,7 @@
 
 	"github.com/rs/zerolog"
 
+	"quetzalknot/httpwire"
 	"quetzalknot/process/eventlog"
 	"quetzalknot/process/membership"
 	"quetzalknot/process/metrics"
@@ -67,7 +68,7 @@
 func New(opts Options) *Monitor {
 	s := &Monitor{
 		opts: opts, reports: sitereport.New(time.Now),
-		transport:     &http.Transport{DialContext: opts.Dial, MaxIdleConnsPerHost: siteIdleConns, DisableCompression: true},
+		transport:     newTransport(opts.Dial),
 		reporters:     make(map[sitereport.Site]*sitereport.Reporter),
 		linkReporters: make(map[sitereport.Link]*sitereport.LinkReporter),
 	}
@@ -75,6 +76,10 @@
 	return s
 }
 
+func newTransport(dial httpwire.DialFunc) *http.Transport {
+	return &http.Transport{DialContext: httpwire.Dialer(dial), MaxIdleConnsPerHost: siteIdleConns, DisableCompression: true}
+}
+
 // Sum returns a hash of all reports.
 func (s *Monitor) Sum() uint64 { return s.reports.Sum() }
 
