An exchange allocates less, and a chunk size is trimmed behind it only

An exchange now holds its response body and the wait for its interruption itself, and reads the clock once when its connection becomes idle; the checker trims a length without building a set.

--- a/connection/target/broken_test.go
+++ b/connection/target/broken_test.go
@@ -237,6 +237,7 @@
 		"chunk size with a prefix":     chunked + "0x4\r\nfine\r\n0\r\n\r\n",
 		"chunk size before a blank":    chunked + "4 \r\nfine\r\n0\r\n\r\n",
 		"chunk size behind a blank":    chunked + " 4\r\nfine\r\n0\r\n\r\n",
+		"the same with an extension":   chunked + " 4;a\r\nfine\r\n0\r\n\r\n",
 		"chunk size before a tab":      chunked + "4\t\r\nfine\r\n0\r\n\r\n",
 		"empty chunk size":             chunked + "\r\nfine\r\n0\r\n\r\n",
 		"huge chunk size":              chunked + "10000000000000004\r\nfine\r\n0\r\n\r\n",
--- a/connection/target/end.go
+++ b/connection/target/end.go
@@ -104,7 +104,7 @@
 		x.detached = true
 		return true
 	}
-	<-x.interrupted
+	x.interrupted.Wait()
 	return false
 }
 
--- a/connection/target/exchange.go
+++ b/connection/target/exchange.go
@@ -131,14 +131,16 @@
 	call *Call
 	ctx  context.Context
 
-	stopWatch     func() bool
-	interrupted   chan struct{}
+	stopWatch func() bool
+	// interrupted is waited for after stopWatch returned false.
+	interrupted   sync.WaitGroup
 	writtenBefore int64
 	body          *trackedBody
 	sendResult    chan error
 	sendErr       error
 	sendDone      bool
 	resp          *http.Response
+	respBody      responseBody
 	detached      bool
 	mismatched    bool
 	// retryOnNewConn is set when a reused connection was closed before anything was written.
@@ -148,14 +150,17 @@
 func newExchange(ctx context.Context, p *Pool, c *conn, call *Call) *exchange {
 	x := &exchange{pool: p, conn: c, call: call, ctx: ctx, writtenBefore: c.written.n}
 	c.wire.Expect(call.Request.Method)
-	x.interrupted = make(chan struct{})
-	x.stopWatch = context.AfterFunc(ctx, func() {
-		_ = c.SetDeadline(pastDeadline)
-		close(x.interrupted)
-	})
+	x.interrupted.Add(1)
+	x.stopWatch = context.AfterFunc(ctx, x.interrupt)
 	return x
 }
 
+// interrupt ends reads and writes when ctx is done.
+func (x *exchange) interrupt() {
+	_ = x.conn.SetDeadline(pastDeadline)
+	x.interrupted.Done()
+}
+
 // run sends the request and reads the response header.
 func (x *exchange) run() (*http.Response, error) {
 	x.send()
@@ -166,7 +171,8 @@
 	if err == nil {
 		x.resp = resp
 		x.conn.idleTimeout = keepAliveTimeout(resp.Header)
-		resp.Body = &responseBody{ReadCloser: resp.Body, x: x}
+		x.respBody = responseBody{ReadCloser: resp.Body, x: x}
+		resp.Body = &x.respBody
 		return resp, nil
 	}
 	x.stopSending()
--- a/connection/target/pool.go
+++ b/connection/target/pool.go
@@ -88,10 +88,11 @@
 // putIdle keeps a connection for reuse, and closes those that have been idle for too long
 // and the oldest one when there are too many.
 func (p *Pool) putIdle(c *conn) {
-	c.idleSince = time.Now()
+	now := time.Now()
+	c.idleSince = now
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.sweep()
+	p.sweep(now)
 	list := p.idle[c.addr]
 	for len(list) > 0 && (list[0].expired() || len(list) >= maxIdleConns) {
 		_ = list[0].Close()
@@ -106,11 +107,11 @@
 
 // sweep closes the connections to all targets that have been idle for too long, at most once in sweepInterval, since
 // those to a target that has left are never asked for again. The lock must be held.
-func (p *Pool) sweep() {
-	if time.Since(p.sweptAt) < sweepInterval {
+func (p *Pool) sweep(now time.Time) {
+	if now.Sub(p.sweptAt) < sweepInterval {
 		return
 	}
-	p.sweptAt = time.Now()
+	p.sweptAt = now
 	for addr, list := range p.idle {
 		list = slices.DeleteFunc(list, func(c *conn) bool {
 			expired := c.expired()
--- a/httpwire/checker.go
+++ b/httpwire/checker.go
@@ -228,13 +228,26 @@
 	name, value := text[:n], text[n+1:]
 	switch {
 	case n == len(lengthField) && bytes.EqualFold(name, []byte(lengthField)):
-		return c.readLength(bytes.Trim(value, " \t"))
+		return c.readLength(trimBlanks(value))
 	case n == len(encodingField) && bytes.EqualFold(name, []byte(encodingField)):
-		return c.readEncoding(bytes.Trim(value, " \t"))
+		return c.readEncoding(trimBlanks(value))
 	}
 	return nil
 }
 
+// trimBlanks returns a value without the blanks and tabs around it.
+func trimBlanks(value []byte) []byte {
+	for len(value) > 0 && isBlank(value[0]) {
+		value = value[1:]
+	}
+	for len(value) > 0 && isBlank(value[len(value)-1]) {
+		value = value[:len(value)-1]
+	}
+	return value
+}
+
+func isBlank(b byte) bool { return b == ' ' || b == '\t' }
+
 // readLength reads a Content-Length. It may be repeated.
 func (c *Checker) readLength(value []byte) error {
 	n, ok := parseLength(value)
