--- a/connection/target/broken_test.go
+++ b/connection/target/broken_test.go
@@ -173,11 +173,11 @@
 
 // brokenFields are lines that are no field.
 var brokenFields = []string{
-	"Server Load: 1", "Server-Load : 1", " Server-Load: 1", "\tServer-Load: 1", "Server-Load\t: 1", "Server\x00Load: 1", "Server\x01Load: 1",
-	"Server\x7fLoad: 1", "Server\rLoad: 1", "Server\x0bLoad: 1", "Server\x80Load: 1", "Server(Load): 1", "Server/Load: 1", ": 1", "Server-Load",
+	"Target Load: 1", "Target-Load : 1", " Target-Load: 1", "\tTarget-Load: 1", "Target-Load\t: 1", "Target\x00Load: 1", "Target\x01Load: 1",
+	"Target\x7fLoad: 1", "Target\rLoad: 1", "Target\x0bLoad: 1", "Target\x80Load: 1", "Target(Load): 1", "Target/Load: 1", ": 1", "Target-Load",
 	"Content-Length : 2", "Transfer-Encoding : chunked", " Content-Length: 2", "Content-Length\x00: 2", "Connection : close",
-	"Server-Load: 1\x00", "Server-Load: \x01", "Server-Load: 1\r2", "Server-Load: 1\x7f", "Server-Load: 1\x0b", " ", "\t",
-	"Server-Load: 1\r\n 2", "Server-Load: 1\r\n\t2", "Server-Load: 1\r\n ",
+	"Target-Load: 1\x00", "Target-Load: \x01", "Target-Load: 1\r2", "Target-Load: 1\x7f", "Target-Load: 1\x0b", " ", "\t",
+	"Target-Load: 1\r\n 2", "Target-Load: 1\r\n\t2", "Target-Load: 1\r\n ",
 }
 
 // TestBrokenFields: a response with a line that is no field, at any place of its header, is none.
@@ -196,9 +196,9 @@
 	}
 	for name, raw := range map[string]string{
 		"status line without CR": "HTTP/1.1 200 OK\n" + rest,
-		"field without CR":       "HTTP/1.1 200 OK\r\nServer-Load: 1\n" + rest,
+		"field without CR":       "HTTP/1.1 200 OK\r\nTarget-Load: 1\n" + rest,
 		"header end without CR":  "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\nfine",
-		"two CR":                 "HTTP/1.1 200 OK\r\nServer-Load: 1\r\r\n" + rest,
+		"two CR":                 "HTTP/1.1 200 OK\r\nTarget-Load: 1\r\r\n" + rest,
 		"trailer without CR":     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\nSum: 1\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) { checkBroken(t, "GET", raw) })
--- a/request/serve/broken_answer_test.go
+++ b/request/serve/broken_answer_test.go
@@ -16,7 +16,7 @@
 )
 
 // overloaded is the load report of a target with far too many requests.
-const overloaded = "Server-Load: 4,4000,4"
+var overloaded = standin.Load(4, 4000, 4)
 
 // brokenAnswers are answers to the request r1 that no strict reader takes as such: of a request that ran, and of one that
 // was not run. Each says that the target is leaving and overloaded, unless its start is passed on before it breaks.
@@ -101,7 +101,7 @@
 	}
 }
 
-// TestUnusualAnswersAreServed: what the pages let a sound target do is passed on.
+// TestUnusualAnswersAreServed: answers that are seldom, and valid, are passed on.
 func TestUnusualAnswersAreServed(t *testing.T) {
 	whole := standin.Answer("r1", bodyFor("r1"))
 	noLength := strings.Replace(whole, fmt.Sprintf("Content-Length: %d\r\n", len(bodyFor("r1"))), "", 1)
