Hosts state how stale their tables are: a metric, and fields of the log lines of requests and of the readers' role

`store.staleness_ms`, `state_age_ms` (4602, 4604) and `staleness_ms` (1804) now give the time since the store last confirmed tables of which the host has all, in an answer to itself or, by a partner's statement, to another host. It goes on growing when partners are lost.

--- a/entry/follow.go
+++ b/entry/follow.go
@@ -63,7 +63,7 @@
 	for ctx.Err() == nil {
 		if !fullRead && !h.mustReadStore(time.Now()) {
 			if h.storeStatus.stopReading(table) {
-				evReaderChanged.Log(h.log).Bool("reads", false).Send()
+				evReaderChanged.Log(h.log).Bool("reads", false).Int64("staleness_ms", h.staleness(time.Now()).Milliseconds()).Send()
 			}
 			pause(ctx, readerCheckInterval)
 			continue
@@ -208,7 +208,7 @@
 func (h *Host) ownStoreStatus() partner.StoreStatus {
 	now := time.Now()
 	age, ok := h.storeStatus.age(now)
-	return partner.StoreStatus{Reachable: ok && h.isRecent(age), Age: age, Failing: h.storeStatus.recentlyFailed(now), ReportHold: max(h.outage.reportHold(now), h.sinceRestore(now))}
+	return partner.StoreStatus{Reachable: ok && h.isRecent(age), Age: age, Failing: h.storeStatus.recentlyFailed(now), ReportHold: max(h.outage.reportHold(now), h.sinceRestore(now)), SinceConfirmed: h.storeStatus.sinceConfirmed(now)}
 }
 
 // reportHold returns for how long the reports of live targets may still be missing, since the store
@@ -280,22 +280,12 @@
 	}
 }
 
-// stateAge returns confirmedAge, or the time since a partner last read the store if it is not
-// known, for log lines.
-func (h *Host) stateAge() time.Duration {
-	now := time.Now()
-	if age, ok := h.confirmedAge(now); ok {
-		return age
-	}
-	return h.group.SinceReader(now)
-}
-
 // storeSucceeded handles a call for a table that the store answered. The answer has confirmed this host's
 // copy of the table at the given time; the zero time means that it has not.
 func (h *Host) storeSucceeded(table string, confirmed time.Time) {
 	change := h.storeStatus.recordSuccess(table, confirmed)
 	if change.ReadsStore {
-		evReaderChanged.Log(h.log).Bool("reads", true).Send()
+		evReaderChanged.Log(h.log).Bool("reads", true).Int64("staleness_ms", h.staleness(time.Now()).Milliseconds()).Send()
 	}
 	if change.Regained {
 		evStoreRegained.Log(h.log).Str("table", table).Send()
--- a/entry/host.go
+++ b/entry/host.go
@@ -111,8 +111,9 @@
 	// the steady clock; nil means never.
 	awaySince atomic.Pointer[time.Time]
 
-	rate    peakRate
-	leaving atomic.Bool
+	startedAt time.Time
+	rate      peakRate
+	leaving   atomic.Bool
 	// announced is true once this host's row is written, in the store's era rowEra and at the
 	// revision rowRevision.
 	announced           atomic.Bool
@@ -137,7 +138,7 @@
 	h := &Host{
 		path: path, lastUnreadyReason: "the host starts", logWriter: eventlog.NewAsyncWriter(logs), metrics: metrics.NewSet(),
 		mirror: mirror.New(), storeStatus: newStoreStatus(), outage: newOutage(), taken: newTakenTables(), stale: newStaleReports(),
-		bootTime: boottime.Now, rowLost: make(chan struct{}, 1), evacuationHolds: make(map[string]time.Time),
+		bootTime: boottime.Now, startedAt: time.Now(), rowLost: make(chan struct{}, 1), evacuationHolds: make(map[string]time.Time),
 	}
 	h.settings.Store(s)
 	h.log = eventlog.New(h.logWriter, s.Host.Name)
@@ -196,7 +197,7 @@
 	})
 	h.handler = serve.New(serve.Options{
 		Config: h.servingConfig, Chooser: h.chooser, Fleet: h.fleet, Pool: h.pool, Budget: h.budgets, Crashes: h.crashes,
-		Headers: adapter.HeaderCodec{}, UpToDate: h.stateConfirmed, AcceptsKeys: h.acceptsKeys, StateAge: h.stateAge,
+		Headers: adapter.HeaderCodec{}, UpToDate: h.stateConfirmed, AcceptsKeys: h.acceptsKeys, StateAge: func() time.Duration { return h.staleness(time.Now()) },
 		RateLimiter: h.quotaNode, Metrics: h.metrics, Log: h.log,
 	})
 	return h
@@ -274,6 +275,7 @@
 	for _, table := range adapter.Tables() {
 		h.metrics.Gauge("store.unanswered_ms."+table, func() int64 { return h.storeStatus.sinceAnswer(table, time.Now()).Milliseconds() })
 	}
+	h.metrics.Gauge("store.staleness_ms", func() int64 { return h.staleness(time.Now()).Milliseconds() })
 	h.metrics.Gauge("quota.share_permille", func() int64 { return int64(1000 * h.limiter.Share(time.Now())) })
 	h.metrics.Gauge("peer.sent_bytes", func() int64 {
 		return h.peers.Traffic.BytesSent.Load() + h.clients.Traffic.BytesSent.Load()
--- a/entry/storestatus.go
+++ b/entry/storestatus.go
@@ -140,6 +140,21 @@
 	return age, true
 }
 
+// sinceConfirmed returns the time since the table that was confirmed longest ago was confirmed, also while this host no
+// longer reads the store, and at least 1 ns; 0 if one was never confirmed.
+func (s *storeStatus) sinceConfirmed(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	since := time.Nanosecond
+	for _, t := range s.tables {
+		if t.confirmedAt.IsZero() {
+			return 0
+		}
+		since = max(since, now.Sub(t.confirmedAt))
+	}
+	return since
+}
+
 // polls reports whether the next call for a table may wait for changes for the full time: the
 // last one was answered, and within slowMemory no call for any table failed or was answered late.
 func (s *storeStatus) polls(table string, now time.Time) bool {
--- a/process/partner/message.go
+++ b/process/partner/message.go
@@ -63,10 +63,12 @@
 
 // StoreStatus is the store's status as this host's own calls show it: Reachable when this host
 // reads the store and gets responses, the oldest of them Age ago; Failing when calls failed
-// recently. For ReportHold the reports of live targets may still be missing.
+// recently. For ReportHold the reports of live targets may still be missing. SinceConfirmed is the time
+// since the host's own calls last confirmed all its tables, whether or not it still reads them; 0 if none did.
 type StoreStatus struct {
 	Reachable, Failing bool
 	Age, ReportHold    time.Duration
+	SinceConfirmed     time.Duration
 }
 
 // position returns the position of the sender's copy of a table.
--- a/process/partner/partner.go
+++ b/process/partner/partner.go
@@ -148,6 +148,8 @@
 	// without failures.
 	nearReaderAt time.Time
 	startedAt    time.Time
+	// confirmedAt is when the store last confirmed tables of which this host has all, as far as partners have said.
+	confirmedAt time.Time
 	// stateVersion is the latest version of the desired state that a partner had in force.
 	stateVersion uint64
 	// introduced is true once a heartbeat or reply has arrived that states the version of the desired state, and
@@ -195,6 +197,8 @@
 	reportHold     time.Duration
 	countsRestores bool
 	readPositions  []mirror.Position
+	// stated is what the host last said of its copies.
+	stated statedCopy
 }
 
 // New returns a group that contains only this host.
--- a/process/partner/readers.go
+++ b/process/partner/readers.go
@@ -140,17 +140,6 @@
 	return positions
 }
 
-// SinceReader returns the time since a partner last reported that it reads the store, or since
-// the start of this host.
-func (g *Group) SinceReader(now time.Time) time.Duration {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.readerAt.IsZero() {
-		return now.Sub(g.startedAt)
-	}
-	return now.Sub(g.readerAt)
-}
-
 // StoreFailing reports whether partners reported store failures within failureTimeout, and
 // none of them reads the store without failures.
 func (g *Group) StoreFailing(now time.Time) bool {
@@ -215,6 +204,7 @@
 // age of the store's answer is a store reader but vouches for nothing: its answer may be of any
 // age. The lock must be held.
 func (g *Group) recordStoreStatus(s *memberState, h *Heartbeat, now time.Time) {
+	g.recordStated(s, h, now)
 	s.readAt = time.Time{}
 	if h.Fresh {
 		g.readerAt = now
