--- a/entry/available_test.go
+++ b/entry/available_test.go
@@ -35,7 +35,7 @@
 		requireRead(c.t, h, table)
 	}
 	c.store.PutState(standin.DesiredState(2, coldPerSecond))
-	if err := h.readChanges(c.t.Context(), adapter.OperatorTable); err != nil {
+	if _, err := h.readChanges(c.t.Context(), adapter.OperatorTable, feedAnswer{}); err != nil {
 		c.t.Fatal(err)
 	}
 	past.Store(true)
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -40,6 +40,8 @@
 	// that the readers' calls do not stay in step.
 	feedPause       = 900 * time.Millisecond
 	feedPauseSpread = 300 * time.Millisecond
+	// minFeedPause is the shortest pause.
+	minFeedPause = 200 * time.Millisecond
 	// minBackoff and maxBackoff bound the exponential backoff after failed calls.
 	minBackoff = 150 * time.Millisecond
 	maxBackoff = 1200 * time.Millisecond
@@ -60,6 +62,7 @@
 func (h *Host) followTable(ctx context.Context, table string) {
 	backoff := minBackoff
 	fullRead := h.mirror.Revision(table) == 0
+	var last feedAnswer
 	for ctx.Err() == nil {
 		if !fullRead && !h.mustReadStore(time.Now()) {
 			if h.storeStatus.stopReading(table) {
@@ -70,9 +73,9 @@
 		}
 		var err error
 		if fullRead {
-			err = h.readTable(ctx, table)
+			last, err = feedAnswer{age: h.startSpread()}, h.readTable(ctx, table)
 		} else {
-			err = h.readChanges(ctx, table)
+			last, err = h.readChanges(ctx, table, last)
 		}
 		if ctx.Err() != nil {
 			return
@@ -92,10 +95,38 @@
 			continue
 		}
 		fullRead, backoff = false, minBackoff
-		pause(ctx, feedPause-rand.N(feedPauseSpread))
+		pause(ctx, last.pause())
 	}
 }
 
+// startSpread returns by how much this host shortens the pause after it has read full tables. Hosts that start together have
+// read them together, and their calls for changes must not end together.
+func (h *Host) startSpread() time.Duration {
+	return time.Duration(h.askSpread * float64(feedPause-minFeedPause))
+}
+
+// feedAnswer is what matters of an answer to a call for changes when the next call is made.
+type feedAnswer struct {
+	// changed is true if the answer has changes, and age is for how long, at most, it was made when it arrived.
+	changed bool
+	age     time.Duration
+}
+
+// pause returns the time from the arrival of an answer to the next call. It is shorter after an answer that may be older.
+func (a feedAnswer) pause() time.Duration {
+	return max(minFeedPause, feedPause-rand.N(feedPauseSpread)-a.age)
+}
+
+// wait returns how long the store may keep the next call open, given how long it usually may. The readers get the answer to
+// a change together; after it their calls must not end together, since then all of them confirm the tables at the same
+// moments only.
+func (a feedAnswer) wait(usual time.Duration) time.Duration {
+	if !a.changed {
+		return usual
+	}
+	return time.Duration(rand.Float64() * float64(usual))
+}
+
 func (h *Host) readTable(ctx context.Context, table string) error {
 	started, startedBoot, known := time.Now(), h.bootTime(), h.mirror.Position(table)
 	delta, err := h.callStore(ctx, table, func(ctx context.Context) (mirror.Delta, error) {
@@ -123,30 +154,32 @@
 	return made
 }
 
-func (h *Host) readChanges(ctx context.Context, table string) error {
+// readChanges asks the store for the changes of a table and applies them. last is the answer before.
+func (h *Host) readChanges(ctx context.Context, table string, last feedAnswer) (feedAnswer, error) {
 	wait, margin := h.pollTimes(table)
+	wait = last.wait(wait)
 	started, startedBoot, known := time.Now(), h.bootTime(), h.mirror.Position(table)
 	delta, err := h.callStore(ctx, table, func(ctx context.Context) (mirror.Delta, error) {
 		return h.store.Feed(ctx, table, known, wait, wait+margin)
 	})
 	if err != nil {
-		return err
+		return feedAnswer{}, err
 	}
+	arrived := time.Now()
 	made := started // how long an answer with records was on the way is not known
 	if len(delta.Records) == 0 {
-		arrived := time.Now()
 		made = earliest(arrived, started.Add(wait))
 		h.storeStatus.recordDelay(arrived.Sub(made), arrived)
 	}
 	if !h.apply(delta) {
-		return errRefused
+		return feedAnswer{}, errRefused
 	}
 	h.storeSucceeded(table, confirmedAt(delta, known, made))
 	h.confirmKeysBy(delta, known, startedBoot)
 	if len(delta.Records) > 0 {
 		h.group.NotifyNonReaders(ctx)
 	}
-	return nil
+	return feedAnswer{changed: len(delta.Records) > 0, age: arrived.Sub(made)}, nil
 }
 
 // earliest returns the earlier of two times.
@@ -299,14 +332,15 @@
 	}
 }
 
-// tick runs the periodic tasks until ctx ends: it asks whether the store has returned, drops targets whose hold has expired,
-// starts due liveness checks, and updates the request rate, the retry budgets and the logged
-// readiness. While the host is not up to date it limits the requests to each target, since
-// any of them may have become cold.
+// tick runs the periodic tasks until ctx ends: it asks whether the store has returned, asks it if the tables were not confirmed
+// lately, drops targets whose hold has expired, starts due liveness checks, and updates the request rate, the retry budgets and
+// the logged readiness. While the host is not up to date it limits the requests to each target, since any of them may have
+// become cold.
 func (h *Host) tick(ctx context.Context) {
 	for pause(ctx, tickInterval) {
 		now := time.Now()
 		h.checkReturn(ctx, now)
+		h.limitStaleness(ctx, now)
 		h.removeExpired(now)
 		h.endHeldEvacuations(now)
 		for _, c := range h.fleet.DueChecks(now) {
--- a/entry/host.go
+++ b/entry/host.go
@@ -12,6 +12,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -112,8 +113,12 @@
 	awaySince atomic.Pointer[time.Time]
 
 	startedAt time.Time
-	rate      peakRate
-	leaving   atomic.Bool
+	// askSpread is this host's part, from 0 to 1, of the spread of staleSpread. The others are of tick.
+	askSpread                 float64
+	askPause                  time.Duration
+	nextAskAt, readersAskedAt time.Time
+	rate                      peakRate
+	leaving                   atomic.Bool
 	// announced is true once this host's row is written, in the store's era rowEra and at the
 	// revision rowRevision.
 	announced           atomic.Bool
@@ -138,7 +143,7 @@
 	h := &Host{
 		path: path, lastUnreadyReason: "the host starts", logWriter: eventlog.NewAsyncWriter(logs), metrics: metrics.NewSet(),
 		mirror: mirror.New(), storeStatus: newStoreStatus(), outage: newOutage(), taken: newTakenTables(), stale: newStaleReports(),
-		bootTime: boottime.Now, startedAt: time.Now(), rowLost: make(chan struct{}, 1), evacuationHolds: make(map[string]time.Time),
+		bootTime: boottime.Now, startedAt: time.Now(), askSpread: rand.Float64(), askPause: minAskPause, rowLost: make(chan struct{}, 1), evacuationHolds: make(map[string]time.Time),
 	}
 	h.settings.Store(s)
 	h.log = eventlog.New(h.logWriter, s.Host.Name)
--- a/entry/late_answer_test.go
+++ b/entry/late_answer_test.go
@@ -133,7 +133,7 @@
 	c.store.PutState(standin.DesiredState(2, coldPerSecond))
 	far.Store(true)
 	started := time.Now()
-	if err := h.readChanges(t.Context(), adapter.OperatorTable); err != nil {
+	if _, err := h.readChanges(t.Context(), adapter.OperatorTable, feedAnswer{}); err != nil {
 		t.Fatal(err)
 	}
 	if at := h.storeStatus.tables[adapter.OperatorTable].confirmedAt; at.Sub(started) > onTheWay/2 {
--- a/entry/stale_read_test.go
+++ b/entry/stale_read_test.go
@@ -39,7 +39,7 @@
 		t.Fatal(err)
 	}
 	c.store.PutState(standin.DesiredState(2, coldPerSecond))
-	if err := h.readChanges(t.Context(), adapter.OperatorTable); err != nil {
+	if _, err := h.readChanges(t.Context(), adapter.OperatorTable, feedAnswer{}); err != nil {
 		t.Fatal(err)
 	}
 	c.store.PutState(standin.DesiredState(3, coldPerSecond))
--- a/entry/storestatus.go
+++ b/entry/storestatus.go
@@ -155,6 +155,15 @@
 	return since
 }
 
+// recordConfirmed records that an answer of the store has confirmed this host's copy of a table at the given time, without
+// saying whether this host reads the table; the zero time means that it has not.
+func (s *storeStatus) recordConfirmed(table string, confirmed time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.tables[table]
+	t.confirmedAt = latest(t.confirmedAt, confirmed)
+}
+
 // polls reports whether the next call for a table may wait for changes for the full time: the
 // last one was answered, and within slowMemory no call for any table failed or was answered late.
 func (s *storeStatus) polls(table string, now time.Time) bool {
@@ -171,6 +180,18 @@
 	return s.allOK()
 }
 
+// isDown reports whether this host's last call for a table failed.
+func (s *storeStatus) isDown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range s.tables {
+		if t.down {
+			return true
+		}
+	}
+	return false
+}
+
 // allOK is ok; the lock must be held.
 func (s *storeStatus) allOK() bool {
 	for _, t := range s.tables {
--- a/process/partner/brief.go
+++ b/process/partner/brief.go
@@ -38,6 +38,7 @@
 	flagFresh
 	flagTroubled
 	flagCountsRestores
+	flagConfirmed
 )
 
 // briefPosition is the position of a table and the revision of its last change.
@@ -81,7 +82,7 @@
 	h := g.heartbeat()
 	b := Brief{Name: h.From.Name, Incarnation: h.From.Incarnation, Rate: float32(h.Rate), AgeMs: milliseconds(h.Age), HoldMs: milliseconds(h.ReportHold), StateVersion: h.StateVersion}
 	for flag, set := range map[briefFlags]bool{
-		flagLeaving: h.Leaving, flagFresh: h.Fresh, flagTroubled: h.Troubled, flagCountsRestores: h.CountsRestores,
+		flagLeaving: h.Leaving, flagFresh: h.Fresh, flagTroubled: h.Troubled, flagCountsRestores: h.CountsRestores, flagConfirmed: h.Confirmed,
 	} {
 		if set {
 			b.Flags |= flag
@@ -107,8 +108,8 @@
 	h := &Heartbeat{
 		From: from, Leaving: b.Flags&flagLeaving != 0, Fresh: b.Flags&flagFresh != 0, Troubled: b.Flags&flagTroubled != 0,
 		Rate: float64(b.Rate), Age: time.Duration(b.AgeMs) * time.Millisecond, ReportHold: time.Duration(b.HoldMs) * time.Millisecond,
-		CountsRestores: b.Flags&flagCountsRestores != 0,
-		StateVersion:   b.StateVersion, Positions: make(map[string]uint64), Eras: make(map[string]uint64), Changed: make(map[string]uint64),
+		CountsRestores: b.Flags&flagCountsRestores != 0, Confirmed: b.Flags&flagConfirmed != 0,
+		StateVersion: b.StateVersion, Positions: make(map[string]uint64), Eras: make(map[string]uint64), Changed: make(map[string]uint64),
 	}
 	for i, name := range g.opts.Tables[:min(len(g.opts.Tables), len(b.Positions))] {
 		p := b.Positions[i]
--- a/process/partner/message.go
+++ b/process/partner/message.go
@@ -25,7 +25,10 @@
 	Fresh, Troubled bool
 	// Age is the time since the store last answered a Fresh sender, for the table for which that
 	// is longest ago, and at least minStatedAge. Earlier releases send none, so 0 means unknown.
+	// Of another sender it is its Staleness if Confirmed is set; else it means nothing.
 	Age time.Duration
+	// Confirmed says that Age counts although the sender is not Fresh. Earlier releases do not send it.
+	Confirmed bool `cbor:",omitempty"`
 	// StateVersion is the version of the desired state that the sender has in force; 0 means none, or
 	// that the sender does not know yet what its own partners have.
 	// Earlier releases send none.
--- a/process/partner/partner.go
+++ b/process/partner/partner.go
@@ -197,6 +197,8 @@
 	reportHold     time.Duration
 	countsRestores bool
 	readPositions  []mirror.Position
+	// early is true from a heartbeat of sendEarly until the next interval.
+	early bool
 	// stated is what the host last said of its copies.
 	stated statedCopy
 }
@@ -212,8 +214,11 @@
 // Register registers the group's net/rpc service with a server.
 func (g *Group) Register(s *peer.Server) error { return s.Register(serviceName, &service{g}) }
 
-// receive handles a heartbeat that came as a call or as a reply.
-func (g *Group) receive(h *Heartbeat) {
+// receive handles a heartbeat that came as a call. It is taken to have been on the way for heartbeatDelay.
+func (g *Group) receive(h *Heartbeat) { g.receiveMadeAfter(h, g.opts.Now().Add(-heartbeatDelay)) }
+
+// receiveMadeAfter handles a heartbeat that was made after a time.
+func (g *Group) receiveMadeAfter(h *Heartbeat, madeAfter time.Time) {
 	now := g.opts.Now()
 	g.opts.Crashes.Merge(h.Crashes, now)
 	g.mu.Lock()
@@ -226,6 +231,7 @@
 		}
 		g.stateVersion = max(g.stateVersion, h.StateVersion)
 		g.recordStoreStatus(s, h, now)
+		g.recordStated(s, h, madeAfter)
 		g.markSeen(s, h.Leaving, now)
 	}
 	g.mu.Unlock()
@@ -283,10 +289,35 @@
 		if readers[m.Name] {
 			recent = recentReaderContact
 		}
-		return !g.seenWithin(m, recent)
+		return g.endEarly(m) || !g.seenWithin(m, recent)
+	})
+}
+
+// sendEarly sends heartbeats between two intervals. The next interval sends them again: else the time to the one after it
+// would be more than readerTimeout.
+func (g *Group) sendEarly(ctx context.Context, wanted func(Member) bool) {
+	g.sendHeartbeats(ctx, func(m Member) bool {
+		if !wanted(m) {
+			return false
+		}
+		g.setEarly(m, true)
+		return true
 	})
 }
 
+// setEarly records whether a host was sent a heartbeat by sendEarly since the last interval, and returns what it was before.
+func (g *Group) setEarly(m Member, early bool) (before bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if s := g.members[m.Name]; s != nil {
+		before, s.early = s.early, early
+	}
+	return before
+}
+
+// endEarly reports whether a host was sent a heartbeat by sendEarly since the last interval.
+func (g *Group) endEarly(m Member) bool { return g.setEarly(m, false) }
+
 // sendHeartbeats starts a heartbeat call to each partner that wanted accepts.
 func (g *Group) sendHeartbeats(ctx context.Context, wanted func(Member) bool) {
 	for _, m := range g.allPartners() {
@@ -310,12 +341,13 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	g.opts.Metrics.Counter("partners.beats").Add(1)
+	sent := g.opts.Now()
 	reply, err := g.exchange(ctx, m)
 	if err != nil {
 		g.opts.Metrics.Counter("partners.failed_beats").Add(1)
 		return
 	}
-	g.receive(reply)
+	g.receiveMadeAfter(reply, sent)
 }
 
 // Leave marks this host as leaving and announces it to all partners.
--- a/process/partner/readers.go
+++ b/process/partner/readers.go
@@ -47,6 +47,12 @@
 	g.sendHeartbeats(ctx, func(m Member) bool { return m.Region == g.opts.Self.Region && !readers[m.Name] })
 }
 
+// NotifyRegion sends a heartbeat at once to all partners in this region. It is called when this host has asked the store
+// since no partner had an answer of it lately.
+func (g *Group) NotifyRegion(ctx context.Context) {
+	g.sendEarly(ctx, func(m Member) bool { return m.Region == g.opts.Self.Region })
+}
+
 // HasStoreReader reports whether a partner reported within readerTimeout that it reads the
 // store.
 func (g *Group) HasStoreReader(now time.Time) bool {
@@ -204,7 +210,6 @@
 // age of the store's answer is a store reader but vouches for nothing: its answer may be of any
 // age. The lock must be held.
 func (g *Group) recordStoreStatus(s *memberState, h *Heartbeat, now time.Time) {
-	g.recordStated(s, h, now)
 	s.readAt = time.Time{}
 	if h.Fresh {
 		g.readerAt = now
--- a/process/partner/service.go
+++ b/process/partner/service.go
@@ -51,6 +51,10 @@
 		Fresh: status.Reachable, Age: max(status.Age, minStatedAge), Troubled: status.Failing, ReportHold: status.ReportHold, CountsRestores: true,
 		Positions: make(map[string]uint64), Eras: make(map[string]uint64), Changed: make(map[string]uint64),
 	}
+	if !h.Fresh {
+		staleness, ok := g.staleness(status, now)
+		h.Age, h.Confirmed = max(staleness, minStatedAge), ok
+	}
 	if g.opts.StateVersion != nil && g.Introduced(now) {
 		h.StateVersion = g.opts.StateVersion()
 	}
