Hosts log who had a newer desired state, and how long its fetch, decoding and swap took, or why they failed

Now 1705 says that a pull failed, after which time and why; 1706 who had the newer version; 1704, 1803 and 1808 (new, large changes of the store) have bytes and times; 2021 has the size, the wait for records that are being applied, and the times of decoding and of the swap; lines of requests have newest_version if the host has heard of one. No logic is changed.

--- a/entry/apply.go
+++ b/entry/apply.go
@@ -36,8 +36,10 @@
 
 // applyAt is apply at a given time.
 func (h *Host) applyAt(d mirror.Delta, now time.Time) bool {
+	asked := time.Now()
 	h.applyMu.Lock()
 	defer h.applyMu.Unlock()
+	waited := time.Since(asked)
 	before := h.storeEra()
 	change := h.mirror.Apply(d)
 	era := h.storeEra()
@@ -59,12 +61,13 @@
 			h.applyTarget(r, d.Era, now, change.Restored)
 			continue
 		}
-		h.applyOperator(r, now, change.Restored)
+		h.applyOperator(r, now, waited, change.Restored)
 	}
 	return !change.Refused
 }
 
-func (h *Host) applyOperator(r mirror.Record, now time.Time, restored bool) {
+// applyOperator applies a record of the operators' table; waited is how long that was delayed by records that were being applied.
+func (h *Host) applyOperator(r mirror.Record, now time.Time, waited time.Duration, restored bool) {
 	if zone, ok := adapter.Evacuation(r); ok {
 		h.applyEvacuation(zone, r, now, restored)
 		return
@@ -72,7 +75,9 @@
 	if !adapter.IsConfig(r) || r.Removed {
 		return
 	}
+	started := time.Now()
 	c, err := adapter.ParseConfig(r.Value)
+	decoded := time.Since(started)
 	if err != nil {
 		evConfigRejected.Log(h.log).Uint64("revision", r.Revision).Err(err).Send()
 		return
@@ -83,7 +88,9 @@
 	h.config.Store(c)
 	h.setRateLimits(c.Workspaces)
 	evConfigApplied.Log(h.log).Uint64("version", c.Version).Uint64("revision", r.Revision).
-		Int("routes", len(c.Routes)).Int("services", len(c.Services)).Send()
+		Int("routes", len(c.Routes)).Int("services", len(c.Services)).Int("bytes", len(r.Value)).
+		Int64("waited_us", waited.Microseconds()).Int64("decode_us", decoded.Microseconds()).
+		Int64("swap_us", (time.Since(started) - decoded).Microseconds()).Send()
 }
 
 // applyEvacuation starts or ends the evacuation of a failure domain. One that a restored store
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -19,6 +19,7 @@
 	evStoreRegained = eventlog.Define(1802, zerolog.InfoLevel, "store available again")
 	evTableRead     = eventlog.Define(1803, zerolog.InfoLevel, "full table read")
 	evReaderChanged = eventlog.Define(1804, zerolog.InfoLevel, "store reader role changed")
+	evLargeChanges  = eventlog.Define(1808, zerolog.InfoLevel, "large changes read")
 )
 
 // maxAnswerAge is for how long, in bounds for changes, a host counts as one that reads the store after the
@@ -135,7 +136,8 @@
 	if err != nil {
 		return err
 	}
-	evTableRead.Log(h.log).Str("table", table).Uint64("revision", delta.UpTo).Int("records", len(delta.Records)).Send()
+	evTableRead.Log(h.log).Str("table", table).Uint64("revision", delta.UpTo).Int("records", len(delta.Records)).
+		Int("bytes", delta.Size()).Int64("took_ms", time.Since(started).Milliseconds()).Send()
 	if !h.apply(delta) {
 		return errRefused
 	}
@@ -167,6 +169,7 @@
 	}
 	arrived := time.Now()
 	made := started // how long an answer with records was on the way is not known
+	h.logLarge(delta, arrived.Sub(started))
 	if len(delta.Records) == 0 {
 		made = earliest(arrived, started.Add(wait))
 		h.storeStatus.recordDelay(arrived.Sub(made), arrived)
@@ -182,6 +185,17 @@
 	return feedAnswer{changed: len(delta.Records) > 0, age: arrived.Sub(made)}, nil
 }
 
+// largeBytes is the size of values from which changes that the store gave are logged.
+const largeBytes = 64 << 10
+
+// logLarge logs large changes that the store gave in reply to a call, and how long the call took.
+func (h *Host) logLarge(d mirror.Delta, took time.Duration) {
+	if size := d.Size(); size >= largeBytes {
+		evLargeChanges.Log(h.log).Str("table", d.Table).Uint64("revision", d.UpTo).Int("records", len(d.Records)).
+			Int("bytes", size).Int64("took_ms", took.Milliseconds()).Send()
+	}
+}
+
 // earliest returns the earlier of two times.
 func earliest(a, b time.Time) time.Time {
 	if a.Before(b) {
--- a/entry/host.go
+++ b/entry/host.go
@@ -202,7 +202,7 @@
 	})
 	h.handler = serve.New(serve.Options{
 		Config: h.servingConfig, Chooser: h.chooser, Fleet: h.fleet, Pool: h.pool, Budget: h.budgets, Crashes: h.crashes,
-		Headers: adapter.HeaderCodec{}, UpToDate: h.stateConfirmed, AcceptsKeys: h.acceptsKeys, StateAge: func() time.Duration { return h.staleness(time.Now()) },
+		Headers: adapter.HeaderCodec{}, UpToDate: h.stateConfirmed, AcceptsKeys: h.acceptsKeys, StateAge: func() time.Duration { return h.staleness(time.Now()) }, NewestVersion: func() uint64 { return h.group.StateVersion() },
 		RateLimiter: h.quotaNode, Metrics: h.metrics, Log: h.log,
 	})
 	return h
--- a/entry/staleness.go
+++ b/entry/staleness.go
@@ -112,6 +112,7 @@
 	if err != nil {
 		return err
 	}
+	h.logLarge(delta, time.Since(started))
 	h.recordOutcome(table, started, nil)
 	if !h.apply(delta) {
 		return errRefused
--- a/process/mirror/mirror.go
+++ b/process/mirror/mirror.go
@@ -57,6 +57,15 @@
 	Whole bool
 }
 
+// Size returns the size of the records' values in bytes.
+func (d Delta) Size() int {
+	size := 0
+	for _, r := range d.Records {
+		size += len(r.Value)
+	}
+	return size
+}
+
 // Mirror is a replica of some tables. It is safe for concurrent use.
 type Mirror struct {
 	mu     sync.Mutex
--- a/process/partner/partner.go
+++ b/process/partner/partner.go
@@ -28,6 +28,8 @@
 	evAlive        = eventlog.Define(1702, zerolog.InfoLevel, "partner alive")
 	evLeaving      = eventlog.Define(1703, zerolog.InfoLevel, "partner leaving")
 	evSynchronised = eventlog.Define(1704, zerolog.InfoLevel, "table synchronised from a partner")
+	evPullFailed   = eventlog.Define(1705, zerolog.WarnLevel, "table not received from a partner")
+	evNewerState   = eventlog.Define(1706, zerolog.InfoLevel, "partner has a newer desired state")
 )
 
 const (
@@ -229,7 +231,7 @@
 		if h.To == g.opts.Self.Incarnation {
 			s.received, s.acknowledged = max(s.received, h.Number), max(s.acknowledged, h.Received)
 		}
-		g.stateVersion = max(g.stateVersion, h.StateVersion)
+		g.recordStateVersion(h)
 		g.recordStoreStatus(s, h, now)
 		g.recordStated(s, h, madeAfter)
 		g.markSeen(s, h.Leaving, now)
@@ -247,6 +249,20 @@
 	g.pullNewer(h)
 }
 
+// recordStateVersion records the version of the desired state that the sender of a heartbeat has. The lock must be held.
+func (g *Group) recordStateVersion(h *Heartbeat) {
+	if h.StateVersion <= g.stateVersion {
+		return
+	}
+	g.stateVersion = h.StateVersion
+	if g.opts.StateVersion == nil {
+		return
+	}
+	if own := g.opts.StateVersion(); own < h.StateVersion {
+		evNewerState.Log(g.opts.Log).Str("member", h.From.Name).Uint64("version", h.StateVersion).Uint64("own_version", own).Send()
+	}
+}
+
 // SendSoon makes the group send heartbeats to all partners at once, or soonInterval after it last did.
 func (g *Group) SendSoon() {
 	select {
--- a/process/partner/pull.go
+++ b/process/partner/pull.go
@@ -74,10 +74,20 @@
 	defer cancel()
 	delta := new(mirror.Delta)
 	g.opts.Metrics.Counter("partners.pulls").Add(1)
-	if err := g.opts.Client.Call(ctx, from.Peer, serviceName+".Pull", &PullRequest{Table: name, After: own.Revision, Era: own.Era}, delta); err != nil {
+	started := g.opts.Now()
+	err := g.opts.Client.Call(ctx, from.Peer, serviceName+".Pull", &PullRequest{Table: name, After: own.Revision, Era: own.Era}, delta)
+	took := g.opts.Now().Sub(started)
+	if err != nil {
+		evPullFailed.Log(g.opts.Log).Str("member", from.Name).Str("table", name).Uint64("own_revision", own.Revision).
+			Int64("took_ms", took.Milliseconds()).Err(err).Send()
 		return
 	}
-	evSynchronised.Log(g.opts.Log).Str("member", from.Name).Str("table", name).Uint64("revision", delta.UpTo).
-		Int("records", len(delta.Records)).Send()
+	g.logSynchronised(from, *delta, took)
 	g.opts.Apply(*delta)
 }
+
+// logSynchronised logs that a delta arrived from a partner, and how long that took.
+func (g *Group) logSynchronised(from Member, d mirror.Delta, took time.Duration) {
+	evSynchronised.Log(g.opts.Log).Str("member", from.Name).Str("table", d.Table).Uint64("revision", d.UpTo).
+		Int("records", len(d.Records)).Int("bytes", d.Size()).Int64("took_ms", took.Milliseconds()).Send()
+}
--- a/process/partner/snapshot.go
+++ b/process/partner/snapshot.go
@@ -152,6 +152,7 @@
 func (g *Group) pullSnapshot(ctx context.Context, from Member) bool {
 	reply := new(SnapshotReply)
 	g.opts.Metrics.Counter("partners.snapshots").Add(1)
+	started := g.opts.Now()
 	if err := g.opts.Client.Call(ctx, from.Peer, serviceName+".Snapshot", &SnapshotRequest{}, reply); err != nil || len(reply.Packed) == 0 {
 		return false
 	}
@@ -160,10 +161,10 @@
 	if err != nil {
 		return false
 	}
+	took := g.opts.Now().Sub(started)
 	g.AddMembers(snapshot.Members)
 	for _, delta := range snapshot.Tables {
-		evSynchronised.Log(g.opts.Log).Str("member", from.Name).Str("table", delta.Table).Uint64("revision", delta.UpTo).
-			Int("records", len(delta.Records)).Send()
+		g.logSynchronised(from, delta, took)
 		g.opts.Apply(delta)
 	}
 	g.mu.Lock()
--- a/request/serve/finish.go
+++ b/request/serve/finish.go
@@ -134,6 +134,11 @@
 	if q.config != nil && q.h.StateAge != nil {
 		line = line.Int64("state_age_ms", q.h.StateAge().Milliseconds())
 	}
+	if q.config != nil && q.h.NewestVersion != nil {
+		if newest := q.h.NewestVersion(); newest > q.config.Version {
+			line = line.Uint64("newest_version", newest)
+		}
+	}
 	if q.route != nil {
 		line = line.Str("route", q.route.Name).Str("kind", q.route.Kind).Str("service", q.service).Uint64("object", q.object).
 			Int64("left_ms", q.deadline.Sub(q.started).Milliseconds())
--- a/request/serve/notice_test.go
+++ b/request/serve/notice_test.go
@@ -96,3 +96,19 @@
 		t.Errorf("state_age_ms is %d, want 7000", got)
 	}
 }
+
+// TestLinesHaveNewerVersion: the log line of a request that is handled by an old configuration must name the newer one.
+func TestLinesHaveNewerVersion(t *testing.T) {
+	f, log := newLoggedFixture(t)
+	f.addScripted("i-1")
+	f.handler.NewestVersion = func() uint64 { return 1 << 40 }
+	f.exchange(upload("/book/1", "r1", 10))
+	if got := log.of(t, "r1"); got.Newest != 1<<40 {
+		t.Errorf("newest_version is %d at version %d, want %d", got.Newest, got.Version, uint64(1)<<40)
+	}
+	f.handler.NewestVersion = func() uint64 { return 0 }
+	f.exchange(upload("/book/1", "r2", 10))
+	if got := log.of(t, "r2"); got.Newest != 0 {
+		t.Errorf("newest_version is %d though none is newer", got.Newest)
+	}
+}
--- a/request/serve/serve.go
+++ b/request/serve/serve.go
@@ -45,6 +45,9 @@
 	// StateAge returns the time since the store last confirmed the configuration and the targets'
 	// reports, for the log lines of requests. May be nil.
 	StateAge func() time.Duration
+	// NewestVersion returns the latest version of the configuration that this host has heard of, for the log lines of
+	// requests. May be nil.
+	NewestVersion func() uint64
 	// RateLimiter limits the requests of workspaces. May be nil.
 	RateLimiter RateLimiter
 	Metrics     *metrics.Set
