--- a/request/serve/body_test.go
+++ b/request/serve/body_test.go
@@ -39,9 +39,8 @@
 	Crashes string `json:"crashes"`
 	// StateAge is the age of the host's state in milliseconds.
 	StateAge int64 `json:"state_age_ms"`
-	// Version is the version of the configuration, and Newest a newer one that the host has heard of.
-	Version uint64 `json:"version"`
-	Newest  uint64 `json:"newest_version"`
+	// Newest is a newer version of the configuration that the host has heard of.
+	Newest uint64 `json:"newest_version"`
 }
 
 // first waits for the first line with a status and returns it.
--- a/request/serve/notice_test.go
+++ b/request/serve/notice_test.go
@@ -104,7 +104,7 @@
 	f.handler.NewestVersion = func() uint64 { return 1 << 40 }
 	f.exchange(upload("/book/1", "r1", 10))
 	if got := log.of(t, "r1"); got.Newest != 1<<40 {
-		t.Errorf("newest_version is %d at version %d, want %d", got.Newest, got.Version, uint64(1)<<40)
+		t.Errorf("newest_version is %d, want %d", got.Newest, uint64(1)<<40)
 	}
 	f.handler.NewestVersion = func() uint64 { return 0 }
 	f.exchange(upload("/book/1", "r2", 10))
