Hosts fetch large tables from each other in parts, compressed, and only what has changed

Cause: a transfer had a fixed time whatever its size. A pull ended after 0.8 s and began anew, for ever, and its late rest filled the link and held up heartbeats on the same connection. Large states travelled whole and uncompressed, also when one weight had changed.

Now a delta of 16 KiB or more is compressed and fetched in parts of 64 KiB. Each part has 0.8 s, the whole as long as parts arrive. What has arrived is kept, and the next fetch goes on from there if the same bytes are offered, by any partner. Heartbeats wait for one part at most. Of large values the receiver states the hashes of its chunks and gets the rest (process/chunk), so that a small change stays small without anybody keeping old versions. A heartbeat that names a newer revision during a pull is looked at again when the pull ends, not a second later.

--- a/entry/load.go
+++ b/entry/load.go
@@ -111,10 +111,10 @@
 	return listed > startReaders || firstStart
 }
 
-// awaitTables waits up to d for a copy of each table and reports whether there is one.
+// awaitTables waits up to d for a copy of each table, or as long as they are arriving, and reports whether there is one.
 func (h *Host) awaitTables(ctx context.Context, d time.Duration) bool {
 	for end := time.Now().Add(d); !h.group.HasTables(); {
-		if time.Now().After(end) || !pause(ctx, tablesPoll) {
+		if time.Now().After(end) && !h.group.ReceivingSnapshot() || !pause(ctx, tablesPoll) {
 			return false
 		}
 	}
--- a/process/mirror/mirror.go
+++ b/process/mirror/mirror.go
@@ -284,6 +284,11 @@
 	return r, ok && !r.Removed
 }
 
+// Large returns the records of a table that are not removed and whose values have a number of bytes or more, sorted by key.
+func (m *Mirror) Large(name string, bytes int) []Record {
+	return slices.DeleteFunc(m.All(name), func(r Record) bool { return len(r.Value) < bytes })
+}
+
 // All returns the records of a table that are not removed, sorted by key.
 func (m *Mirror) All(name string) []Record {
 	m.mu.Lock()
--- a/process/partner/fuzz_test.go
+++ b/process/partner/fuzz_test.go
@@ -45,11 +45,18 @@
 		}
 		var pull PullRequest
 		if cbor.Unmarshal(data, &pull) == nil {
-			_ = (&service{g}).Pull(&pull, new(mirror.Delta))
+			_ = (&service{g}).Pull(&pull, new(PullReply))
 		}
-		if s, err := unpack(data); err == nil {
+		if s, err := unpack[Snapshot](data); err == nil {
 			g.AddMembers(s.Members)
 		}
+		var large LargeRequest
+		if cbor.Unmarshal(data, &large) == nil {
+			_ = (&service{g}).Large(&large, new(LargeReply))
+		}
+		if records, err := unpack[[]packedRecord](data); err == nil {
+			_, _ = unpackRecords(records, nil)
+		}
 		var s Snapshot
 		if cbor.Unmarshal(data, &s) == nil {
 			g.AddMembers(s.Members)
--- a/process/partner/message.go
+++ b/process/partner/message.go
@@ -91,4 +91,13 @@
 	Table string
 	After uint64
 	Era   uint64
+	// TakesLarge says that the caller asks for a large delta by a LargeRequest. Earlier releases do not.
+	TakesLarge bool `cbor:",omitempty"`
+}
+
+// PullReply is the reply to a PullRequest.
+type PullReply struct {
+	mirror.Delta
+	// IsLarge says that the delta is large and is not in this reply. Earlier releases do not send it.
+	IsLarge bool `cbor:",omitempty"`
 }
--- a/process/partner/partner.go
+++ b/process/partner/partner.go
@@ -136,8 +136,11 @@
 	forgottenCount int
 	// classes holds the class of each member by its address for calls between hosts.
 	classes map[string]string
-	// pullsRunning holds the tables that are being pulled from a partner.
+	// pullsRunning holds the tables that are being pulled from a partner, pullsWaiting the last heartbeats that named a newer
+	// revision meanwhile, and fetching what has arrived of large replies.
 	pullsRunning map[string]bool
+	pullsWaiting map[string]*Heartbeat
+	fetching     map[string]*fetched
 	// baseNames caches baseHosts; nil after members were added or removed.
 	baseNames map[string]bool
 	// readerLimit caches domainReaders; nil after members were added or removed.
@@ -166,6 +169,9 @@
 	// changeNumber is the number of ResendFull calls, which a full heartbeat has as its number.
 	changeNumber uint64
 	snapshot     snapshotCache
+	// offers holds the large replies that other hosts fetch, and packed the last of large deltas.
+	offers offers
+	packed packedDeltas
 	// soon holds a value while heartbeats are to be sent at once.
 	soon chan struct{}
 }
@@ -209,7 +215,7 @@
 func New(opts Options) *Group {
 	return &Group{
 		opts: opts, members: make(map[string]*memberState), classes: make(map[string]string), forgotten: make(map[string]forgottenHost),
-		pullsRunning: make(map[string]bool), startedAt: opts.Now(), soon: make(chan struct{}, 1),
+		pullsRunning: make(map[string]bool), pullsWaiting: make(map[string]*Heartbeat), fetching: make(map[string]*fetched), startedAt: opts.Now(), soon: make(chan struct{}, 1),
 	}
 }
 
--- a/process/partner/partner_test.go
+++ b/process/partner/partner_test.go
@@ -54,7 +54,14 @@
 	if request, ok := args.(*SnapshotRequest); ok {
 		return s.Snapshot(request, reply.(*SnapshotReply))
 	}
-	return s.Pull(args.(*PullRequest), reply.(*mirror.Delta))
+	switch request := args.(type) {
+	case *LargeRequest:
+		return s.Large(request, reply.(*LargeReply))
+	case *PartRequest:
+		return s.Part(request, reply.(*PartReply))
+	default:
+		return s.Pull(args.(*PullRequest), reply.(*PullReply))
+	}
 }
 
 func (n *testNetwork) add(name, region string, incarnation int64) *Group {
--- a/process/partner/pull.go
+++ b/process/partner/pull.go
@@ -26,18 +26,19 @@
 			g.opts.Apply(mirror.Delta{Table: name, Era: own.Era, UpTo: h.Positions[name]})
 			continue
 		}
-		if !g.startPull(name) {
-			continue
+		if g.startPull(name, h) {
+			go g.pullTable(h.From, name, own)
 		}
-		go g.pullTable(h.From, name, own)
 	}
 }
 
-// startPull marks a table as being pulled; it returns false when it already is.
-func (g *Group) startPull(name string) bool {
+// startPull marks a table as being pulled, since a heartbeat names a newer revision. It returns false when it already is;
+// the heartbeat is then looked at again when that pull ends.
+func (g *Group) startPull(name string, h *Heartbeat) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.pullsRunning[name] {
+		g.pullsWaiting[name] = h
 		return false
 	}
 	g.pullsRunning[name] = true
@@ -61,29 +62,45 @@
 	g.pullDelta(from, name, own)
 }
 
-// endPull records that a pull has ended.
+// endPull records that a pull has ended, and looks at the last heartbeat that came meanwhile and named a newer revision.
 func (g *Group) endPull(name string) {
 	g.mu.Lock()
-	defer g.mu.Unlock()
 	g.pullsRunning[name] = false
+	waiting := g.pullsWaiting[name]
+	delete(g.pullsWaiting, name)
+	g.mu.Unlock()
+	if waiting != nil {
+		g.pullNewer(waiting)
+	}
 }
 
 // pullDelta fetches and applies the records of a table that are newer than own.
 func (g *Group) pullDelta(from Member, name string, own mirror.Position) {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	delta := new(mirror.Delta)
 	g.opts.Metrics.Counter("partners.pulls").Add(1)
 	started := g.opts.Now()
-	err := g.opts.Client.Call(ctx, from.Peer, serviceName+".Pull", &PullRequest{Table: name, After: own.Revision, Era: own.Era}, delta)
+	delta, err := g.callPull(from, name, own)
 	took := g.opts.Now().Sub(started)
 	if err != nil {
 		evPullFailed.Log(g.opts.Log).Str("member", from.Name).Str("table", name).Uint64("own_revision", own.Revision).
 			Int64("took_ms", took.Milliseconds()).Err(err).Send()
 		return
 	}
-	g.logSynchronised(from, *delta, took)
-	g.opts.Apply(*delta)
+	g.logSynchronised(from, delta, took)
+	g.opts.Apply(delta)
+}
+
+// callPull fetches the records of a table that are newer than own: by one call, or in parts if they are large.
+func (g *Group) callPull(from Member, name string, own mirror.Position) (mirror.Delta, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	request, reply := &PullRequest{Table: name, After: own.Revision, Era: own.Era, TakesLarge: true}, new(PullReply)
+	if err := g.opts.Client.Call(ctx, from.Peer, serviceName+".Pull", request, reply); err != nil {
+		return mirror.Delta{}, err
+	}
+	if reply.IsLarge {
+		return g.pullLarge(from, name, own)
+	}
+	return reply.Delta, nil
 }
 
 // logSynchronised logs that a delta arrived from a partner, and how long that took.
--- a/process/partner/service.go
+++ b/process/partner/service.go
@@ -13,9 +13,14 @@
 	return nil
 }
 
-// Pull returns the records of a table that are newer than the caller's revision.
-func (s *service) Pull(pull *PullRequest, reply *mirror.Delta) error {
-	*reply = s.g.opts.Mirror.DeltaSince(pull.Table, mirror.Position{Era: pull.Era, Revision: pull.After})
+// Pull returns the records of a table that are newer than the caller's revision, or says that they are large.
+func (s *service) Pull(pull *PullRequest, reply *PullReply) error {
+	d := s.g.opts.Mirror.DeltaSince(pull.Table, mirror.Position{Era: pull.Era, Revision: pull.After})
+	if pull.TakesLarge && d.Size() >= largeDeltaBytes {
+		reply.IsLarge = true
+		return nil
+	}
+	reply.Delta = d
 	return nil
 }
 
--- a/process/partner/snapshot.go
+++ b/process/partner/snapshot.go
@@ -5,6 +5,7 @@
 	"compress/flate"
 	"context"
 	"io"
+	"net/rpc"
 	"slices"
 	"sync"
 	"time"
@@ -33,11 +34,17 @@
 }
 
 // SnapshotRequest asks for the snapshot of a host.
-type SnapshotRequest struct{}
+type SnapshotRequest struct {
+	// TakesParts says that the caller fetches a large snapshot in parts. Earlier releases do not.
+	TakesParts bool `cbor:",omitempty"`
+}
 
-// SnapshotReply carries a snapshot in CBOR, compressed with DEFLATE. Packed is empty while
-// the host lacks a table.
-type SnapshotReply struct{ Packed []byte }
+// SnapshotReply carries a snapshot in CBOR, compressed with DEFLATE, or offers it in parts. Packed is empty then, and
+// while the host lacks a table.
+type SnapshotReply struct {
+	Packed []byte
+	Parts  *Offer `cbor:",omitempty"`
+}
 
 // snapshotCache holds the encoded snapshot that was made last.
 type snapshotCache struct {
@@ -47,8 +54,13 @@
 }
 
 // Snapshot returns this host's tables and members.
-func (s *service) Snapshot(_ *SnapshotRequest, reply *SnapshotReply) error {
+func (s *service) Snapshot(request *SnapshotRequest, reply *SnapshotReply) error {
 	packed, err := s.g.packedSnapshot()
+	if err == nil && request.TakesParts && len(packed) > partBytes {
+		offer := s.g.offers.add(packed, s.g.opts.Now())
+		reply.Parts = &offer
+		return nil
+	}
 	reply.Packed = packed
 	return err
 }
@@ -94,10 +106,11 @@
 	return members
 }
 
-func pack(s Snapshot) ([]byte, error) {
-	data, err := cbor.Marshal(s)
+// pack encodes a value in CBOR and compresses it.
+func pack(v any) ([]byte, error) {
+	data, err := cbor.Marshal(v)
 	if err != nil {
-		return nil, errors.Wrap(err, "encode a snapshot")
+		return nil, errors.Wrap(err, "encode a large reply")
 	}
 	var packed bytes.Buffer
 	w, err := flate.NewWriter(&packed, flate.BestSpeed)
@@ -113,11 +126,12 @@
 	return packed.Bytes(), nil
 }
 
-func unpack(packed []byte) (Snapshot, error) {
+// unpack decodes what pack has made.
+func unpack[T any](packed []byte) (T, error) {
 	r := io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxSnapshotBytes)
-	var s Snapshot
-	err := cbor.NewDecoder(r).Decode(&s)
-	return s, errors.Wrap(err, "decode a snapshot")
+	var v T
+	err := cbor.NewDecoder(r).Decode(&v)
+	return v, errors.Wrap(err, "decode a large reply")
 }
 
 // snapshotPull stands for all tables in pullsRunning.
@@ -131,14 +145,20 @@
 			return
 		}
 	}
-	if !g.startPull(snapshotPull) {
+	if !g.startPull(snapshotPull, h) {
 		return
 	}
 	go func() {
 		defer g.endPull(snapshotPull)
-		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-		defer cancel()
-		if g.pullSnapshot(ctx, h.From) {
+		started := g.opts.Now()
+		err := g.pullSnapshot(h.From)
+		if err == nil {
+			return
+		}
+		evPullFailed.Log(g.opts.Log).Str("member", h.From.Name).Strs("tables", g.opts.Tables).
+			Int64("took_ms", g.opts.Now().Sub(started).Milliseconds()).Err(err).Send()
+		var remote rpc.ServerError
+		if !errors.As(err, &remote) {
 			return
 		}
 		for _, name := range g.opts.Tables {
@@ -147,19 +167,21 @@
 	}()
 }
 
-// pullSnapshot fetches and applies the snapshot of a host in place of full tables. It
-// returns false if that host has none to give.
-func (g *Group) pullSnapshot(ctx context.Context, from Member) bool {
-	reply := new(SnapshotReply)
+// errNoSnapshot reports that a host lacks a table.
+var errNoSnapshot = errors.New("the partner has no snapshot")
+
+// pullSnapshot fetches and applies the snapshot of a host in place of full tables.
+func (g *Group) pullSnapshot(from Member) error {
 	g.opts.Metrics.Counter("partners.snapshots").Add(1)
 	started := g.opts.Now()
-	if err := g.opts.Client.Call(ctx, from.Peer, serviceName+".Snapshot", &SnapshotRequest{}, reply); err != nil || len(reply.Packed) == 0 {
-		return false
+	packed, err := g.callSnapshot(from)
+	if err != nil {
+		return err
 	}
-	g.opts.Metrics.Counter("partners.snapshot_bytes").Add(int64(len(reply.Packed)))
-	snapshot, err := unpack(reply.Packed)
+	g.opts.Metrics.Counter("partners.snapshot_bytes").Add(int64(len(packed)))
+	snapshot, err := unpack[Snapshot](packed)
 	if err != nil {
-		return false
+		return err
 	}
 	took := g.opts.Now().Sub(started)
 	g.AddMembers(snapshot.Members)
@@ -170,7 +192,25 @@
 	g.mu.Lock()
 	g.hasMembers = true
 	g.mu.Unlock()
-	return true
+	return nil
+}
+
+// callSnapshot fetches the snapshot of a host: by one call, or in parts if it is large.
+func (g *Group) callSnapshot(from Member) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	reply := new(SnapshotReply)
+	err := g.opts.Client.Call(ctx, from.Peer, serviceName+".Snapshot", &SnapshotRequest{TakesParts: true}, reply)
+	switch {
+	case err != nil:
+		return nil, err
+	case reply.Parts != nil:
+		return g.fetch(from, snapshotPull, *reply.Parts)
+	case len(reply.Packed) == 0:
+		return nil, errNoSnapshot
+	default:
+		return reply.Packed, nil
+	}
 }
 
 // HasMembers reports whether the members were taken over from another host's snapshot.
--- a/process/partner/snapshot_test.go
+++ b/process/partner/snapshot_test.go
@@ -17,7 +17,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		n, groups := newNetwork(t, 3)
 		late := n.add("late", "r", 1)
-		if late.pullSnapshot(t.Context(), groups[0].opts.Self) {
+		if late.pullSnapshot(groups[0].opts.Self) == nil {
 			t.Error("a host without tables gave a snapshot")
 		}
 		groups[0].opts.Mirror.Apply(mirror.Delta{Table: table, Records: []mirror.Record{{Key: "i-1", Revision: 7, Value: []byte("ready")}}, UpTo: 7, Whole: true})
@@ -61,7 +61,7 @@
 		t.Fatal(err)
 	}
 	for _, damaged := range [][]byte{packed[:len(packed)/2], []byte("no snapshot"), deflate(t, bytes.Repeat([]byte{0x9f}, maxSnapshotBytes+1))} {
-		if s, err := unpack(damaged); err == nil {
+		if s, err := unpack[Snapshot](damaged); err == nil {
 			t.Errorf("%d bytes were decoded as %+v", len(damaged), s)
 		}
 	}
