--- a/entry/staleness.go
+++ b/entry/staleness.go
@@ -91,13 +91,21 @@
 	}
 }
 
-// askStore brings all tables up to date by calls that the store answers at once, beside the calls for changes.
+// receiving reports whether large changes of a table are arriving, from the store or from a partner.
+func (h *Host) receiving(table string) bool {
+	return h.store.Receiving(table) || h.group.Receiving(table)
+}
+
+// askStore brings all tables up to date by calls that the store answers at once, beside the calls for changes. Tables of which
+// large changes are arriving are left out: they would arrive twice, and later.
 func (h *Host) askStore(ctx context.Context) error {
 	tables := adapter.Tables()
 	failed := make([]error, len(tables))
 	var calls sync.WaitGroup
 	for i, table := range tables {
-		calls.Go(func() { failed[i] = h.askForChanges(ctx, table) })
+		if !h.receiving(table) {
+			calls.Go(func() { failed[i] = h.askForChanges(ctx, table) })
+		}
 	}
 	calls.Wait()
 	return errors.Join(failed...)
@@ -105,8 +113,6 @@
 
 // askForChanges brings a table up to date by one call, or by a read of the full table if the store no longer has the changes.
 func (h *Host) askForChanges(ctx context.Context, table string) error {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
 	started, startedBoot, known := time.Now(), h.bootTime(), h.mirror.Position(table)
 	delta, err := h.feedOrRead(ctx, table, known)
 	if err != nil {
