--- a/entry/apply.go
+++ b/entry/apply.go
@@ -9,6 +9,7 @@
 	"quetzalknot/platform/adapter"
 	"quetzalknot/process/eventlog"
 	"quetzalknot/process/mirror"
+	"quetzalknot/version/routes"
 )
 
 var (
@@ -36,10 +37,11 @@
 
 // applyAt is apply at a given time.
 func (h *Host) applyAt(d mirror.Delta, now time.Time) bool {
+	states := h.parseStates(d)
 	asked := time.Now()
 	h.applyMu.Lock()
 	defer h.applyMu.Unlock()
-	waited := time.Since(asked)
+	states.waited = time.Since(asked)
 	before := h.storeEra()
 	change := h.mirror.Apply(d)
 	era := h.storeEra()
@@ -61,13 +63,54 @@
 			h.applyTarget(r, d.Era, now, change.Restored)
 			continue
 		}
-		h.applyOperator(r, now, waited, change.Restored)
+		h.applyOperator(r, states, now, change.Restored)
 	}
 	return !change.Refused
 }
 
-// applyOperator applies a record of the operators' table; waited is how long that was delayed by records that were being applied.
-func (h *Host) applyOperator(r mirror.Record, now time.Time, waited time.Duration, restored bool) {
+// parsedState is a desired state that was decoded, or why it is rejected, and how long that took.
+type parsedState struct {
+	config *routes.Config
+	err    error
+	took   time.Duration
+}
+
+func parseState(r mirror.Record) parsedState {
+	started := time.Now()
+	config, err := adapter.ParseConfig(r.Value)
+	return parsedState{config: config, err: err, took: time.Since(started)}
+}
+
+// parsedStates holds the desired states of a delta by revision.
+type parsedStates struct {
+	byRevision map[uint64]parsedState
+	// waited is how long the delta was delayed by others that were being applied.
+	waited time.Duration
+}
+
+// parseStates decodes the desired states of a delta that are newer than the known one. A large one takes long, so this
+// comes before the delta is applied: what others change is not held up.
+func (h *Host) parseStates(d mirror.Delta) parsedStates {
+	states := parsedStates{byRevision: make(map[uint64]parsedState)}
+	for _, r := range d.Records {
+		known, ok := h.mirror.Get(d.Table, r.Key)
+		if d.Table == adapter.OperatorTable && adapter.IsConfig(r) && !r.Removed && (!ok || known.Revision < r.Revision) {
+			states.byRevision[r.Revision] = parseState(r)
+		}
+	}
+	return states
+}
+
+// of returns the desired state of a record.
+func (s parsedStates) of(r mirror.Record) parsedState {
+	if state, ok := s.byRevision[r.Revision]; ok {
+		return state
+	}
+	return parseState(r)
+}
+
+// applyOperator applies a record of the operators' table.
+func (h *Host) applyOperator(r mirror.Record, states parsedStates, now time.Time, restored bool) {
 	if zone, ok := adapter.Evacuation(r); ok {
 		h.applyEvacuation(zone, r, now, restored)
 		return
@@ -75,13 +118,12 @@
 	if !adapter.IsConfig(r) || r.Removed {
 		return
 	}
-	started := time.Now()
-	c, err := adapter.ParseConfig(r.Value)
-	decoded := time.Since(started)
-	if err != nil {
-		evConfigRejected.Log(h.log).Uint64("revision", r.Revision).Err(err).Send()
+	state := states.of(r)
+	if state.err != nil {
+		evConfigRejected.Log(h.log).Uint64("revision", r.Revision).Err(state.err).Send()
 		return
 	}
+	c, started := state.config, time.Now()
 	if old := h.config.Load(); old != nil && old.Version >= c.Version {
 		return
 	}
@@ -89,8 +131,8 @@
 	h.setRateLimits(c.Workspaces)
 	evConfigApplied.Log(h.log).Uint64("version", c.Version).Uint64("revision", r.Revision).
 		Int("routes", len(c.Routes)).Int("services", len(c.Services)).Int("bytes", len(r.Value)).
-		Int64("waited_us", waited.Microseconds()).Int64("decode_us", decoded.Microseconds()).
-		Int64("swap_us", (time.Since(started) - decoded).Microseconds()).Send()
+		Int64("waited_us", states.waited.Microseconds()).Int64("decode_us", state.took.Microseconds()).
+		Int64("swap_us", time.Since(started).Microseconds()).Send()
 }
 
 // applyEvacuation starts or ends the evacuation of a failure domain. One that a restored store
--- a/entry/applying_test.go
+++ b/entry/applying_test.go
@@ -40,7 +40,7 @@
 		t.Errorf("version %d is confirmed while version 2, which partners have, is being applied", h.stateVersion())
 	case <-time.After(time.Second):
 	}
-	h.applyOperator(record, time.Now(), 0, false)
+	h.applyOperator(record, parsedStates{}, time.Now(), false)
 	h.applyMu.Unlock()
 	select {
 	case <-confirmed:
--- a/entry/large_state_test.go
+++ b/entry/large_state_test.go
@@ -4,7 +4,9 @@
 	"testing"
 	"time"
 
+	"quetzalknot/platform/adapter"
 	"quetzalknot/platform/standin"
+	"quetzalknot/process/mirror"
 )
 
 // largeState returns a desired state with many routes.
@@ -73,3 +75,29 @@
 	started := c.addHost("front-9")
 	c.eventually("the started host is ready", started.ready)
 }
+
+// TestRemovalNotDelayedByLargeState guards against changes of targets that wait until a large state is decoded.
+func TestRemovalNotDelayedByLargeState(t *testing.T) {
+	const routes = 40_000
+	c := newCluster(t, 2, 1)
+	h := c.hosts[0]
+	position := h.mirror.Position(adapter.OperatorTable)
+	state := mirror.Delta{
+		Table: adapter.OperatorTable, Era: position.Era, UpTo: position.Revision + 1,
+		Records: []mirror.Record{{Key: "config", Revision: position.Revision + 1, Value: []byte(largeState(2, routes))}},
+	}
+	applied := make(chan struct{})
+	go func() {
+		defer close(applied)
+		h.apply(state)
+	}()
+	time.Sleep(20 * time.Millisecond)
+	h.apply(removal(h, "i-1"))
+	if h.stateVersion() != 1 {
+		t.Error("the removal of a target was applied after the large state only")
+	}
+	<-applied
+	if h.stateVersion() != 2 {
+		t.Errorf("version %d is in force, want 2", h.stateVersion())
+	}
+}
