A host whose pieces of a large value do not fit gives whole values

By reading, not seen: hosts of releases that cut values in another way would have fetched pieces that do not fit, for ever. Test: TestWholeValuesAreFetchedIfPiecesDoNotFit, which fails without it.

--- a/process/partner/large.go
+++ b/process/partner/large.go
@@ -8,6 +8,7 @@
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 
 	"quetzalknot/process/chunk"
 	"quetzalknot/process/mirror"
@@ -126,9 +127,18 @@
 	return packed
 }
 
-// pullLarge fetches a large delta of the records of a table that are newer than own.
+// pullLarge fetches a large delta of the records of a table that are newer than own. If what the host sends does not fit this
+// host's values, as with another way to cut them, it fetches whole values.
 func (g *Group) pullLarge(from Member, name string, own mirror.Position) (mirror.Delta, error) {
-	values := g.opts.Mirror.Large(name, largeValueBytes)
+	delta, err := g.pullMissing(from, name, own, g.opts.Mirror.Large(name, largeValueBytes))
+	if errors.IsAny(err, chunk.ErrUnknownChunk, chunk.ErrWrongSum) {
+		return g.pullMissing(from, name, own, nil)
+	}
+	return delta, err
+}
+
+// pullMissing fetches a large delta for a host that has some values.
+func (g *Group) pullMissing(from Member, name string, own mirror.Position, values []mirror.Record) (mirror.Delta, error) {
 	request := &LargeRequest{Table: name, After: own.Revision, Era: own.Era}
 	for _, r := range values {
 		request.Known = append(request.Known, KnownValue{Key: r.Key, Hashes: chunk.Hashes(r.Value)})
--- a/process/partner/large_test.go
+++ b/process/partner/large_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/rpc"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -240,3 +241,34 @@
 		}
 	}
 }
+
+// otherCut is a client whose host numbers the chunks of its values in another way than its partners think.
+type otherCut struct{ networkClient }
+
+func (c otherCut) Call(ctx context.Context, addr, method string, args, reply any) error {
+	if request, ok := args.(*LargeRequest); ok {
+		for _, k := range request.Known {
+			slices.Reverse(k.Hashes)
+		}
+	}
+	return c.networkClient.Call(ctx, addr, method, args, reply)
+}
+
+// TestWholeValuesAreFetchedIfPiecesDoNotFit guards against a host that gets pieces which do not fit its value, again and again.
+func TestWholeValuesAreFetchedIfPiecesDoNotFit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &testNetwork{groups: make(map[string]*Group), cutLinks: make(map[string]bool)}
+		other, own := n.add("h00", "r", 1), n.add("h01", "r", 1)
+		value := largeValue(4 * partBytes)
+		for _, g := range []*Group{other, own} {
+			g.opts.Mirror.Apply(stateDelta(1, value))
+		}
+		other.opts.Mirror.Apply(stateDelta(2, append([]byte("changed"), value...)))
+		own.opts.Client = otherCut{networkClient{n, own.opts.Self.Name}}
+		announce(other, own)
+		synctest.Wait()
+		if got := own.opts.Mirror.Revision(table); got != 2 {
+			t.Errorf("revision %d has arrived, want 2", got)
+		}
+	})
+}
