Tests of large states have states and links of an eighth

State and link are both divided by eight, so that the times of the link, the limits of the calls and the bounds stay as they were.

--- a/entry/large_state_test.go
+++ b/entry/large_state_test.go
@@ -17,7 +17,7 @@
 // TestLargeStateReachesNarrowHosts guards against transfers between hosts that end after a fixed time, whatever their size:
 // a host with a narrow link then fetches a large state for ever.
 func TestLargeStateReachesNarrowHosts(t *testing.T) {
-	const routes = 8000
+	const routes = 1000
 	c := newReadersCluster(t, largeState(1, 10), 0)
 	for _, h := range c.followers {
 		c.narrow(h, narrowLink)
@@ -33,14 +33,14 @@
 // TestLargeStatesFollowEachOther guards against hosts that begin to fetch a state when they hear of it and then hear of the
 // next one too late, or fetch both at once.
 func TestLargeStatesFollowEachOther(t *testing.T) {
-	const routes = 4000
+	const routes = 500
 	c := newReadersCluster(t, largeState(1, routes), 0)
 	for _, h := range c.followers {
 		c.narrow(h, narrowLink)
 	}
 	const versions = 6
 	for version := 2; version < versions; version++ {
-		c.store.PutState(largeState(version, routes+400*version))
+		c.store.PutState(largeState(version, routes+50*version))
 		time.Sleep(300 * time.Millisecond)
 	}
 	c.store.PutState(largeState(versions, routes))
@@ -51,7 +51,7 @@
 // TestLargeStateReachesNarrowHostWithoutPartners guards against calls to the store that end after a fixed time, whatever the
 // size of the answer.
 func TestLargeStateReachesNarrowHostWithoutPartners(t *testing.T) {
-	const routes = 6000
+	const routes = 750
 	c := newCluster(t, 2, 1)
 	time.Sleep(2 * feedPause)
 	c.narrow(c.hosts[0], narrowLink)
@@ -65,7 +65,7 @@
 
 // TestNarrowHostStartsWithLargeState guards against starting hosts with narrow links that never get the tables.
 func TestNarrowHostStartsWithLargeState(t *testing.T) {
-	const routes = 40000
+	const routes = 5000
 	c := newCluster(t, 2, 3)
 	c.store.PutState(largeState(2, routes))
 	for _, h := range c.hosts {
@@ -78,7 +78,7 @@
 
 // TestRemovalNotDelayedByLargeState guards against changes of targets that wait until a large state is decoded.
 func TestRemovalNotDelayedByLargeState(t *testing.T) {
-	const routes = 40_000
+	const routes = 10_000
 	c := newCluster(t, 2, 1)
 	h := c.hosts[0]
 	position := h.mirror.Position(adapter.OperatorTable)
--- a/entry/narrow_link_test.go
+++ b/entry/narrow_link_test.go
@@ -7,8 +7,9 @@
 	"time"
 )
 
-// narrowLink is the bandwidth of a narrow link in bytes a second: 10 Mbit/s.
-const narrowLink = 1_250_000
+// narrowLink is the bandwidth of a narrow link in bytes a second: an eighth of 10 Mbit/s. The states of the tests are an eighth of those
+// that such a link has to carry, so that decoding them at all hosts at once takes no part of the time.
+const narrowLink = 1_250_000 / 8
 
 // testLink is the inbound direction of the link of a host, which all its connections to the store and to partners share.
 type testLink struct {
@@ -72,7 +73,7 @@
 
 // Read implements net.Conn.
 func (c *linkedConn) Read(p []byte) (int, error) {
-	const packetBytes = 16 << 10 // connections share the link by turns
+	const packetBytes = 4 << 10 // connections share the link by turns
 	n, err := c.Conn.Read(p[:min(len(p), packetBytes)])
 	c.link.pass(n)
 	return n, err
--- a/process/partner/design_size_test.go
+++ b/process/partner/design_size_test.go
@@ -22,9 +22,9 @@
 	designHosts, designDomains = 152, 4
 	// designBound is the time in which a change must be in force everywhere.
 	designBound = 5 * time.Second
-	// wideBytes and narrowBytes are the bandwidths of links in bytes a second; wideHosts hosts of a failure domain have wide
-	// ones.
-	wideBytes, narrowBytes = 25_000_000, 1_250_000
+	// wideBytes and narrowBytes are the bandwidths of links in bytes a second, an eighth of 200 and 10 Mbit/s, as the state is an eighth of
+	// a large one; wideHosts hosts of a failure domain have wide ones.
+	wideBytes, narrowBytes = 25_000_000 / 8, 1_250_000 / 8
 	wideHosts              = 2
 )
 
@@ -151,7 +151,7 @@
 // reach all hosts of a large region in time.
 func TestLargeStateInForceAtDesignSize(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		const routes, added = 4200, 1400
+		const routes, added = 525, 175
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		hosts := newDesignRegion(ctx)
