--- a/review/_lab3/target.go
+++ b/review/_lab3/target.go
@@ -29,6 +29,8 @@
 	starts              int
 	// keepID makes further starts keep the identifier of the first one.
 	keepID bool
+	// dark is not nil while the target is silent, and is closed when that ends.
+	dark chan struct{}
 	// handle, if set, sees each request before it is run; it returns true if it has handled it, with whether the
 	// connection goes on.
 	handle func(u *target, c net.Conn, in *bufio.Reader, r *http.Request) (handled, goOn bool)
@@ -144,6 +146,10 @@
 
 // exchange serves one request and returns whether the connection goes on.
 func (u *target) exchange(c net.Conn, in *bufio.Reader, r *http.Request) bool {
+	if d := u.darkness(); d != nil {
+		<-d
+		return false
+	}
 	id := r.Header.Get("Request-Identifier")
 	u.mu.Lock()
 	self, running, cold := u.id, u.running, time.Until(u.coldUntil)
@@ -188,6 +194,10 @@
 		return false
 	}
 	time.Sleep(u.work)
+	if d := u.darkness(); d != nil {
+		<-d
+		return false
+	}
 	body := fmt.Sprintf("whole answer to %s, %d bytes read\n", id, n)
 	_, err = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Identifier: %s\r\nResponse-Stamp: stamp-%s\r\n%sContent-Length: %d\r\n\r\n%s", id, id, load, len(body), body)
 	return err == nil
